Serve a request end to end through real processes

Change: configuration as a pure fold of the platform's log, identity by digest, admission on p-queue with a queue class of our own, placement, attempts with typed failures, relay of streams with resume, the daemon, the operators' tool, and stand-ins for platform, engine and service.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,56 @@
+import {createRequire} from 'node:module';
+import importX from 'eslint-plugin-import-x';
+import {createNodeResolver} from 'eslint-plugin-import-x';
+import {createSourceFileResolver} from './tools/resolver.js';
+
+const require = createRequire(import.meta.url);
+const gts = require('gts');
+
+export default [
+  {ignores: ['dist/', 'build/', 'node_modules/']},
+  ...gts,
+  {
+    files: ['**/*.ts'],
+    plugins: {'import-x': importX},
+    settings: {
+      'import-x/resolver-next': [
+        createSourceFileResolver(),
+        createNodeResolver({extensions: ['.ts', '.js']}),
+      ],
+      'import-x/parsers': {'@typescript-eslint/parser': ['.ts']},
+    },
+    rules: {
+      'import-x/no-cycle': ['error', {ignoreExternal: true}],
+      'import-x/no-default-export': 'error',
+      'n/no-unpublished-import': 'off',
+      'n/no-unsupported-features/node-builtins': 'off',
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              regex: '^\\.\\./(?:[a-z]+/)+(?!index\\.js$)[a-z]+\\.js$',
+              message: 'Import a folder through its index.ts only.',
+            },
+          ],
+        },
+      ],
+    },
+  },
+  {
+    files: ['test/**', 'tools/**', 'standins/**'],
+    rules: {'no-restricted-imports': 'off'},
+  },
+  {
+    files: ['**/*.mjs', 'eslint.config.js', 'tools/*.js', 'ava.config.js'],
+    languageOptions: {
+      sourceType: 'module',
+      globals: {console: 'readonly', process: 'readonly'},
+    },
+    rules: {
+      'n/no-unpublished-import': 'off',
+      'n/no-process-exit': 'off',
+      'n/no-extraneous-import': 'off',
+    },
+  },
+];
--- /dev/null
+++ b/source/attempt/index.ts
@@ -0,0 +1,3 @@
+/** The door of the attempt folder. */
+export {afterFailure, proofOf, type Decision, type Failure} from './decide.js';
+export {RetryBudget} from './budget.js';
--- /dev/null
+++ b/source/daemon/index.ts
@@ -0,0 +1,3 @@
+/** The door of the daemon folder. */
+export {Host} from './host.js';
+export {runDaemon} from './run.js';
--- /dev/null
+++ b/source/daemon/listener.ts
@@ -0,0 +1,217 @@
+/**
+ * The callers' port: from a request to its exchange. Each step may end the
+ * request with a Refusal, which is counted by reason and class and told to the
+ * caller in one place.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {Socket} from 'node:net';
+
+import {Refusal} from '../errors/index.js';
+import {
+  admits,
+  Exchange,
+  parseChatRequest,
+  readBody,
+  runChat,
+  type Match,
+} from '../exchange/index.js';
+import {bearerOf, keyExposed, type Caller} from '../identity/index.js';
+import {CallerAnswer} from '../relay/index.js';
+import type {Host} from './host.js';
+import {serveService} from './service.js';
+
+const CHAT_PATH = '/v1/chat/completions';
+const MODELS_PATH = '/v1/models';
+const HEADERS_BYTES_MOST = 16_384;
+const NO_CLASS = 'none';
+
+/** A request with its body and the key that it carries. */
+export interface Arrival {
+  readonly message: IncomingMessage;
+  readonly answer: CallerAnswer;
+  readonly body: Buffer;
+  readonly path: string;
+  readonly bearer: string | undefined;
+  /** Monotonic milliseconds. */
+  readonly arrived: number;
+}
+
+/** Makes the server of the callers’ port. */
+export function createListener(host: Host): Server {
+  const {requestBoundMilliseconds} = host.settings;
+  const server = createServer(
+    {
+      maxHeaderSize: HEADERS_BYTES_MOST,
+      requestTimeout: requestBoundMilliseconds,
+      headersTimeout: requestBoundMilliseconds,
+      connectionsCheckingInterval: 1_000,
+      noDelay: true,
+    },
+    (message, response) => void serve(host, message, response),
+  );
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
+    refuseMalformed(host, error, socket),
+  );
+  return server;
+}
+
+function refuseMalformed(
+  host: Host,
+  error: NodeJS.ErrnoException,
+  socket: Socket,
+): void {
+  const refusal = new Refusal(
+    error.code === 'HPE_HEADER_OVERFLOW'
+      ? 'body-too-large'
+      : 'malformed-request',
+    'not-run',
+    error.code ?? 'malformed',
+  );
+  host.metrics.count('refusal', {reason: refusal.code, class: NO_CLASS});
+  if (!socket.writable) return socket.destroy() as never;
+  const body = JSON.stringify(refusal.body());
+  socket.end(
+    `HTTP/1.1 ${refusal.status} Refused\r\nconnection: close\r\n` +
+      `content-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n` +
+      `arbutusslip-outcome: not-run\r\n\r\n${body}`,
+  );
+}
+
+async function serve(
+  host: Host,
+  message: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const arrived = host.clock.monotonic();
+  const heartbeat = host.settings.heartbeatMilliseconds;
+  const answer = new CallerAnswer(response, host.clock, heartbeat);
+  if (host.isDraining) response.setHeader('connection', 'close');
+  host.arrivals++;
+  try {
+    await serveArrival(host, message, answer, arrived);
+  } catch (error) {
+    refuse(host, answer, error, NO_CLASS);
+  } finally {
+    host.arrivals--;
+  }
+}
+
+async function serveArrival(
+  host: Host,
+  message: IncomingMessage,
+  answer: CallerAnswer,
+  arrived: number,
+): Promise<void> {
+  const body = await readBody(message, host.settings.bodyLimitBytes);
+  const {pathname: path} = new URL(message.url ?? '/', 'http://host');
+  const bearer = bearerOf(message.headers.authorization);
+  const arrival = {message, answer, body, path, bearer, arrived};
+  if (!host.isReady) {
+    throw new Refusal('not-ready', 'not-run', 'the host is catching up');
+  }
+  rejectExposedKey(arrival);
+  if (path === MODELS_PATH && message.method === 'GET') {
+    return sendModels(host, arrival);
+  }
+  if (path === CHAT_PATH && message.method === 'POST') {
+    return serveChat(host, arrival);
+  }
+  const match = host.routes.service(message.method ?? '', path);
+  await serveMatched(host, arrival, match, exchange =>
+    serveService(host, arrival, exchange),
+  );
+}
+
+function rejectExposedKey({bearer, message, body}: Arrival): void {
+  if (bearer === undefined) return;
+  const {rawHeaders, rawTrailers} = message;
+  const headers: string[] = [];
+  for (const [index, text] of [...rawHeaders, ...rawTrailers].entries()) {
+    const name = index % 2 === 1 ? rawHeaders[index - 1] : '';
+    if (name?.toLowerCase() !== 'authorization') headers.push(text);
+  }
+  const url = message.url ?? '';
+  if (!keyExposed(bearer, {url, headers, body})) return;
+  throw new Refusal(
+    'key-exposed',
+    'not-run',
+    'the key stands outside its header',
+  );
+}
+
+function sendModels(host: Host, {bearer, answer}: Arrival): void {
+  const {team} = host.identities.identify(bearer);
+  const data = host.routes.models(team).map(id => ({
+    id,
+    object: 'model',
+    created: 0,
+    owned_by: 'arbutusslip',
+  }));
+  const body = Buffer.from(JSON.stringify({object: 'list', data}));
+  answer.sendWhole(200, {'content-type': 'application/json'}, body, 'ran');
+}
+
+async function serveChat(host: Host, arrival: Arrival): Promise<void> {
+  const request = parseChatRequest(arrival.body);
+  const match = host.routes.chat(request.model);
+  await serveMatched(host, arrival, match, async exchange => {
+    const tokens = await runChat(exchange, host.plane, request, arrival.body);
+    host.noteUsage(exchange.caller.team, tokens);
+  });
+}
+
+async function serveMatched(
+  host: Host,
+  arrival: Arrival,
+  match: Match,
+  run: (exchange: Exchange) => Promise<void>,
+): Promise<void> {
+  const caller = identify(host, arrival, match);
+  if (!admits(match, caller.team)) {
+    throw new Refusal('route-forbidden', 'not-run', 'not a route of this team');
+  }
+  host.refuseWhenCutOff(match.route);
+  const exchange = new Exchange(caller, match, arrival.answer, arrival.arrived);
+  host.exchanges.add(exchange);
+  try {
+    await run(exchange);
+    host.metrics.count('request', {class: match.class.name, outcome: 'whole'});
+  } catch (error) {
+    if (exchange.callerLeft)
+      host.metrics.count('caller-left', {class: match.class.name});
+    refuse(host, arrival.answer, error, match.class.name);
+  } finally {
+    exchange.move('settle');
+    host.exchanges.remove(exchange);
+  }
+}
+
+function identify(host: Host, {bearer}: Arrival, {route}: Match): Caller {
+  if (route.open) return host.identities.identifyOpen(bearer);
+  return host.identities.identify(bearer);
+}
+
+function refuse(
+  host: Host,
+  answer: CallerAnswer,
+  error: unknown,
+  className: string,
+): void {
+  const refusal = asRefusal(host, error);
+  host.metrics.count('refusal', {reason: refusal.code, class: className});
+  host.metrics.count('request', {class: className, outcome: refusal.outcome});
+  answer.refuse(refusal);
+}
+
+function asRefusal(host: Host, error: unknown): Refusal {
+  if (error instanceof Refusal) return error;
+  const detail =
+    error instanceof Error ? (error.stack ?? error.message) : 'unknown';
+  host.logger.error('request-failed', {detail});
+  return new Refusal('internal', 'unknown', 'internal error');
+}
--- /dev/null
+++ b/source/engine/http.ts
@@ -0,0 +1,232 @@
+/** Endpoints over HTTP, as docs/endpoints.md describes them. */
+import {
+  Agent,
+  request,
+  type IncomingMessage,
+  type RequestOptions,
+} from 'node:http';
+import {connect, type Socket} from 'node:net';
+
+import {z} from 'zod';
+
+import type {Endpoint} from '../configuration/index.js';
+import {WireError} from '../errors/index.js';
+import {callJson, partsOf} from '../wire/index.js';
+import {
+  EndpointAdapter,
+  loadReportSchema,
+  type Answer,
+  type LoadReport,
+  type Order,
+} from './adapter.js';
+
+/** Time bounds, in milliseconds. */
+export interface AdapterBounds {
+  readonly connect: number;
+  readonly firstByte: number;
+  /** Longest silence before the connection is doubted. */
+  readonly silence: number;
+}
+
+const CONTROL_BOUND_MILLISECONDS = 1_000;
+const IDLE_BOUND_MILLISECONDS = 4_000;
+const ANSWER_HEADERS = [
+  'content-type',
+  'content-language',
+  'content-encoding',
+  'etag',
+  'location',
+  'cache-control',
+  'retry-after',
+];
+
+/**
+ * Endpoints by the addresses of the configuration.
+ *
+ * ```ts
+ * const adapter = new HttpEndpointAdapter(bounds);
+ * const answer = await adapter.send(endpoint, order, signal);
+ * ```
+ */
+export class HttpEndpointAdapter extends EndpointAdapter {
+  private readonly agents = new Map<string, Agent>();
+
+  constructor(private readonly bounds: AdapterBounds) {
+    super();
+  }
+
+  override async send(
+    endpoint: Endpoint,
+    order: Order,
+    signal: AbortSignal,
+  ): Promise<Answer> {
+    const options: RequestOptions = {
+      method: order.method,
+      path: order.path,
+      headers: {
+        ...order.headers,
+        'content-length': String(order.body.length),
+        'x-attempt': order.attempt,
+        'x-priority': String(order.priority),
+      },
+    };
+    const firstByte = order.newConnection
+      ? this.bounds.firstByte
+      : this.bounds.silence;
+    if (!order.newConnection) {
+      const agent = this.agent(endpoint);
+      return this.exchange(
+        endpoint,
+        {...options, agent},
+        order.body,
+        firstByte,
+        signal,
+      );
+    }
+    const socket = await this.connected(endpoint, signal);
+    const fresh = {...options, createConnection: () => socket};
+    return this.exchange(endpoint, fresh, order.body, firstByte, signal);
+  }
+
+  override async resume(
+    endpoint: Endpoint,
+    attempt: string,
+    after: number | 'whole',
+    signal: AbortSignal,
+  ): Promise<Answer> {
+    const socket = await this.connected(endpoint, signal);
+    const what = after === 'whole' ? 'answer' : `events?after=${after}`;
+    const path = `/v1/attempts/${attempt}/${what}`;
+    const options = {method: 'GET', path, createConnection: () => socket};
+    const {firstByte} = this.bounds;
+    return this.exchange(endpoint, options, undefined, firstByte, signal);
+  }
+
+  override async cancel(endpoint: Endpoint, attempt: string): Promise<void> {
+    await this.control(
+      endpoint,
+      'DELETE',
+      `/v1/attempts/${attempt}`,
+      z.unknown(),
+    );
+  }
+
+  override load(endpoint: Endpoint): Promise<LoadReport> {
+    return this.control(endpoint, 'GET', '/load', loadReportSchema);
+  }
+
+  override renewConnections(endpoint: Endpoint): void {
+    const agent = this.agents.get(endpoint.address);
+    this.agents.delete(endpoint.address);
+    for (const sockets of Object.values(agent?.freeSockets ?? {})) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
+  private control<Schema extends z.ZodType>(
+    {address}: Endpoint,
+    method: string,
+    path: string,
+    schema: Schema,
+  ): Promise<z.infer<Schema>> {
+    const bound = CONTROL_BOUND_MILLISECONDS;
+    return callJson({address, method, path, bound}, schema);
+  }
+
+  private agent({address}: Endpoint): Agent {
+    let agent = this.agents.get(address);
+    if (!agent) {
+      agent = new Agent({
+        keepAlive: true,
+        scheduling: 'lifo',
+        timeout: IDLE_BOUND_MILLISECONDS,
+      });
+      this.agents.set(address, agent);
+    }
+    return agent;
+  }
+
+  /** A socket that the endpoint has accepted, so that a write reaches it. */
+  private connected({address}: Endpoint, signal: AbortSignal): Promise<Socket> {
+    return new Promise((resolve, reject) => {
+      const {host, port} = partsOf(address);
+      const socket = connect({host, port, noDelay: true});
+      const timer = setTimeout(() => fail('timed out'), this.bounds.connect);
+      const abort = () => fail('aborted');
+      const fail = (detail: string) => {
+        clearTimeout(timer);
+        signal.removeEventListener('abort', abort);
+        socket.destroy();
+        reject(new WireError('connect', `${address} ${detail}`));
+      };
+      const failed = (error: Error) => fail(error.message);
+      signal.addEventListener('abort', abort, {once: true});
+      socket.once('error', failed);
+      socket.once('connect', () => {
+        clearTimeout(timer);
+        signal.removeEventListener('abort', abort);
+        socket.removeListener('error', failed);
+        resolve(socket);
+      });
+      if (signal.aborted) abort();
+    });
+  }
+
+  private exchange(
+    {address}: Endpoint,
+    options: RequestOptions,
+    body: Uint8Array | undefined,
+    firstByte: number,
+    signal: AbortSignal,
+  ): Promise<Answer> {
+    return new Promise((resolve, reject) => {
+      let connected = options.createConnection !== undefined;
+      const {host, port} = partsOf(address);
+      const outgoing = request({...options, host, port, signal}, message => {
+        clearTimeout(timer);
+        resolve(answerOf(message, outgoing.reusedSocket));
+      });
+      const timer = setTimeout(() => {
+        reject(new WireError('first-byte', `${address} silent`));
+        outgoing.destroy();
+      }, firstByte);
+      const connecting = setTimeout(() => {
+        if (connected) return;
+        reject(new WireError('connect', `${address} timed out`));
+        outgoing.destroy();
+      }, this.bounds.connect);
+      outgoing.once('socket', socket => {
+        if (!socket.connecting) connected = true;
+        else socket.once('connect', () => (connected = true));
+      });
+      outgoing.once('close', () => clearTimeout(connecting));
+      outgoing.on('error', error => {
+        clearTimeout(timer);
+        const stage = connected ? 'write' : 'connect';
+        reject(new WireError(stage, `${address} ${error.message}`));
+      });
+      outgoing.end(body);
+    });
+  }
+}
+
+function answerOf(message: IncomingMessage, reused: boolean): Answer {
+  const headers: Record<string, string> = {};
+  for (const name of ANSWER_HEADERS) {
+    const value = message.headers[name];
+    if (typeof value === 'string') headers[name] = value;
+  }
+  return {
+    status: message.statusCode ?? 0,
+    headers,
+    state: stateOf(message.headers['x-endpoint-state']),
+    notRun: message.headers['x-not-run'] === 'true',
+    reused,
+    body: message,
+  };
+}
+
+function stateOf(header: string | string[] | undefined): Answer['state'] {
+  const known = loadReportSchema.shape.state.safeParse(header);
+  return known.success ? known.data : undefined;
+}
--- /dev/null
+++ b/source/errors/refusal.ts
@@ -0,0 +1,144 @@
+/**
+ * A refusal is the typed answer that a caller gets in place of a result. The
+ * table holds, for each code, the HTTP status, whether waiting helps, and what
+ * the router knows about the request having run. The body has the error shape
+ * that the OpenAI clients expect.
+ */
+import {z} from 'zod';
+
+import {ArbutusslipError} from './failure.js';
+
+/** The header that tells a caller whether its request ran. */
+export const OUTCOME_HEADER = 'arbutusslip-outcome';
+
+/** Whether a request ran: `not-run` is proof that no endpoint ran it. */
+export const outcomeSchema = z.enum(['not-run', 'ran', 'unknown']);
+export type Outcome = z.infer<typeof outcomeSchema>;
+
+export const refusalCodeSchema = z.enum([
+  'malformed-request',
+  'body-too-large',
+  'body-encoding',
+  'key-missing',
+  'key-unknown',
+  'key-withdrawn',
+  'key-exposed',
+  'team-withdrawn',
+  'route-unknown',
+  'route-forbidden',
+  'route-withdrawn',
+  'method-not-allowed',
+  'queue-full',
+  'queue-timeout',
+  'target-unreachable',
+  'shed',
+  'no-endpoint',
+  'not-ready',
+  'draining',
+  'cut-off',
+  'endpoint-failed',
+  'endpoint-lost',
+  'endpoint-refused',
+  'outcome-unknown',
+  'idempotency-conflict',
+  'idempotency-key-invalid',
+  'idempotency-pending',
+  'claims-unavailable',
+  'stored-answer-too-large',
+  'internal',
+]);
+export type RefusalCode = z.infer<typeof refusalCodeSchema>;
+
+interface RefusalKind {
+  readonly status: number;
+  readonly type: string;
+  /** Seconds after which a repeat may help; zero where waiting does not help. */
+  readonly retryAfter: number;
+}
+
+const INVALID = 'invalid_request_error';
+const AUTHENTICATION = 'authentication_error';
+const PERMISSION = 'permission_error';
+const OVERLOADED = 'overloaded_error';
+const SERVER = 'server_error';
+
+const REFUSALS: Readonly<Record<RefusalCode, RefusalKind>> = {
+  'malformed-request': {status: 400, type: INVALID, retryAfter: 0},
+  'body-too-large': {status: 413, type: INVALID, retryAfter: 0},
+  'body-encoding': {status: 415, type: INVALID, retryAfter: 0},
+  'key-missing': {status: 401, type: AUTHENTICATION, retryAfter: 0},
+  'key-unknown': {status: 401, type: AUTHENTICATION, retryAfter: 0},
+  'key-withdrawn': {status: 401, type: AUTHENTICATION, retryAfter: 0},
+  'key-exposed': {status: 400, type: INVALID, retryAfter: 0},
+  'team-withdrawn': {status: 401, type: AUTHENTICATION, retryAfter: 0},
+  'route-unknown': {status: 404, type: INVALID, retryAfter: 0},
+  'route-forbidden': {status: 403, type: PERMISSION, retryAfter: 0},
+  'route-withdrawn': {status: 404, type: INVALID, retryAfter: 0},
+  'method-not-allowed': {status: 405, type: INVALID, retryAfter: 0},
+  'queue-full': {status: 429, type: OVERLOADED, retryAfter: 1},
+  'queue-timeout': {status: 503, type: OVERLOADED, retryAfter: 1},
+  'target-unreachable': {status: 429, type: OVERLOADED, retryAfter: 2},
+  shed: {status: 503, type: OVERLOADED, retryAfter: 2},
+  'no-endpoint': {status: 503, type: OVERLOADED, retryAfter: 2},
+  'not-ready': {status: 503, type: SERVER, retryAfter: 1},
+  draining: {status: 503, type: SERVER, retryAfter: 1},
+  'cut-off': {status: 503, type: SERVER, retryAfter: 5},
+  'endpoint-failed': {status: 502, type: SERVER, retryAfter: 1},
+  'endpoint-lost': {status: 502, type: SERVER, retryAfter: 1},
+  'endpoint-refused': {status: 503, type: OVERLOADED, retryAfter: 1},
+  'outcome-unknown': {status: 502, type: SERVER, retryAfter: 0},
+  'idempotency-conflict': {status: 422, type: INVALID, retryAfter: 0},
+  'idempotency-key-invalid': {status: 400, type: INVALID, retryAfter: 0},
+  'idempotency-pending': {status: 409, type: INVALID, retryAfter: 1},
+  'claims-unavailable': {status: 503, type: SERVER, retryAfter: 5},
+  'stored-answer-too-large': {status: 409, type: INVALID, retryAfter: 0},
+  internal: {status: 500, type: SERVER, retryAfter: 0},
+};
+
+/** The JSON body of a refusal. */
+export const refusalBodySchema = z.object({
+  error: z.object({
+    message: z.string(),
+    type: z.string(),
+    code: refusalCodeSchema,
+    param: z.null(),
+    outcome: outcomeSchema,
+  }),
+});
+export type RefusalBody = z.infer<typeof refusalBodySchema>;
+
+/**
+ * The failure that ends a caller's request.
+ *
+ * ```ts
+ * throw new Refusal('queue-full', 'not-run', 'no place for tier 3');
+ * ```
+ */
+export class Refusal extends ArbutusslipError {
+  readonly status: number;
+  /** Seconds. */
+  readonly retryAfter: number;
+
+  constructor(
+    readonly code: RefusalCode,
+    readonly outcome: Outcome,
+    detail: string,
+  ) {
+    super(detail);
+    this.status = REFUSALS[code].status;
+    this.retryAfter = REFUSALS[code].retryAfter;
+  }
+
+  /**
+   * The body in the error shape of the OpenAI clients.
+   *
+   * ```ts
+   * response.end(JSON.stringify(refusal.body()));
+   * ```
+   */
+  body(): RefusalBody {
+    const {type} = REFUSALS[this.code];
+    const {message, code, outcome} = this;
+    return {error: {message, type, code, param: null, outcome}};
+  }
+}
--- /dev/null
+++ b/source/log/follower.ts
@@ -0,0 +1,95 @@
+/**
+ * Reads the platform's log without end. While the log is out of reach it tries
+ * again, and everything that was applied stays in force.
+ */
+import type {Clock} from '../clock/index.js';
+import type {LogEntry, LogPage, Platform} from '../platform/index.js';
+
+const WAIT_MILLISECONDS = 1_000;
+const RETRY_MILLISECONDS = 200;
+
+/** What a follower is made from. */
+export interface FollowerOptions {
+  readonly platform: Platform;
+  readonly clock: Clock;
+  /** Called once with the first offset that the log still holds. */
+  readonly started: (first: number) => void;
+  /** Called for the entries of a page, in order. */
+  readonly entries: (entries: readonly LogEntry[]) => void;
+  /** Offset of the next entry that is wanted. */
+  readonly next: () => number;
+  /** Called when the log comes in reach or goes out of it. */
+  readonly reach: (reachable: boolean) => void;
+}
+
+/** Follows the log from wherever the host has come. */
+export class LogFollower {
+  private running = true;
+  private started = false;
+  private reachable = false;
+  /** Monotonic milliseconds at which the end of the log was last seen. */
+  private atEndSince = -Infinity;
+
+  constructor(private readonly options: FollowerOptions) {}
+
+  /** Whether the last read was answered. */
+  get inReach(): boolean {
+    return this.reachable;
+  }
+
+  /** Milliseconds since everything in the log was known to be applied. */
+  get age(): number {
+    return this.options.clock.monotonic() - this.atEndSince;
+  }
+
+  /** Follows until `stop`. */
+  async run(): Promise<void> {
+    while (this.running) {
+      const before = this.options.clock.monotonic();
+      const page = await this.read();
+      if (!this.running) return;
+      if (!page) {
+        await this.pause();
+        continue;
+      }
+      this.take(page, before);
+    }
+  }
+
+  stop(): void {
+    this.running = false;
+  }
+
+  private async read(): Promise<LogPage | undefined> {
+    try {
+      const from = this.started ? this.options.next() : 0;
+      const wait = this.started && this.reachable ? WAIT_MILLISECONDS : 0;
+      return await this.options.platform.read(from, wait);
+    } catch {
+      this.setReachable(false);
+      return undefined;
+    }
+  }
+
+  private take(page: LogPage, askedAt: number): void {
+    if (!this.started) {
+      this.started = true;
+      this.options.started(page.first);
+    }
+    this.options.entries(page.entries);
+    if (this.options.next() >= page.end) this.atEndSince = askedAt;
+    this.setReachable(true);
+  }
+
+  private setReachable(reachable: boolean): void {
+    if (reachable === this.reachable) return;
+    this.reachable = reachable;
+    this.options.reach(reachable);
+  }
+
+  private pause(): Promise<void> {
+    return new Promise(resolve => {
+      this.options.clock.after(RETRY_MILLISECONDS, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/source/log/index.ts
@@ -0,0 +1,9 @@
+/** The door of the log folder. */
+export {
+  emptyFold,
+  foldEntry,
+  isComplete,
+  type Fold,
+  type Folded,
+} from './fold.js';
+export {LogFollower, type FollowerOptions} from './follower.js';
--- /dev/null
+++ b/source/logging/index.ts
@@ -0,0 +1,2 @@
+/** The door of the logging folder. */
+export {createLogger, type Logger, type Fields} from './logger.js';
--- /dev/null
+++ b/source/metrics/index.ts
@@ -0,0 +1,7 @@
+/** The door of the metrics folder. */
+export {
+  Metrics,
+  metricsSnapshotSchema,
+  type MetricsSnapshot,
+  type Tags,
+} from './metrics.js';
--- /dev/null
+++ b/source/operator/status.ts
@@ -0,0 +1,32 @@
+/** What a host says of itself at the operators' port. */
+import {z} from 'zod';
+
+export const hostStatusSchema = z.object({
+  name: z.string(),
+  zone: z.string(),
+  incarnation: z.string(),
+  state: z.string(),
+  applied: z
+    .number()
+    .describe('Offset of the last log entry that was applied.'),
+  configuration: z
+    .number()
+    .describe('Offset of the last note that was decided.'),
+  digest: z.string(),
+  malformed: z.number(),
+  diverged: z.number(),
+  logInReach: z.boolean(),
+  waiting: z.number(),
+  underWay: z.number(),
+  endpoints: z.array(
+    z.object({
+      name: z.string(),
+      zone: z.string(),
+      pool: z.string(),
+      state: z.string(),
+      running: z.number(),
+      zoneIn: z.boolean(),
+    }),
+  ),
+});
+export type HostStatus = z.infer<typeof hostStatusSchema>;
--- /dev/null
+++ b/source/placement/allowance.ts
@@ -0,0 +1,11 @@
+/**
+ * How much of each endpoint this host may use. Several hosts share every
+ * endpoint, so no host may decide that by itself.
+ */
+import type {EndpointState} from './endpoint.js';
+
+/** The shares of a host. */
+export abstract class Allowances {
+  /** Requests that this host may run at the endpoint at once. */
+  abstract of(endpoint: EndpointState, now: number): number;
+}
--- /dev/null
+++ b/source/settings/schema.ts
@@ -0,0 +1,87 @@
+/**
+ * The settings of the daemon. One schema serves flags, environment variables,
+ * the help text and docs/configuration.md. Every value that is a time is in
+ * milliseconds, as its name says.
+ */
+import {z} from 'zod';
+
+const addressSchema = z
+  .string()
+  .regex(
+    /^[0-9a-fA-F.:[\]]+:\d{1,5}$/,
+    'an IP number and a port, as 127.0.0.1:8080',
+  );
+
+const duration = z.coerce.number().int().min(1).max(3_600_000);
+const count = z.coerce.number().int().min(1).max(1_000_000_000);
+
+export const settingsSchema = z.strictObject({
+  name: z
+    .string()
+    .regex(/^[a-z0-9][a-z0-9-]{0,62}$/)
+    .describe('Name of the host, unique in the fleet.'),
+  zone: z.string().min(1).describe('Availability zone of the host.'),
+  region: z.string().min(1).describe('Region of the availability zone.'),
+  callers: addressSchema.describe('Address to listen on for callers.'),
+  operators: addressSchema.describe(
+    'Address to listen on for operators and the balancer’s probes.',
+  ),
+  peers: addressSchema.describe('Address to listen on for other hosts.'),
+  platform: addressSchema.describe('Address of the platform.'),
+  peerSecret: z
+    .string()
+    .min(16)
+    .describe(
+      'Shared secret of the hosts, 16 characters or more; a comma separates ' +
+        'the present one from former ones that are still accepted.',
+    ),
+  logLevel: z
+    .enum(['trace', 'debug', 'info', 'warn', 'error', 'silent'])
+    .default('info')
+    .describe('Least level of log lines.'),
+  logForm: z
+    .enum(['json', 'human'])
+    .default('json')
+    .describe('Form of log lines.'),
+  metrics: addressSchema
+    .optional()
+    .describe('Address of a StatsD server; none by default.'),
+  bodyLimitBytes: count
+    .default(4_194_304)
+    .describe('Largest request body, in bytes.'),
+  requestBoundMilliseconds: duration
+    .default(30_000)
+    .describe('Time within which a caller must send its whole request.'),
+  connectBoundMilliseconds: duration
+    .default(1_000)
+    .describe('Time within which an endpoint must accept a connection.'),
+  firstByteBoundMilliseconds: duration
+    .default(30_000)
+    .describe('Time within which an endpoint must begin its answer.'),
+  betweenEventsBoundMilliseconds: duration
+    .default(5_000)
+    .describe('Longest silence in an answer before the connection is doubted.'),
+  heartbeatMilliseconds: duration
+    .default(10_000)
+    .describe('Period of comments on an event stream that has no events.'),
+  drainMilliseconds: duration
+    .default(5_000)
+    .describe('Time for which a leaving host still accepts connections.'),
+  loadPollMilliseconds: duration
+    .default(500)
+    .describe('Period at which endpoints are asked for their load.'),
+  queuePlaces: count
+    .default(1_000)
+    .describe('Requests that may wait in the host.'),
+  claimHorizonMilliseconds: z.coerce
+    .number()
+    .int()
+    .min(60_000)
+    .max(604_800_000)
+    .default(86_400_000)
+    .describe('Time for which idempotency keys are remembered.'),
+  claimAnswerBytes: count
+    .default(16_384)
+    .describe('Largest answer that is kept for a repeat, in bytes.'),
+});
+export type Settings = z.infer<typeof settingsSchema>;
--- /dev/null
+++ b/source/wire/index.ts
@@ -0,0 +1,3 @@
+/** The door of the wire folder. */
+export {callJson, type Call} from './call.js';
+export {listen, partsOf, type AddressParts} from './listen.js';
--- /dev/null
+++ b/tools/verify.mjs
@@ -0,0 +1,7 @@
+/** Installs, builds, checks types, format and lint, and runs all tests. */
+import {install, step} from './steps.mjs';
+
+install();
+step('build', 'npm', 'run', '--silent', 'build');
+step('lint', 'npm', 'run', '--silent', 'lint');
+step('test', 'npm', 'run', '--silent', 'test');
