--- a/source/admission/admission.ts
+++ b/source/admission/admission.ts
@@ -5,7 +5,7 @@
 import type {Cancel, Clock} from '../clock/index.js';
 import {Refusal} from '../errors/index.js';
 import {expectedWait} from './forecast.js';
-import {WaitingQueue, type Pick} from './queue.js';
+import {WaitingQueue, type LaneCount, type Pick} from './queue.js';
 import {createRunner, type Runnable, type Runner} from './runner.js';
 import type {Lane, Room, Ticket} from './ticket.js';
 
@@ -84,18 +84,9 @@
     return this.queue.size;
   }
 
-  /** Waiting tickets of a pool and tier. */
-  waitingOf(pool: string, tier: number): number {
-    return this.queue.waiting(pool, tier);
-  }
-
-  /** Running tickets of a pool and tier. */
-  runningOf(pool: string, tier: number): number {
-    let count = 0;
-    for (const {ticket} of this.running) {
-      if (ticket.lane.pool === pool && ticket.lane.tier === tier) count++;
-    }
-    return count;
+  /** The lanes of a pool in which tickets wait, with how many. */
+  waitingIn(pool: string): LaneCount[] {
+    return this.queue.waitingIn(pool);
   }
 
   /**
--- a/source/admission/queue.ts
+++ b/source/admission/queue.ts
@@ -20,6 +20,12 @@
   readonly byFloor: boolean;
 }
 
+/** How many tickets of a lane wait. */
+export interface LaneCount {
+  readonly lane: Lane;
+  readonly count: number;
+}
+
 /** All tickets that wait in a host. */
 export class WaitingQueue<T extends Ticket> {
   private readonly lanes = new Map<string, LaneState<T>>();
@@ -105,13 +111,15 @@
     return count;
   }
 
-  /** Waiting tickets of a pool and tier. */
-  waiting(pool: string, tier: number): number {
-    let count = 0;
+  /** The lanes of a pool in which tickets wait, with how many. */
+  waitingIn(pool: string): LaneCount[] {
+    const counts: LaneCount[] = [];
     for (const {lane, line} of this.lanes.values()) {
-      if (lane.pool === pool && lane.tier === tier) count += line.size;
+      if (lane.pool === pool && line.size > 0) {
+        counts.push({lane, count: line.size});
+      }
     }
-    return count;
+    return counts;
   }
 
   tickets(): T[] {
--- /dev/null
+++ b/source/claims/index.ts
@@ -0,0 +1,10 @@
+/** The door of the claims folder. */
+export {
+  ClaimTable,
+  type ClaimStanding,
+  type ClaimsRecord,
+  type Settlement,
+} from './table.js';
+export {ClaimWriter, type ClaimWriterOptions} from './writer.js';
+export {Once, type OnceOptions} from './once.js';
+export {claimIdOf, idempotencyKeyOf} from './identity.js';
--- a/source/configuration/state.ts
+++ b/source/configuration/state.ts
@@ -234,7 +234,7 @@
 
 /** A whole configuration, as it stands in the log. */
 export const configurationSnapshotSchema = z.object({
-  offset: z.number().int().nonnegative(),
+  offset: z.number().int(),
   digest: z.string(),
   decided: z.array(z.object({id: z.string(), offset: z.number().int()})),
   tables: z.object({
--- /dev/null
+++ b/source/credits/grantor.ts
@@ -0,0 +1,225 @@
+/**
+ * The owner's side of credits. The owner of a pool keeps, for every host, what
+ * that host may still believe that it has been granted: every grant that has
+ * neither lapsed nor been replaced by a later one that the host says it has
+ * applied. A new grant never exceeds what the others' beliefs leave, so the
+ * sum over all hosts stays within an endpoint's limit at every instant.
+ */
+import {divide, type HostNeed} from './divide.js';
+import type {Demand, Grant} from './messages.js';
+
+/** Milliseconds for which a host may use a grant, from when it asked. */
+export const CREDIT_MILLISECONDS = 3_000;
+/** Milliseconds by which two clocks may drift apart over a grant. */
+const DRIFT_MILLISECONDS = 250;
+
+/** What an endpoint bears from all hosts together. */
+export interface Limit {
+  readonly endpoint: string;
+  readonly places: number;
+}
+
+interface Outstanding {
+  readonly number: number;
+  /** Owner’s monotonic milliseconds after which the host cannot use it. */
+  readonly lapses: number;
+  readonly counts: ReadonlyMap<string, number>;
+}
+
+interface HostAccount {
+  readonly demand: Demand;
+  readonly inUse: ReadonlyMap<string, number>;
+  readonly outstanding: readonly Outstanding[];
+  /** Owner’s monotonic milliseconds. */
+  readonly heardAt: number;
+}
+
+/** The books of one pool in one availability zone. */
+export interface Grantor {
+  /** Incarnation of the owner. */
+  readonly owner: string;
+  /** Owner’s monotonic milliseconds from which it may grant at all. */
+  readonly from: number;
+  readonly limits: readonly Limit[];
+  readonly hosts: ReadonlyMap<string, HostAccount>;
+  readonly nextNumber: number;
+}
+
+/**
+ * The books of a new owner. It waits until everything that a former owner
+ * may have granted has lapsed.
+ */
+export function emptyGrantor(owner: string, now: number): Grantor {
+  const from = now + CREDIT_MILLISECONDS + DRIFT_MILLISECONDS;
+  return {owner, from, limits: [], hosts: new Map(), nextNumber: 1};
+}
+
+/** The books with new limits. */
+export function setLimits(before: Grantor, limits: readonly Limit[]): Grantor {
+  return {...before, limits};
+}
+
+/** The books after a host has said what it needs. */
+export function takeDemand(
+  before: Grantor,
+  host: string,
+  demand: Demand,
+  now: number,
+): Grantor {
+  const present = before.hosts.get(host);
+  const applied = demand.owner === before.owner ? demand.applied : 0;
+  const outstanding = (present?.outstanding ?? []).filter(
+    ({number, lapses}) => number >= applied && lapses > now,
+  );
+  const inUse = new Map(
+    demand.inUse.map(({endpoint, count}) => [endpoint, count]),
+  );
+  const account = {demand, inUse, outstanding, heardAt: now};
+  return {...before, hosts: new Map(before.hosts).set(host, account)};
+}
+
+/**
+ * The books without the needs of a host that is gone. Its grants still count
+ * until they lapse; what it had running counts until then, too.
+ */
+export function dropHost(before: Grantor, host: string): Grantor {
+  const present = before.hosts.get(host);
+  if (!present) return before;
+  const demand = {...present.demand, classes: []};
+  return {
+    ...before,
+    hosts: new Map(before.hosts).set(host, {...present, demand}),
+  };
+}
+
+/** Places at an endpoint that a host may be using or may yet use. */
+function committedOf(
+  {inUse, outstanding}: HostAccount,
+  endpoint: string,
+  now: number,
+): number {
+  let most = inUse.get(endpoint) ?? 0;
+  for (const {counts, lapses} of outstanding) {
+    if (lapses > now) most = Math.max(most, counts.get(endpoint) ?? 0);
+  }
+  return most;
+}
+
+/** Places at an endpoint that all hosts together may be using. */
+export function committedAt(
+  {hosts}: Grantor,
+  endpoint: string,
+  now: number,
+): number {
+  let sum = 0;
+  for (const account of hosts.values())
+    sum += committedOf(account, endpoint, now);
+  return sum;
+}
+
+/** Books after a grant, with the grant. */
+export interface Granted {
+  readonly grantor: Grantor;
+  readonly grant: Grant | undefined;
+}
+
+/**
+ * What a host may use now, in answer to its latest demand.
+ *
+ * ```ts
+ * const {grantor, grant} = grantsFor(before, 'host-2', clock.monotonic());
+ * ```
+ */
+export function grantsFor(before: Grantor, host: string, now: number): Granted {
+  const cleaned = withoutLapsed(before, now);
+  const account = cleaned.hosts.get(host);
+  if (!account || now < before.from)
+    return {grantor: cleaned, grant: undefined};
+  const {shares, pressure} = divide(placesOf(cleaned), needsOf(cleaned));
+  const places = shares.find(share => share.host === host)?.places ?? 0;
+  const counts = countsFor(cleaned, host, account, places, now);
+  const number = cleaned.nextNumber;
+  const {ledger, pool, zone, sentAt: answers} = account.demand;
+  const list = [...counts].map(([endpoint, count]) => ({endpoint, count}));
+  const grant: Grant = {
+    kind: 'grant',
+    ledger,
+    pool,
+    zone,
+    number,
+    owner: before.owner,
+    answers,
+    counts: list,
+    pressure,
+  };
+  const lapses = now + CREDIT_MILLISECONDS + DRIFT_MILLISECONDS;
+  const outstanding = [...account.outstanding, {number, lapses, counts}];
+  const hosts = new Map(cleaned.hosts).set(host, {...account, outstanding});
+  return {grantor: {...cleaned, hosts, nextNumber: number + 1}, grant};
+}
+
+function placesOf({limits}: Grantor): number {
+  return limits.reduce((sum, {places}) => sum + places, 0);
+}
+
+function needsOf({hosts}: Grantor): HostNeed[] {
+  return [...hosts].map(([host, {demand}]) => ({
+    host,
+    classes: demand.classes,
+  }));
+}
+
+/** Spreads a host’s places over the endpoints, within what the others leave. */
+function countsFor(
+  grantor: Grantor,
+  host: string,
+  account: HostAccount,
+  places: number,
+  now: number,
+): Map<string, number> {
+  const room = new Map<string, number>();
+  for (const {endpoint, places: limit} of grantor.limits) {
+    const all = committedAt(grantor, endpoint, now);
+    const others = all - committedOf(account, endpoint, now);
+    room.set(endpoint, Math.max(limit - others, 0));
+  }
+  const counts = new Map<string, number>();
+  let rest = places;
+  for (const [endpoint, free] of room) {
+    const kept = Math.min(account.inUse.get(endpoint) ?? 0, free, rest);
+    counts.set(endpoint, kept);
+    rest -= kept;
+  }
+  for (; rest > 0; rest--) {
+    const roomiest = roomiestOf(room, counts);
+    if (roomiest === undefined) break;
+    counts.set(roomiest, (counts.get(roomiest) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function roomiestOf(
+  room: ReadonlyMap<string, number>,
+  counts: ReadonlyMap<string, number>,
+): string | undefined {
+  let best: string | undefined;
+  let most = 0;
+  for (const [endpoint, free] of room) {
+    const left = free - (counts.get(endpoint) ?? 0);
+    if (left > most) {
+      most = left;
+      best = endpoint;
+    }
+  }
+  return best;
+}
+
+/** Forgets hosts that have not been heard for so long that all has lapsed. */
+function withoutLapsed(before: Grantor, now: number): Grantor {
+  const patience = 2 * CREDIT_MILLISECONDS + DRIFT_MILLISECONDS;
+  const kept = [...before.hosts].filter(
+    ([, {heardAt}]) => now - heardAt <= patience,
+  );
+  if (kept.length === before.hosts.size) return before;
+  return {...before, hosts: new Map(kept)};
+}
--- /dev/null
+++ b/source/credits/index.ts
@@ -0,0 +1,20 @@
+/** The door of the credits folder. */
+export {divide, type Share, type HostNeed, type ClassNeed} from './divide.js';
+export {
+  emptyGrantor,
+  grantsFor,
+  takeDemand,
+  dropHost,
+  setLimits,
+  committedAt,
+  CREDIT_MILLISECONDS,
+  type Grantor,
+  type Limit,
+} from './grantor.js';
+export {Holding, type Held} from './holding.js';
+export {
+  demandSchema,
+  grantSchema,
+  type Demand,
+  type Grant,
+} from './messages.js';
--- a/source/daemon/host.ts
+++ b/source/daemon/host.ts
@@ -1,6 +1,6 @@
 /**
- * One host: the state that its parts share, and the edge at which the effects
- * of their decisions are carried out.
+ * One host: its request plane, its zone plane, its ports, and its life from
+ * start to drain.
  */
 import {randomUUID} from 'node:crypto';
 import type {Server} from 'node:http';
@@ -8,7 +8,7 @@
 import {Admission} from '../admission/index.js';
 import {RetryBudget} from '../attempt/index.js';
 import {hostChart} from '../charts/index.js';
-import type {Cancel, Clock} from '../clock/index.js';
+import type {Clock} from '../clock/index.js';
 import {
   difference,
   type Configuration,
@@ -18,25 +18,20 @@
 import {Refusal} from '../errors/index.js';
 import {ExchangeRegister, RouteTable, type Plane} from '../exchange/index.js';
 import {Identities} from '../identity/index.js';
-import {
-  emptyFold,
-  foldEntry,
-  isComplete,
-  LogFollower,
-  type Fold,
-} from '../log/index.js';
+import {isComplete, type Fold} from '../log/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
-import {EndpointTable, FixedSplit} from '../placement/index.js';
-import type {HostEntry, LogEntry, Platform} from '../platform/index.js';
+import type {Platform} from '../platform/index.js';
 import type {Settings} from '../settings/index.js';
 import {listen} from '../wire/index.js';
 import {createListener} from './listener.js';
 import {createOperatorPort} from './operators.js';
+import {ZonePlane} from './zone.js';
 
 /** Milliseconds without news of the log after which a host counts as cut off. */
 const CUT_OFF_MILLISECONDS = 3_000;
-const ANNOUNCE_MILLISECONDS = 1_000;
+/** Milliseconds that a leaving host waits for what it hands over. */
+const HAND_OVER_MILLISECONDS = 5_000;
 
 /** What a host is made from. */
 export interface HostParts {
@@ -55,51 +50,41 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  readonly zone: ZonePlane;
   readonly plane: Plane;
   routes: RouteTable;
   identities: Identities;
-  /** Requests that are being read or served. */
-  arrivals = 0;
-  fold: Fold = emptyFold(0);
 
-  private readonly platform: Platform;
-  private readonly endpoints: EndpointTable;
-  private readonly split: FixedSplit;
-  private readonly follower: LogFollower;
   private readonly callers: Server;
   private readonly operators: Server;
-  private readonly timers: Cancel[] = [];
   private state = hostChart.initial;
 
   constructor(parts: HostParts) {
-    const {settings, clock, logger, metrics, platform} = parts;
+    const {settings, clock, logger, metrics} = parts;
     this.settings = settings;
     this.clock = clock;
     this.logger = logger;
     this.metrics = metrics;
-    this.platform = platform;
-    this.routes = new RouteTable(this.fold.configuration);
-    this.identities = new Identities(this.fold.configuration);
-    this.split = new FixedSplit(settings.name);
-    this.endpoints = new EndpointTable(settings.zone, clock, this.split);
+    this.zone = new ZonePlane({
+      ...parts,
+      incarnation: this.incarnation,
+      changed: (before, after) => this.adopt(before, after),
+      caughtUp: () => this.becomeReady(),
+      state: () => (this.isDraining ? 'leaving' : 'live'),
+    });
+    this.routes = new RouteTable(this.configuration);
+    this.identities = new Identities(this.configuration);
     this.plane = this.createPlane();
-    this.follower = this.createFollower();
     this.callers = createListener(this);
     this.operators = createOperatorPort(this);
   }
 
-  /** Opens the ports and begins to follow the log. */
+  /** Opens the ports and joins the fleet. Throws a SettingsError. */
   async start(): Promise<void> {
     await listen(this.operators, this.settings.operators);
     await listen(this.callers, this.settings.callers);
+    await this.zone.start(this.plane.admission, this.plane.adapter);
     this.move('listen');
-    void this.follower.run();
-    const {clock, settings} = this;
-    this.timers.push(
-      clock.every(settings.loadPollMilliseconds, () => this.pollLoads()),
-      clock.every(ANNOUNCE_MILLISECONDS, () => void this.announce()),
-    );
-    void this.announce();
   }
 
   get stateName(): string {
@@ -114,31 +99,24 @@
     return this.state === 'draining';
   }
 
-  get configuration(): Configuration {
-    return this.fold.configuration;
-  }
-
-  get logInReach(): boolean {
-    return this.follower.inReach;
+  get fold(): Fold {
+    return this.zone.fold;
   }
 
-  listEndpoints() {
-    return this.endpoints.list();
-  }
-
-  /** Milliseconds since this host knew that it had all of the log. */
-  get logAge(): number {
-    return this.follower.age;
+  get configuration(): Configuration {
+    return this.zone.fold.configuration;
   }
 
+  /** Notes what a request has used. */
   noteUsage(team: string, tokens: number): void {
-    this.metrics.count('tokens', {team}, tokens);
+    this.zone.usage.add(team, tokens);
   }
 
   /** Throws a Refusal on a route that refuses while withdrawals may be missed. */
-  refuseWhenCutOff(route: Route): void {
-    if (route.whenCutOff === 'serve' || this.logAge < CUT_OFF_MILLISECONDS)
-      return;
+  refuseWhenCutOff({whenCutOff, name}: Route): void {
+    if (this.zone.logAge < CUT_OFF_MILLISECONDS) return;
+    this.metrics.count('cut-off', {route: name, did: whenCutOff});
+    if (whenCutOff === 'serve') return;
     throw new Refusal(
       'cut-off',
       'not-run',
@@ -150,19 +128,19 @@
   async drain(): Promise<void> {
     if (!hostChart.allows(this.state, 'drain')) return;
     this.move('drain');
-    await this.announce();
+    await this.zone.announce();
     await this.wait(this.settings.drainMilliseconds);
     const closed = new Promise(resolve => this.callers.close(resolve));
     this.callers.closeIdleConnections();
     await this.exchanges.whenEmpty();
     await closed;
+    await this.zone.leave(HAND_OVER_MILLISECONDS);
     this.stop();
   }
 
   private stop(): void {
     this.move('stop');
-    this.follower.stop();
-    for (const cancel of this.timers) cancel();
+    this.zone.stop();
     this.operators.close();
     this.operators.closeAllConnections();
     this.metrics.close();
@@ -178,14 +156,15 @@
   }
 
   private createPlane(): Plane {
-    const {settings, clock, logger, metrics, endpoints} = this;
+    const {settings, clock, logger, metrics, zone} = this;
     return {
       admission: new Admission({
         clock,
-        room: endpoints,
+        room: zone.endpoints,
         places: settings.queuePlaces,
+        changed: () => zone.noteChange(),
       }),
-      endpoints,
+      endpoints: zone.endpoints,
       adapter: new HttpEndpointAdapter({
         connect: settings.connectBoundMilliseconds,
         firstByte: settings.firstByteBoundMilliseconds,
@@ -195,93 +174,28 @@
       logger,
       metrics,
       settings,
+      observed: (endpoint, state) => zone.noteAnswer(endpoint, state),
       retryBudget: RetryBudget.full(),
     };
   }
 
-  private createFollower(): LogFollower {
-    return new LogFollower({
-      platform: this.platform,
-      clock: this.clock,
-      started: first => (this.fold = emptyFold(first)),
-      entries: entries => this.takeEntries(entries),
-      next: () => this.fold.next,
-      reach: reachable => {
-        this.logger.warn('log-reach', {reachable});
-        if (reachable) this.becomeReady();
-      },
-    });
-  }
-
-  private takeEntries(entries: readonly LogEntry[]): void {
-    const before = this.fold.configuration;
-    for (const entry of entries) this.takeEntry(entry);
-    const after = this.fold.configuration;
-    if (after !== before) this.adopt(before, after);
-    if (this.follower.inReach) this.becomeReady();
-  }
-
-  private takeEntry(entry: LogEntry): void {
-    const {fold, record, verdict} = foldEntry(this.fold, entry);
-    if (!record && fold.malformed > this.fold.malformed) {
-      this.metrics.count('record-malformed');
-      this.logger.warn('record-malformed', {offset: entry.offset});
-    }
-    this.fold = fold;
-    if (!verdict || record?.kind !== 'release-note') return;
-    this.metrics.count('release-note', {verdict: verdict.kind});
-    const {id} = record.note;
-    this.logger.info('release-note', {
-      id,
-      offset: entry.offset,
-      verdict: verdict.kind,
-    });
-  }
-
-  private adopt(before: Configuration, after: Configuration): void {
+  /** Puts a new configuration in force, in one turn. */
+  private adopt(
+    {configuration: before}: Fold,
+    {configuration: after}: Fold,
+  ): void {
+    if (after === before) return;
     this.routes = new RouteTable(after);
     this.identities = new Identities(after, this.identities);
-    this.endpoints.configure(after);
+    this.zone.endpoints.configure(after);
     const ended = this.exchanges.withdraw(difference(before, after));
-    if (ended > 0) this.metrics.count('withdrawn-running', {}, ended);
+    if (ended > 0) this.metrics.count('withdrawn-under-way', {}, ended);
     this.plane.admission.poke();
   }
 
   private becomeReady(): void {
     if (this.state !== 'catching-up' || !isComplete(this.fold)) return;
-    this.move('ready');
-  }
-
-  private pollLoads(): void {
-    for (const {endpoint} of this.endpoints.list()) {
-      this.plane.adapter.load(endpoint).then(
-        ({state}) => {
-          this.endpoints.update(endpoint.name, {kind: 'reported', state});
-          this.plane.admission.poke();
-        },
-        () => {
-          const now = this.clock.monotonic();
-          this.endpoints.update(endpoint.name, {kind: 'failed', now});
-        },
-      );
-    }
-  }
-
-  private async announce(): Promise<void> {
-    try {
-      await this.platform.announce(this.entry());
-      const hosts = await this.platform.hosts();
-      const live = hosts.filter(({state}) => state === 'live');
-      this.split.setHosts(live.map(({name}) => name));
-    } catch {
-      this.metrics.count('announce-failed');
-    }
-  }
-
-  private entry(): HostEntry {
-    const {name, zone, callers, operators, peers} = this.settings;
-    const state = this.isDraining ? 'leaving' : 'live';
-    const {incarnation} = this;
-    return {name, incarnation, zone, state, callers, operators, peers};
+    const known = this.zone.logInReach || this.configuration.offset >= 0;
+    if (known) this.move('ready');
   }
 }
--- a/source/daemon/listener.ts
+++ b/source/daemon/listener.ts
@@ -91,13 +91,10 @@
   const heartbeat = host.settings.heartbeatMilliseconds;
   const answer = new CallerAnswer(response, host.clock, heartbeat);
   if (host.isDraining) response.setHeader('connection', 'close');
-  host.arrivals++;
   try {
     await serveArrival(host, message, answer, arrived);
   } catch (error) {
     refuse(host, answer, error, NO_CLASS);
-  } finally {
-    host.arrivals--;
   }
 }
 
@@ -182,9 +179,9 @@
     await run(exchange);
     host.metrics.count('request', {class: match.class.name, outcome: 'whole'});
   } catch (error) {
-    if (exchange.callerLeft)
-      host.metrics.count('caller-left', {class: match.class.name});
-    refuse(host, arrival.answer, error, match.class.name);
+    const {name} = match.class;
+    if (exchange.callerLeft) host.metrics.count('caller-left', {class: name});
+    else refuse(host, arrival.answer, error, name);
   } finally {
     exchange.move('settle');
     host.exchanges.remove(exchange);
--- a/source/daemon/operators.ts
+++ b/source/daemon/operators.ts
@@ -15,12 +15,22 @@
 /** Makes the server of the operators’ port. */
 export function createOperatorPort(host: Host): Server {
   return createServer((message, response) => {
-    const {status, value} = reply(host, message.url ?? '/');
+    const {status, value} = replyOrFailure(host, message.url ?? '/');
     response.writeHead(status, {'content-type': 'application/json'});
     response.end(`${JSON.stringify(value)}\n`);
   });
 }
 
+function replyOrFailure(host: Host, url: string): Reply {
+  try {
+    return reply(host, url);
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : 'unknown';
+    host.logger.error('operators-port-failed', {detail});
+    return {status: 500, value: {error: 'internal'}};
+  }
+}
+
 function reply(host: Host, url: string): Reply {
   const {pathname} = new URL(url, 'http://host');
   switch (pathname) {
@@ -53,11 +63,20 @@
     digest: configuration.digest,
     malformed: host.fold.malformed,
     diverged: host.fold.diverged,
-    logInReach: host.logInReach,
+    logInReach: host.zone.logInReach,
+    logAge: Math.min(host.zone.logAge, Number.MAX_SAFE_INTEGER),
     waiting: host.plane.admission.waiting,
     underWay: host.exchanges.size,
-    endpoints: host
-      .listEndpoints()
+    peers: host.zone.peers().map(({hello}) => hello.name),
+    leases: host.zone.leases.list().map(({lease, state, standing}) => ({
+      lease,
+      state,
+      holder: standing?.holder ?? '',
+      fence: standing?.fence ?? -1,
+    })),
+    claims: host.zone.claimCount,
+    endpoints: host.zone.endpoints
+      .list()
       .map(({endpoint, state, running, zoneIn}) => ({
         name: endpoint.name,
         zone: endpoint.zone,
--- /dev/null
+++ b/source/daemon/zone.ts
@@ -0,0 +1,443 @@
+/**
+ * What a host does with the other hosts: the links, and the desks that share
+ * the log, the leases, the endpoints and the usage.
+ */
+import type {Admission} from '../admission/index.js';
+import {ClaimTable, ClaimWriter, Once} from '../claims/index.js';
+import type {Cancel, Clock} from '../clock/index.js';
+import {Holding} from '../credits/index.js';
+import type {EndpointAdapter} from '../engine/index.js';
+import {
+  CreditDesk,
+  EndpointWatch,
+  GrantedAllowances,
+  LeaseDesk,
+  LogDesk,
+  Membership,
+  UsageDesk,
+  zoneLeaseOf,
+  type Member,
+} from '../fleet/index.js';
+import {
+  emptyFold,
+  isComplete,
+  LogFollower,
+  takeSnapshot,
+  type Fold,
+  type Folded,
+} from '../log/index.js';
+import type {Logger} from '../logging/index.js';
+import {PROTOCOL_VERSION, type Hello, type Message} from '../messages/index.js';
+import type {Metrics} from '../metrics/index.js';
+import {Mesh, type Peer} from '../peers/index.js';
+import {EndpointTable, FixedSplit} from '../placement/index.js';
+import type {HostEntry, LogEntry, Platform} from '../platform/index.js';
+import type {Settings} from '../settings/index.js';
+import {usageLeaseOf} from '../usage/index.js';
+
+const TICK_MILLISECONDS = 1_000;
+const LEASE_TICK_MILLISECONDS = 200;
+/** Milliseconds by which each host waits longer for a lease than the one before. */
+const RANK_PATIENCE_MILLISECONDS = 150;
+
+/** What the zone plane is made from. */
+export interface ZonePlaneOptions {
+  readonly settings: Settings;
+  readonly incarnation: string;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly platform: Platform;
+  /** Called when the log's state has changed. */
+  readonly changed: (before: Fold, after: Fold) => void;
+  /** Called when the host may have come to know all of the log. */
+  readonly caughtUp: () => void;
+  readonly state: () => HostEntry['state'];
+}
+
+/** The part of a host that deals with the others. */
+export class ZonePlane {
+  readonly endpoints: EndpointTable;
+  readonly membership: Membership;
+  readonly leases: LeaseDesk;
+  readonly log: LogDesk;
+  readonly once: Once;
+  readonly usage: UsageDesk;
+  private readonly split: FixedSplit;
+  private readonly holding = new Holding();
+  private readonly claims = new ClaimTable();
+  private readonly writer: ClaimWriter;
+  private readonly follower: LogFollower;
+  private readonly mesh: Mesh;
+  private readonly hello: Hello;
+  private watch!: EndpointWatch;
+  private credits!: CreditDesk;
+  private timers: Cancel[] = [];
+
+  constructor(private readonly options: ZonePlaneOptions) {
+    const {settings, clock, metrics, logger, platform, incarnation} = options;
+    const {name, zone} = settings;
+    this.hello = {
+      kind: 'hello',
+      version: PROTOCOL_VERSION,
+      name,
+      incarnation,
+      zone,
+    };
+    this.membership = new Membership({name, incarnation, zone, leaving: false});
+    this.split = new FixedSplit(name);
+    const allowances = new GrantedAllowances(this.holding, this.split, clock);
+    this.endpoints = new EndpointTable(zone, clock, allowances);
+    this.log = this.createLog();
+    this.follower = this.createFollower();
+    this.mesh = this.createMesh();
+    this.leases = new LeaseDesk({
+      clock,
+      logger,
+      metrics,
+      incarnation,
+      append: record => platform.append([record]),
+      readAt: () => this.follower.atEnd,
+    });
+    this.writer = this.createWriter();
+    this.once = new Once({
+      clock,
+      incarnation,
+      table: this.claims,
+      writer: this.writer,
+      logInReach: () => this.follower.inReach && this.log.claimsComplete,
+    });
+    this.usage = this.createUsage();
+  }
+
+  /** Joins the fleet; the request plane’s parts are given here. */
+  async start(admission: Admission, adapter: EndpointAdapter): Promise<void> {
+    const {settings, clock} = this.options;
+    this.watch = this.createWatch(adapter);
+    this.credits = this.createCredits(admission);
+    await this.mesh.start(settings.peers);
+    this.contend();
+    void this.follower.run();
+    void this.announce();
+    this.timers = [
+      clock.every(TICK_MILLISECONDS, () => this.tick()),
+      clock.every(LEASE_TICK_MILLISECONDS, () => this.leases.tick()),
+      clock.every(settings.loadPollMilliseconds, () => this.watch.poll()),
+    ];
+  }
+
+  get fold(): Fold {
+    return this.log.fold;
+  }
+
+  get logInReach(): boolean {
+    return this.follower.inReach;
+  }
+
+  /**
+   * Milliseconds since this host knew all of the log, by itself or through a
+   * host that did.
+   */
+  get logAge(): number {
+    const relayed = this.options.clock.monotonic() - this.relayedAt;
+    return Math.min(this.follower.age, relayed);
+  }
+
+  get claimCount(): number {
+    return this.claims.size;
+  }
+
+  /** The hosts that a link leads to. */
+  peers(): Peer[] {
+    return this.mesh.list();
+  }
+
+  /** Notes that what waits or runs has changed. */
+  noteChange(): void {
+    this.credits?.noteChange();
+  }
+
+  /** Notes what an answer said of its endpoint. */
+  noteAnswer(endpoint: string, state: 'cold' | 'warm' | 'leaving'): void {
+    this.watch.noteAnswer(endpoint, state);
+  }
+
+  /** Enters this host in the platform’s list and reads the list. */
+  async announce(): Promise<void> {
+    const {settings, incarnation, platform, metrics} = this.options;
+    const {name, zone, callers, operators, peers} = settings;
+    const state = this.options.state();
+    try {
+      const entry = {name, incarnation, zone, state, callers, operators, peers};
+      await platform.announce(entry);
+      this.takeList(await platform.hosts());
+    } catch {
+      metrics.count('announce-failed');
+    }
+  }
+
+  /** Hands over everything that others need; resolves when they can have it. */
+  async leave(bound: number): Promise<void> {
+    const {platform, metrics, clock} = this.options;
+    this.membership.join({...this.self(), leaving: true});
+    this.leases.leave();
+    const sheets = this.usage.seal();
+    this.mesh.broadcast({kind: 'usage', sheets});
+    const late = new Promise<void>(resolve => clock.after(bound, resolve));
+    const settled = this.writer.whenSettled();
+    const kept = platform
+      .append([{kind: 'usage-sheets', sheets}])
+      .catch(() => metrics.count('append-failed', {kind: 'usage-sheets'}));
+    await Promise.race([late, Promise.all([settled, kept])]);
+  }
+
+  stop(): void {
+    this.follower.stop();
+    this.mesh.stop();
+    for (const cancel of this.timers) cancel();
+  }
+
+  private relayedAt = -Infinity;
+
+  private self(): Member {
+    const {name, incarnation, zone} = this.hello;
+    return {name, incarnation, zone, leaving: false};
+  }
+
+  private tick(): void {
+    void this.announce();
+    this.contend();
+    this.credits.tick();
+    this.usage.tick();
+    this.snapshotIfDue();
+    this.askForEntries();
+  }
+
+  private contend(): void {
+    const {zone, region} = this.options.settings;
+    const zoneRank = this.membership.rank(zone, 'lease');
+    this.leases.contend(zoneLeaseOf(zone), patienceOf(zoneRank));
+    const names = this.membership.live().map(({incarnation}) => incarnation);
+    const regionRank = names.sort().indexOf(this.options.incarnation);
+    this.leases.contend(usageLeaseOf(region), patienceOf(regionRank));
+  }
+
+  private takeList(hosts: readonly HostEntry[]): void {
+    const {incarnation} = this.options;
+    const others = hosts.filter(host => host.incarnation !== incarnation);
+    this.membership.setListed(others);
+    this.mesh.setListed(others);
+    this.split.setHosts(this.membership.names());
+  }
+
+  /** One host that holds a lease appends a snapshot before records expire. */
+  private snapshotIfDue(): void {
+    const {settings, platform, metrics} = this.options;
+    const {fold} = this.log;
+    const since = fold.next - 1 - Math.max(fold.snapshotCovers, 0);
+    const due = since >= settings.snapshotRecords && isComplete(fold);
+    if (!due || !this.leases.mayAct(usageLeaseOf(settings.region))) return;
+    platform.append([{kind: 'snapshot', snapshot: takeSnapshot(fold)}]).then(
+      () => metrics.count('snapshot'),
+      () => metrics.count('append-failed', {kind: 'snapshot'}),
+    );
+  }
+
+  /** Asks a host that has applied more for the entries, if the log is away. */
+  private askForEntries(): void {
+    if (this.follower.inReach) return;
+    const complete = isComplete(this.fold);
+    const from =
+      complete && this.fold.configuration.offset >= 0 ? this.fold.next : -1;
+    for (const {heartbeat, link} of this.mesh.list()) {
+      if (!heartbeat) continue;
+      if (heartbeat.logInReach && heartbeat.applied < this.fold.next) {
+        this.relayedAt = this.options.clock.monotonic();
+      }
+      if (heartbeat.applied >= this.fold.next) {
+        link.send({kind: 'log-request', from});
+        return;
+      }
+    }
+    this.options.caughtUp();
+  }
+
+  private takeMessage(hello: Hello, message: Message): void {
+    switch (message.kind) {
+      case 'heartbeat': {
+        const {name, incarnation, zone} = hello;
+        const {leaving} = message;
+        this.membership.join({name, incarnation, zone, leaving});
+        this.askForEntries();
+        return;
+      }
+      case 'demand':
+        return this.credits.takeDemand(hello.incarnation, message);
+      case 'grant':
+        return this.credits.takeGrant(message);
+      case 'endpoint-state':
+        return this.watch.noteMessage(message);
+      case 'usage':
+        return this.usage.receive(message.sheets);
+      case 'log-request': {
+        const answer = this.log.answer(message.from);
+        if (answer) this.mesh.get(hello.incarnation)?.link.send(answer);
+        return;
+      }
+      case 'log-entries':
+        return this.log.takeAnswer(message);
+      default:
+        return;
+    }
+  }
+
+  private linkUp({hello, link}: Peer): void {
+    const {name, incarnation, zone} = hello;
+    this.membership.join({name, incarnation, zone, leaving: false});
+    for (const message of this.watch.messages()) link.send(message);
+    link.send(this.usage.everything());
+    this.credits.noteChange();
+  }
+
+  private linkDown({incarnation}: Hello): void {
+    this.membership.leave(incarnation);
+    this.credits.drop(incarnation);
+    this.credits.noteChange();
+  }
+
+  private createLog(): LogDesk {
+    const {metrics, changed} = this.options;
+    return new LogDesk(emptyFold(0), {
+      metrics,
+      applied: (folded, entry) => this.noteApplied(folded, entry),
+      claims: (record, offset) => {
+        this.claims.apply(record, offset);
+        this.once.noteRecord(record);
+        this.writer.noteRead();
+      },
+      changed: (before, after) => {
+        this.leases.read(after.leases);
+        if (after.usage !== before.usage) this.usage.settle();
+        changed(before, after);
+      },
+    });
+  }
+
+  private noteApplied({record, verdict}: Folded, {offset}: LogEntry): void {
+    const {metrics, logger} = this.options;
+    if (!record) {
+      metrics.count('record-malformed');
+      logger.warn('record-malformed', {offset});
+      return;
+    }
+    if (record.kind === 'usage-sheets') this.usage.receive(record.sheets);
+    if (record.kind !== 'release-note' || !verdict) return;
+    metrics.count('release-note', {verdict: verdict.kind});
+    const {id} = record.note;
+    logger.info('release-note', {id, offset, verdict: verdict.kind});
+  }
+
+  private createFollower(): LogFollower {
+    const {platform, clock, logger} = this.options;
+    return new LogFollower({
+      platform,
+      clock,
+      first: first => {
+        this.log.start(first);
+        this.claims.forgetBefore(first);
+      },
+      entries: entries => this.log.take(entries),
+      next: () => this.log.next,
+      reach: reachable => logger.info('log-reach', {reachable}),
+      atEnd: () => this.options.caughtUp(),
+    });
+  }
+
+  private createMesh(): Mesh {
+    const {clock, settings, metrics} = this.options;
+    return new Mesh({
+      clock,
+      self: this.hello,
+      secrets: settings.peerSecret.split(','),
+      pulse: () => ({
+        applied: this.fold.next - 1,
+        logInReach: this.follower.inReach,
+        leaving: this.options.state() === 'leaving',
+      }),
+      up: peer => this.linkUp(peer),
+      down: hello => this.linkDown(hello),
+      message: (hello, message) => this.takeMessage(hello, message),
+      fault: reason => metrics.count('link-fault', {reason}),
+    });
+  }
+
+  private createWriter(): ClaimWriter {
+    const {platform, clock, metrics, incarnation} = this.options;
+    return new ClaimWriter({
+      platform,
+      clock,
+      incarnation,
+      isSettled: id => {
+        const standing = this.claims.get(id);
+        const mine = standing?.incarnation === incarnation;
+        return !mine || standing.settlement !== undefined;
+      },
+      failed: () => metrics.count('append-failed', {kind: 'claims'}),
+    });
+  }
+
+  private createUsage(): UsageDesk {
+    const {clock, metrics, platform, settings, incarnation} = this.options;
+    return new UsageDesk({
+      clock,
+      metrics,
+      platform,
+      leases: this.leases,
+      region: settings.region,
+      incarnation,
+      window: settings.usageWindowMilliseconds,
+      ledger: () => this.fold.usage,
+      alive: () => this.membership.incarnations(),
+      broadcast: message => this.mesh.broadcast(message),
+    });
+  }
+
+  private createWatch(adapter: EndpointAdapter): EndpointWatch {
+    const {clock, metrics} = this.options;
+    const {endpoints, membership} = this;
+    return new EndpointWatch({
+      clock,
+      adapter,
+      endpoints,
+      membership,
+      metrics,
+      broadcast: message => this.mesh.broadcast(message),
+      guards: zone => this.leases.mayAct(zoneLeaseOf(zone)),
+      changed: () => this.credits?.noteChange(),
+    });
+  }
+
+  private createCredits(admission: Admission): CreditDesk {
+    const {clock, metrics, incarnation, settings} = this.options;
+    const {endpoints, membership, watch, leases, holding} = this;
+    return new CreditDesk({
+      clock,
+      metrics,
+      incarnation,
+      zone: settings.zone,
+      admission,
+      endpoints,
+      membership,
+      watch,
+      leases,
+      holding,
+      configuration: () => this.fold.configuration,
+      standings: () => this.fold.leases,
+      send: (to, message) => this.mesh.get(to)?.link.send(message),
+    });
+  }
+}
+
+function patienceOf(rank: number): number {
+  return Math.max(rank, 0) * RANK_PATIENCE_MILLISECONDS;
+}
--- a/source/exchange/answer.ts
+++ b/source/exchange/answer.ts
@@ -17,10 +17,7 @@
   latency: number,
 ): void {
   plane.endpoints.update(endpoint.name, {kind: 'answered', latency});
-  if (answer.state) {
-    const {state} = answer;
-    plane.endpoints.update(endpoint.name, {kind: 'reported', state});
-  }
+  if (answer.state) plane.observed(endpoint.name, answer.state);
 }
 
 /** Whether an answer’s status asks for another attempt, as its maker failed. */
--- a/source/exchange/plane.ts
+++ b/source/exchange/plane.ts
@@ -5,7 +5,7 @@
 import type {Admission, Ticket} from '../admission/index.js';
 import type {RetryBudget} from '../attempt/index.js';
 import type {Clock} from '../clock/index.js';
-import type {EndpointAdapter} from '../engine/index.js';
+import type {EndpointAdapter, LoadReport} from '../engine/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {EndpointTable} from '../placement/index.js';
@@ -21,6 +21,8 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly settings: Settings;
+  /** Called with what an answer says of its endpoint. */
+  readonly observed: (endpoint: string, state: LoadReport['state']) => void;
   retryBudget: RetryBudget;
 }
 
--- /dev/null
+++ b/source/fleet/credits.ts
@@ -0,0 +1,297 @@
+/**
+ * Carries out credits on both sides: asks the owners of pools for what this
+ * host needs, keeps the books of the pools that this host owns, and preempts
+ * when a higher tier waits in vain. Warm endpoints are granted by the owner
+ * that rendezvous hashing names. Cold ones are granted only by the holder of
+ * the zone's lease, since two owners at once would send a cold endpoint more
+ * than it bears.
+ */
+import type {Admission, Lane} from '../admission/index.js';
+import type {Cancel, Clock} from '../clock/index.js';
+import type {Class, Configuration} from '../configuration/index.js';
+import {
+  dropHost,
+  emptyGrantor,
+  grantsFor,
+  Holding,
+  setLimits,
+  takeDemand,
+  type Demand,
+  type Grant,
+  type Grantor,
+  type Limit,
+} from '../credits/index.js';
+import type {Leases} from '../lease/index.js';
+import type {Message} from '../messages/index.js';
+import type {Metrics} from '../metrics/index.js';
+import type {EndpointTable, PoolZone} from '../placement/index.js';
+import {coldPlaces} from './cold.js';
+import type {LeaseDesk} from './lease.js';
+import type {Membership} from './membership.js';
+import {zoneLeaseOf} from './names.js';
+import type {EndpointWatch} from './watch.js';
+
+/** Time within which changes are gathered into one message, in milliseconds. */
+const GATHER_MILLISECONDS = 5;
+/** Ticks for which a pool of another zone is asked after it was last needed. */
+const REMOTE_TICKS = 10;
+
+type Ledger = Demand['ledger'];
+
+/** What a credit desk is made from. */
+export interface CreditDeskOptions {
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly incarnation: string;
+  readonly zone: string;
+  readonly admission: Admission;
+  readonly endpoints: EndpointTable;
+  readonly membership: Membership;
+  readonly watch: EndpointWatch;
+  readonly leases: LeaseDesk;
+  readonly holding: Holding;
+  readonly configuration: () => Configuration;
+  readonly standings: () => Leases;
+  readonly send: (incarnation: string, message: Message) => void;
+}
+
+interface Books {
+  grantor: Grantor;
+  readonly ledger: Ledger;
+  readonly part: PoolZone;
+  /** What each host was told last, to tell it only of changes. */
+  readonly told: Map<string, string>;
+}
+
+/** The credits of a host. */
+export class CreditDesk {
+  private readonly books = new Map<string, Books>();
+  private readonly remoteUntil = new Map<string, number>();
+  private gathering: Cancel | undefined;
+  private ticks = 0;
+
+  constructor(private readonly options: CreditDeskOptions) {}
+
+  /** Renews all demands. */
+  tick(): void {
+    this.ticks++;
+    this.closeBooks();
+    this.askAll();
+  }
+
+  /** Notes that what waits or runs has changed; asks soon. */
+  noteChange(): void {
+    if (this.gathering) return;
+    this.gathering = this.options.clock.after(GATHER_MILLISECONDS, () => {
+      this.gathering = undefined;
+      this.askAll();
+    });
+  }
+
+  /** Takes another host's demand, and answers it and whom it concerns. */
+  takeDemand(from: string, demand: Demand): void {
+    const books = this.booksFor(demand);
+    if (!books) return;
+    const now = this.options.clock.monotonic();
+    books.grantor = takeDemand(books.grantor, from, demand, now);
+    this.grantAll(books);
+  }
+
+  /** Takes a grant; asks again at once if that frees places for others. */
+  takeGrant(grant: Grant): void {
+    const {holding, admission, endpoints} = this.options;
+    const {ledger, pool, zone} = grant;
+    const before = holding.latest(ledger, pool, zone);
+    holding.take(grant);
+    const after = holding.latest(ledger, pool, zone);
+    if (after === before || !after) return;
+    admission.poke();
+    const shrunk = [...(before?.counts ?? [])].some(
+      ([endpoint, count]) => (after.counts.get(endpoint) ?? 0) < count,
+    );
+    if (grant.pressure > 0) this.yieldTo(grant, endpoints);
+    if (shrunk) this.ask(ledger, {pool, zone});
+  }
+
+  /** Forgets the needs of a host that is out of reach. */
+  drop(incarnation: string): void {
+    for (const books of this.books.values()) {
+      books.grantor = dropHost(books.grantor, incarnation);
+      this.grantAll(books);
+    }
+  }
+
+  private askAll(): void {
+    for (const part of this.options.endpoints.poolZones()) {
+      if (!this.concerns(part)) continue;
+      this.ask('warm', part);
+      if (this.hasCold(part)) this.ask('cold', part);
+    }
+  }
+
+  /** Pools of other zones are asked only while this zone's do not suffice. */
+  private concerns({pool, zone}: PoolZone): boolean {
+    if (zone === this.options.zone) return true;
+    const key = `${pool} ${zone}`;
+    const {admission, endpoints} = this.options;
+    const needed =
+      admission.waitingIn(pool).length > 0 ||
+      endpoints.useOf(pool, zone).endpoints.size > 0 ||
+      endpoints.places(pool) === 0;
+    if (needed) this.remoteUntil.set(key, this.ticks + REMOTE_TICKS);
+    return this.ticks < (this.remoteUntil.get(key) ?? 0);
+  }
+
+  private hasCold({pool, zone}: PoolZone): boolean {
+    return this.options.endpoints
+      .list(pool)
+      .some(
+        ({endpoint, state}) =>
+          endpoint.zone === zone && (state === 'cold' || state === 'unknown'),
+      );
+  }
+
+  private ask(ledger: Ledger, part: PoolZone): void {
+    const owner = this.ownerOf(ledger, part);
+    if (owner === undefined) return;
+    const demand = this.demandFor(ledger, part);
+    if (owner === this.options.incarnation) this.takeDemand(owner, demand);
+    else this.options.send(owner, demand);
+  }
+
+  private ownerOf(ledger: Ledger, {pool, zone}: PoolZone): string | undefined {
+    const {membership, standings} = this.options;
+    if (ledger === 'warm') {
+      return membership.order(zone, `pool ${pool}`)[0]?.incarnation;
+    }
+    const standing = standings().get(zoneLeaseOf(zone));
+    return standing?.released ? undefined : standing?.holder;
+  }
+
+  private demandFor(ledger: Ledger, part: PoolZone): Demand {
+    const {clock, holding, admission, endpoints} = this.options;
+    const {pool, zone} = part;
+    const use = endpoints.useOf(pool, zone);
+    const needs = new Map<string, Demand['classes'][number]>();
+    const tables = this.options.configuration().tables;
+    for (const [name, running] of use.classes) {
+      const known = tables.classes.get(name)?.object;
+      if (known) needs.set(name, {...needOf(known), running});
+    }
+    for (const {lane, count} of admission.waitingIn(pool)) {
+      const need = needs.get(lane.className) ?? needOfLane(lane);
+      needs.set(lane.className, {...need, waiting: need.waiting + count});
+    }
+    const latest = holding.latest(ledger, pool, zone);
+    return {
+      kind: 'demand',
+      ledger,
+      pool,
+      zone,
+      applied: latest?.number ?? 0,
+      owner: latest?.owner ?? '',
+      sentAt: clock.monotonic(),
+      classes: [...needs.values()],
+      inUse: [...use.endpoints].map(([endpoint, count]) => ({endpoint, count})),
+    };
+  }
+
+  /** The books of a demand's pool, if this host owns them. */
+  private booksFor({ledger, pool, zone}: Demand): Books | undefined {
+    const part = {pool, zone};
+    if (!this.owns(ledger, part)) return undefined;
+    const key = `${ledger} ${pool} ${zone}`;
+    let books = this.books.get(key);
+    if (!books) {
+      const {incarnation, clock} = this.options;
+      const grantor = emptyGrantor(incarnation, clock.monotonic());
+      books = {grantor, ledger, part, told: new Map()};
+      this.books.set(key, books);
+    }
+    return books;
+  }
+
+  private owns(ledger: Ledger, part: PoolZone): boolean {
+    const {incarnation, leases} = this.options;
+    if (ledger === 'cold') return leases.mayAct(zoneLeaseOf(part.zone));
+    return this.ownerOf(ledger, part) === incarnation;
+  }
+
+  /** Drops the books that this host no longer owns. */
+  private closeBooks(): void {
+    for (const [key, {ledger, part}] of this.books) {
+      if (!this.owns(ledger, part)) this.books.delete(key);
+    }
+  }
+
+  /** Grants to every host whose share has changed. */
+  private grantAll(books: Books): void {
+    const now = this.options.clock.monotonic();
+    books.grantor = setLimits(books.grantor, this.limitsOf(books, now));
+    for (const host of books.grantor.hosts.keys())
+      this.grantTo(books, host, now);
+  }
+
+  private grantTo(books: Books, host: string, now: number): void {
+    const {grantor, grant} = grantsFor(books.grantor, host, now);
+    if (!grant) {
+      books.grantor = grantor;
+      return;
+    }
+    const {counts, answers, pressure} = grant;
+    const told = JSON.stringify({counts, answers, pressure});
+    if (books.told.get(host) === told) return;
+    books.grantor = grantor;
+    books.told.set(host, told);
+    if (host === this.options.incarnation) this.takeGrant(grant);
+    else this.options.send(host, grant);
+  }
+
+  private limitsOf({ledger, part, grantor}: Books, now: number): Limit[] {
+    const {endpoints, watch} = this.options;
+    const limits: Limit[] = [];
+    for (const known of endpoints.list(part.pool)) {
+      const {endpoint, state, zoneIn} = known;
+      if (endpoint.zone !== part.zone) continue;
+      const cold = state === 'cold' || state === 'unknown';
+      const usable = zoneIn && state !== 'leaving' && state !== 'gone';
+      let places = 0;
+      if (usable && ledger === 'warm' && !cold) places = endpoint.slots;
+      if (usable && ledger === 'cold' && cold) {
+        places = coldPlaces(
+          endpoint,
+          watch.sighting(endpoint.name),
+          grantor,
+          now,
+        );
+      }
+      limits.push({endpoint: endpoint.name, places});
+    }
+    return limits;
+  }
+
+  /** Gives up what runs beyond the grant, of tiers below the one that waits. */
+  private yieldTo(
+    {pool, zone, pressure, counts}: Grant,
+    endpoints: EndpointTable,
+  ): void {
+    const granted = counts.reduce((sum, {count}) => sum + count, 0);
+    let running = 0;
+    for (const count of endpoints.useOf(pool, zone).endpoints.values()) {
+      running += count;
+    }
+    if (running <= granted) return;
+    const {admission, metrics} = this.options;
+    const preempted = admission.preempt(pool, pressure, running - granted);
+    if (preempted > 0) metrics.count('preempted', {pool}, preempted);
+  }
+}
+
+function needOf({name, tier, floorShare}: Class): Demand['classes'][number] {
+  return {name, tier, floorShare, running: 0, waiting: 0};
+}
+
+function needOfLane(lane: Lane): Demand['classes'][number] {
+  const {className: name, tier, floorShare} = lane;
+  return {name, tier, floorShare, running: 0, waiting: 0};
+}
--- /dev/null
+++ b/source/fleet/names.ts
@@ -0,0 +1,6 @@
+/** The names of the leases. */
+
+/** The lease whose holder gives a zone's endpoints their orders. */
+export function zoneLeaseOf(zone: string): string {
+  return `zone ${zone}`;
+}
--- /dev/null
+++ b/source/lease/index.ts
@@ -0,0 +1,16 @@
+/** The door of the lease folder. */
+export {
+  foldLease,
+  type LeaseRecord,
+  type LeaseStanding,
+  type Leases,
+} from './standing.js';
+export {
+  following,
+  mayAct,
+  updateRole,
+  LEASE_MILLISECONDS,
+  type LeaseEvent,
+  type LeaseRole,
+  type RoleUpdate,
+} from './role.js';
--- a/source/log/fold.ts
+++ b/source/log/fold.ts
@@ -1,36 +1,45 @@
 /**
- * How a host's configuration follows from the log, record by record. A host
- * that joins after old records have expired cannot judge the notes it finds
- * until it has a snapshot: it keeps them, and applies those that come after
- * what the snapshot covers.
+ * How a host's view of the fleet follows from the log, record by record. A
+ * host that joins after old records have expired cannot judge what it finds
+ * until it has a snapshot: it keeps the entries, and applies those that come
+ * after what the snapshot covers.
  */
 import {
   applyNote,
-  applySnapshot,
   emptyConfiguration,
   type Configuration,
-  type ConfigurationSnapshot,
   type NoteVerdict,
-  type ReleaseNote,
 } from '../configuration/index.js';
+import {foldLease, type Leases} from '../lease/index.js';
 import {
   logRecordSchema,
   type LogEntry,
   type LogRecord,
+  type Snapshot,
 } from '../platform/index.js';
+import {
+  emptyLedger,
+  foldFreeze,
+  foldReported,
+  type UsageLedger,
+} from '../usage/index.js';
+import {restore} from './snapshot.js';
 
-interface HeldNote {
-  readonly offset: number;
-  readonly note: ReleaseNote;
+/** What follows from the log, but for claims. */
+export interface FleetState {
+  readonly configuration: Configuration;
+  readonly leases: Leases;
+  readonly usage: UsageLedger;
 }
 
 /** What a host has made of the log so far. */
-export interface Fold {
+export interface Fold extends FleetState {
+  /** Offset of the first entry that was read since the last gap. */
+  readonly first: number;
   /** Offset of the next entry to apply. */
   readonly next: number;
-  readonly configuration: Configuration;
-  /** Notes that wait for a snapshot; undefined once there is a base. */
-  readonly held: readonly HeldNote[] | undefined;
+  /** Entries that wait for a snapshot; undefined once there is a base. */
+  readonly held: readonly LogEntry[] | undefined;
   /** Entries that fit no schema. */
   readonly malformed: number;
   /** Snapshots that contradict what this host has folded itself. */
@@ -49,8 +58,11 @@
 /** A fold that starts at the first entry that the log still holds. */
 export function emptyFold(first: number): Fold {
   return {
-    next: first,
     configuration: emptyConfiguration(),
+    leases: new Map(),
+    usage: emptyLedger(),
+    first,
+    next: first,
     held: first === 0 ? undefined : [],
     malformed: 0,
     diverged: 0,
@@ -58,69 +70,112 @@
   };
 }
 
-/** Whether the fold has a base from which every note can be judged. */
+/**
+ * The fold of a host that fell behind what the log still holds. What was in
+ * force stays so until a snapshot gives it a new base.
+ */
+export function afterGap(before: Fold, first: number): Fold {
+  if (first <= before.next) return before;
+  return {...before, first, next: first, held: []};
+}
+
+/** The fold of a host that takes over what a snapshot covers. */
+export function fromSnapshot(before: Fold, snapshot: Snapshot): Fold {
+  const next = snapshot.covers + 1;
+  const {covers: snapshotCovers} = snapshot;
+  return {
+    ...before,
+    ...restore(snapshot),
+    first: next,
+    next,
+    held: undefined,
+    snapshotCovers,
+  };
+}
+
+/** Whether the fold has a base from which every record can be judged. */
 export function isComplete(fold: Fold): boolean {
   return fold.held === undefined;
 }
 
 /**
- * The fold after one entry. An entry that was applied before is passed over.
+ * The fold after one entry. An entry that was applied before is passed over,
+ * and so is one that does not follow the last: its reader has to ask again.
  *
  * ```ts
  * for (const entry of page.entries) ({fold} = foldEntry(fold, entry));
  * ```
  */
 export function foldEntry(before: Fold, entry: LogEntry): Folded {
-  const {offset} = entry;
-  if (offset < before.next) {
+  if (entry.offset !== before.next) {
     return {fold: before, record: undefined, verdict: undefined};
   }
-  const fold = {...before, next: offset + 1};
+  const fold = {...before, next: entry.offset + 1};
   const parsed = logRecordSchema.safeParse(entry.value);
   if (!parsed.success) {
     const malformed = fold.malformed + 1;
     return {fold: {...fold, malformed}, record: undefined, verdict: undefined};
   }
   const record = parsed.data;
-  if (record.kind === 'release-note') return foldNote(fold, record, offset);
   if (record.kind === 'snapshot') {
     const after = foldSnapshot(fold, record.snapshot);
     return {fold: after, record, verdict: undefined};
   }
-  return {fold, record, verdict: undefined};
-}
-
-function foldNote(
-  fold: Fold,
-  record: Extract<LogRecord, {kind: 'release-note'}>,
-  offset: number,
-): Folded {
-  const {note} = record;
   if (fold.held) {
-    const held = [...fold.held, {offset, note}];
+    const held = [...fold.held, entry];
     return {fold: {...fold, held}, record, verdict: undefined};
   }
-  const {configuration, verdict} = applyNote(fold.configuration, note, offset);
-  return {fold: {...fold, configuration}, record, verdict};
+  return foldRecord(fold, record, entry.offset);
 }
 
-function foldSnapshot(fold: Fold, snapshot: ConfigurationSnapshot): Fold {
-  const {configuration} = fold;
-  const covers = Math.max(fold.snapshotCovers, snapshot.offset);
-  if (!fold.held) {
-    const same = snapshot.offset === configuration.offset;
-    const differs = same && snapshot.digest !== configuration.digest;
-    const diverged = fold.diverged + (differs ? 1 : 0);
-    return {...fold, snapshotCovers: covers, diverged};
+function foldRecord(fold: Fold, record: LogRecord, offset: number): Folded {
+  switch (record.kind) {
+    case 'release-note': {
+      const after = applyNote(fold.configuration, record.note, offset);
+      const {configuration, verdict} = after;
+      return {fold: {...fold, configuration}, record, verdict};
+    }
+    case 'lease': {
+      const leases = foldLease(fold.leases, record, offset);
+      return {fold: {...fold, leases}, record, verdict: undefined};
+    }
+    case 'usage-freeze': {
+      const usage = foldFreeze(fold.usage, record, fold.leases);
+      return {fold: {...fold, usage}, record, verdict: undefined};
+    }
+    case 'usage-reported': {
+      const usage = foldReported(fold.usage, record);
+      return {fold: {...fold, usage}, record, verdict: undefined};
+    }
+    default:
+      return {fold, record, verdict: undefined};
   }
-  let after = applySnapshot(configuration, snapshot);
-  for (const {offset, note} of fold.held) {
-    ({configuration: after} = applyNote(after, note, offset));
+}
+
+function foldSnapshot(fold: Fold, snapshot: Snapshot): Fold {
+  const snapshotCovers = Math.max(fold.snapshotCovers, snapshot.covers);
+  if (fold.held) return based({...fold, snapshotCovers}, fold.held, snapshot);
+  const {offset, digest} = snapshot.configuration;
+  const same = offset === fold.configuration.offset;
+  const differs = same && digest !== fold.configuration.digest;
+  const diverged = fold.diverged + (differs ? 1 : 0);
+  return {...fold, snapshotCovers, diverged};
+}
+
+/** The fold on the base of a snapshot, if nothing between them has expired. */
+function based(
+  fold: Fold,
+  held: readonly LogEntry[],
+  snapshot: Snapshot,
+): Fold {
+  const {first, next} = fold;
+  if (snapshot.covers < first - 1) return fold;
+  let after: Fold = {...fold, ...restore(snapshot), held: undefined};
+  for (const entry of held) {
+    if (entry.offset <= snapshot.covers) continue;
+    const parsed = logRecordSchema.safeParse(entry.value);
+    if (parsed.success)
+      ({fold: after} = foldRecord(after, parsed.data, entry.offset));
   }
-  return {
-    ...fold,
-    configuration: after,
-    held: undefined,
-    snapshotCovers: covers,
-  };
+  return {...after, next};
 }
--- a/source/log/follower.ts
+++ b/source/log/follower.ts
@@ -12,20 +12,22 @@
 export interface FollowerOptions {
   readonly platform: Platform;
   readonly clock: Clock;
-  /** Called once with the first offset that the log still holds. */
-  readonly started: (first: number) => void;
+  /** Called with the first offset that the log still holds, when it changes. */
+  readonly first: (first: number) => void;
   /** Called for the entries of a page, in order. */
   readonly entries: (entries: readonly LogEntry[]) => void;
   /** Offset of the next entry that is wanted. */
   readonly next: () => number;
   /** Called when the log comes in reach or goes out of it. */
   readonly reach: (reachable: boolean) => void;
+  /** Called when all of the log has been applied. */
+  readonly atEnd: () => void;
 }
 
 /** Follows the log from wherever the host has come. */
 export class LogFollower {
   private running = true;
-  private started = false;
+  private first: number | undefined;
   private reachable = false;
   /** Monotonic milliseconds at which the end of the log was last seen. */
   private atEndSince = -Infinity;
@@ -37,6 +39,11 @@
     return this.reachable;
   }
 
+  /** Own monotonic milliseconds of the read that last saw the end of the log. */
+  get atEnd(): number {
+    return this.atEndSince;
+  }
+
   /** Milliseconds since everything in the log was known to be applied. */
   get age(): number {
     return this.options.clock.monotonic() - this.atEndSince;
@@ -62,8 +69,8 @@
 
   private async read(): Promise<LogPage | undefined> {
     try {
-      const from = this.started ? this.options.next() : 0;
-      const wait = this.started && this.reachable ? WAIT_MILLISECONDS : 0;
+      const from = this.first === undefined ? 0 : this.options.next();
+      const wait = this.reachable ? WAIT_MILLISECONDS : 0;
       return await this.options.platform.read(from, wait);
     } catch {
       this.setReachable(false);
@@ -72,13 +79,15 @@
   }
 
   private take(page: LogPage, askedAt: number): void {
-    if (!this.started) {
-      this.started = true;
-      this.options.started(page.first);
+    if (page.first !== this.first) {
+      this.first = page.first;
+      this.options.first(page.first);
     }
     this.options.entries(page.entries);
-    if (this.options.next() >= page.end) this.atEndSince = askedAt;
+    const atEnd = this.options.next() >= page.end;
+    if (atEnd) this.atEndSince = askedAt;
     this.setReachable(true);
+    if (atEnd) this.options.atEnd();
   }
 
   private setReachable(reachable: boolean): void {
--- a/source/log/index.ts
+++ b/source/log/index.ts
@@ -1,5 +1,7 @@
 /** The door of the log folder. */
 export {
+  afterGap,
+  fromSnapshot,
   emptyFold,
   foldEntry,
   isComplete,
@@ -7,3 +9,4 @@
   type Folded,
 } from './fold.js';
 export {LogFollower, type FollowerOptions} from './follower.js';
+export {takeSnapshot} from './snapshot.js';
--- a/source/operator/status.ts
+++ b/source/operator/status.ts
@@ -16,6 +16,17 @@
   malformed: z.number(),
   diverged: z.number(),
   logInReach: z.boolean(),
+  logAge: z.number().describe('Milliseconds since all of the log was known.'),
+  peers: z.array(z.string()),
+  leases: z.array(
+    z.object({
+      lease: z.string(),
+      state: z.string(),
+      holder: z.string().describe('Incarnation of the holder.'),
+      fence: z.number(),
+    }),
+  ),
+  claims: z.number(),
   waiting: z.number(),
   underWay: z.number(),
   endpoints: z.array(
--- a/source/placement/index.ts
+++ b/source/placement/index.ts
@@ -9,4 +9,9 @@
 export {Allowances} from './allowance.js';
 export {FixedSplit, rendezvousOrder} from './split.js';
 export {PrefixMemory} from './prefix.js';
-export {EndpointTable, type Slot} from './table.js';
+export {
+  EndpointTable,
+  type PoolUse,
+  type PoolZone,
+  type Slot,
+} from './table.js';
--- a/source/placement/table.ts
+++ b/source/placement/table.ts
@@ -29,12 +29,28 @@
   cheap: number;
 }
 
+/** A pool's part in one availability zone. */
+export interface PoolZone {
+  readonly pool: string;
+  readonly zone: string;
+}
+
+/** What this host runs at the endpoints of a pool in one zone. */
+export interface PoolUse {
+  /** Running requests by class. */
+  readonly classes: ReadonlyMap<string, number>;
+  /** Running requests by endpoint. */
+  readonly endpoints: ReadonlyMap<string, number>;
+}
+
 /** The endpoints of a host. */
 export class EndpointTable extends Room {
   private readonly states = new Map<string, EndpointState>();
   private pools = new Map<string, readonly string[]>();
   private readonly uses = new Map<string, ClassUse>();
   private readonly prefixes = new PrefixMemory();
+  /** Running requests by endpoint, then by class. */
+  private readonly occupancy = new Map<string, Map<string, number>>();
 
   constructor(
     private readonly zone: string,
@@ -80,6 +96,30 @@
     return this.states.get(name);
   }
 
+  /** What this host runs at the endpoints of a pool in a zone. */
+  useOf(pool: string, zone: string): PoolUse {
+    const classes = new Map<string, number>();
+    const endpoints = new Map<string, number>();
+    for (const {endpoint, running} of this.list(pool)) {
+      if (endpoint.zone !== zone || running === 0) continue;
+      endpoints.set(endpoint.name, running);
+      for (const [name, count] of this.occupancy.get(endpoint.name) ?? []) {
+        classes.set(name, (classes.get(name) ?? 0) + count);
+      }
+    }
+    return {classes, endpoints};
+  }
+
+  /** The pools with the zones that they have endpoints in. */
+  poolZones(): PoolZone[] {
+    const found = new Map<string, PoolZone>();
+    for (const {endpoint} of this.states.values()) {
+      const {pool, zone} = endpoint;
+      found.set(`${pool} ${zone}`, {pool, zone});
+    }
+    return [...found.values()];
+  }
+
   override hasRoom(lane: Lane): boolean {
     const now = this.clock.monotonic();
     const cheap = this.mayUseCheap(lane);
@@ -129,6 +169,7 @@
     const {endpoint} = chosen;
     const use = this.use(lane.className);
     this.update(endpoint.name, {kind: 'started'});
+    this.count(endpoint.name, lane.className, 1);
     use.running++;
     if (endpoint.cheap) use.cheap++;
     let held = true;
@@ -137,11 +178,20 @@
       held = false;
       use.running--;
       if (endpoint.cheap) use.cheap--;
+      this.count(endpoint.name, lane.className, -1);
       this.update(endpoint.name, {kind: 'finished'});
     };
     return {endpoint, warm: chosen.state === 'warm', release};
   }
 
+  private count(endpoint: string, className: string, change: number): void {
+    const classes = this.occupancy.get(endpoint) ?? new Map<string, number>();
+    const after = (classes.get(className) ?? 0) + change;
+    if (after > 0) classes.set(className, after);
+    else classes.delete(className);
+    this.occupancy.set(endpoint, classes);
+  }
+
   private mayUseCheap(lane: Lane): boolean {
     if (!lane.repeatable || lane.cheapShare === 0) return false;
     const {running, cheap} = this.use(lane.className);
--- a/source/platform/http.ts
+++ b/source/platform/http.ts
@@ -3,12 +3,14 @@
 
 import {z} from 'zod';
 
-import {callJson} from '../wire/index.js';
+import {callGuarded, callJson} from '../wire/index.js';
 import {
   hostEntrySchema,
   Platform,
   type HostEntry,
   type UsageReport,
+  endpointOrderSchema,
+  type EndpointOrder,
 } from './platform.js';
 import type {LogPage, LogRecord} from './record.js';
 
@@ -60,8 +62,37 @@
     await this.call('PUT', '/hosts', z.unknown(), host);
   }
 
-  override async reportUsage(report: UsageReport): Promise<void> {
-    await this.call('POST', '/usage-reports', z.unknown(), report);
+  override reportUsage(
+    report: UsageReport,
+    mayAct: () => boolean,
+  ): Promise<boolean> {
+    return this.order('/usage-reports', report, mayAct);
+  }
+
+  override orderEndpoints(
+    order: EndpointOrder,
+    mayAct: () => boolean,
+  ): Promise<boolean> {
+    return this.order('/endpoint-orders', order, mayAct);
+  }
+
+  override async endpointOrder(
+    zone: string,
+    pool: string,
+  ): Promise<EndpointOrder | undefined> {
+    const path = '/endpoint-orders';
+    const orders = await this.call('GET', path, z.array(endpointOrderSchema));
+    return orders.findLast(order => order.zone === zone && order.pool === pool);
+  }
+
+  private order(
+    path: string,
+    body: unknown,
+    mayAct: () => boolean,
+  ): Promise<boolean> {
+    const bound = CALL_BOUND_MILLISECONDS;
+    const {address} = this;
+    return callGuarded({address, method: 'POST', path, body, bound}, mayAct);
   }
 
   private call<Schema extends z.ZodType>(
--- a/source/settings/schema.ts
+++ b/source/settings/schema.ts
@@ -73,13 +73,12 @@
   queuePlaces: count
     .default(1_000)
     .describe('Requests that may wait in the host.'),
-  claimHorizonMilliseconds: z.coerce
-    .number()
-    .int()
-    .min(60_000)
-    .max(604_800_000)
-    .default(86_400_000)
-    .describe('Time for which idempotency keys are remembered.'),
+  usageWindowMilliseconds: duration
+    .default(60_000)
+    .describe('Length of a usage window; the same on every host.'),
+  snapshotRecords: count
+    .default(1_000)
+    .describe('Log records after which a snapshot is appended.'),
   claimAnswerBytes: count
     .default(16_384)
     .describe('Largest answer that is kept for a repeat, in bytes.'),
--- /dev/null
+++ b/source/usage/index.ts
@@ -0,0 +1,22 @@
+/** The door of the usage folder. */
+export {
+  emptyLedger,
+  foldFreeze,
+  foldReported,
+  frozenOf,
+  usageLeaseOf,
+  WINDOWS_KEPT,
+  type Frozen,
+  type FreezeRecord,
+  type ReportedRecord,
+  type UsageLedger,
+} from './ledger.js';
+export {
+  figuresOf,
+  mergeFigures,
+  subtractFigures,
+  type Figures,
+  type TeamFigure,
+} from './figures.js';
+export {UsageSheets, type Copy} from './sheets.js';
+export {dueFreeze, dueReport, type Clerk} from './clerk.js';
--- /dev/null
+++ b/source/wire/guarded.ts
@@ -0,0 +1,60 @@
+/**
+ * A call that only the holder of a lease may make. Node queues a request until
+ * its socket is connected, so a check before the request proves nothing: here
+ * the connection is made first, and the check and the write are one step.
+ */
+import {request} from 'node:http';
+import {connect} from 'node:net';
+
+import {WireError} from '../errors/index.js';
+import type {Call} from './call.js';
+import {partsOf} from './listen.js';
+
+/**
+ * Makes the call if `mayAct` holds when the connection is ready. Answers
+ * whether it was sent. Throws a WireError where it was sent and failed.
+ *
+ * ```ts
+ * const sent = await callGuarded(call, () => mayAct(role, clock.monotonic()));
+ * ```
+ */
+export function callGuarded(
+  call: Call,
+  mayAct: () => boolean,
+): Promise<boolean> {
+  return new Promise((resolve, reject) => {
+    const socket = connect({...partsOf(call.address), noDelay: true});
+    const signal = AbortSignal.timeout(call.bound);
+    const fail = (error: Error) => {
+      socket.destroy();
+      reject(new WireError('cut', error.message));
+    };
+    signal.addEventListener('abort', () => fail(new Error('timed out')), {
+      once: true,
+    });
+    socket.on('error', fail);
+    socket.once('connect', () => {
+      const outgoing = request({
+        method: call.method,
+        path: call.path,
+        headers: {'content-type': 'application/json', connection: 'close'},
+        createConnection: () => socket,
+      });
+      outgoing.once('error', fail);
+      outgoing.once('response', answer => {
+        answer.resume();
+        const status = answer.statusCode ?? 0;
+        if (status < 300) answer.once('end', () => resolve(true));
+        else reject(new WireError('status', call.path, status));
+      });
+      outgoing.once('socket', () => {
+        if (mayAct()) {
+          outgoing.end(JSON.stringify(call.body));
+          return;
+        }
+        outgoing.destroy();
+        resolve(false);
+      });
+    });
+  });
+}
--- a/source/wire/index.ts
+++ b/source/wire/index.ts
@@ -1,3 +1,4 @@
 /** The door of the wire folder. */
 export {callJson, type Call} from './call.js';
+export {callGuarded} from './guarded.js';
 export {listen, partsOf, type AddressParts} from './listen.js';
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -7,8 +7,16 @@
 
 import {z} from 'zod';
 
-import {hostEntrySchema, usageReportSchema} from '../source/platform/index.js';
-import type {HostEntry, UsageReport} from '../source/platform/index.js';
+import {
+  endpointOrderSchema,
+  hostEntrySchema,
+  usageReportSchema,
+} from '../source/platform/index.js';
+import type {
+  EndpointOrder,
+  HostEntry,
+  UsageReport,
+} from '../source/platform/index.js';
 import {readSettings} from '../source/settings/index.js';
 import {reply, serve, type Received} from './server.js';
 
@@ -35,13 +43,6 @@
   readonly at: number;
 }
 
-const orderSchema = z.object({
-  zone: z.string(),
-  pool: z.string(),
-  count: z.number().int().nonnegative(),
-  fence: z.number().int(),
-});
-
 const settings = readSettings(
   process.argv.slice(2),
   process.env,
@@ -52,7 +53,7 @@
 let expired = 0;
 let hosts: Listed[] = [];
 const usage: UsageReport[] = [];
-const orders: Array<z.infer<typeof orderSchema>> = [];
+const orders: Array<EndpointOrder> = [];
 const waiting: Array<() => void> = [];
 
 function append(values: unknown[]): number {
@@ -145,7 +146,7 @@
     case 'GET /usage-reports':
       return reply(response, 200, usage);
     case 'POST /endpoint-orders':
-      orders.push(orderSchema.parse(JSON.parse(body.toString())));
+      orders.push(endpointOrderSchema.parse(JSON.parse(body.toString())));
       return reply(response, 200, null);
     case 'GET /endpoint-orders':
       return reply(response, 200, orders);
