Add the quickstart, and press for running work only when it helps

Cause: in the first quickstart 6 drafting streams were shed while the fleet had room: an owner counted any shortage as pressure, so a zone taken out (places 0) and a waiting request counted in three zones each cost running streams. Ruled out: a wrong floor (no floor start was logged), and too few places (40 requests under way, 96 places). Change: hosts say how many waiting requests are late (a fifth of their bound) and press in one zone only; a pool without places presses nobody.

--- a/source/admission/admission.ts
+++ b/source/admission/admission.ts
@@ -86,7 +86,7 @@
 
   /** The lanes of a pool in which tickets wait, with how many. */
   waitingIn(pool: string): LaneCount[] {
-    return this.queue.waitingIn(pool);
+    return this.queue.waitingIn(pool, this.options.clock.monotonic());
   }
 
   /**
--- a/source/admission/queue.ts
+++ b/source/admission/queue.ts
@@ -24,8 +24,13 @@
 export interface LaneCount {
   readonly lane: Lane;
   readonly count: number;
+  /** Of these, how many have used up a good part of their bound. */
+  readonly late: number;
 }
 
+/** Share of its bound after which a waiting ticket counts as late. */
+const LATE_SHARE = 0.2;
+
 /** All tickets that wait in a host. */
 export class WaitingQueue<T extends Ticket> {
   private readonly lanes = new Map<string, LaneState<T>>();
@@ -112,12 +117,14 @@
   }
 
   /** The lanes of a pool in which tickets wait, with how many. */
-  waitingIn(pool: string): LaneCount[] {
+  waitingIn(pool: string, now: number): LaneCount[] {
     const counts: LaneCount[] = [];
     for (const {lane, line} of this.lanes.values()) {
-      if (lane.pool === pool && line.size > 0) {
-        counts.push({lane, count: line.size});
-      }
+      if (lane.pool !== pool || line.size === 0) continue;
+      const late = line
+        .tickets()
+        .filter(({arrived, bound}) => now - arrived > LATE_SHARE * bound);
+      counts.push({lane, count: line.size, late: late.length});
     }
     return counts;
   }
--- a/source/credits/divide.ts
+++ b/source/credits/divide.ts
@@ -14,6 +14,8 @@
   readonly floorShare: number;
   readonly running: number;
   readonly waiting: number;
+  /** Of those that wait, how many are to be served before others go on. */
+  readonly pressing: number;
 }
 
 /** What one host needs. */
@@ -28,10 +30,10 @@
   readonly places: number;
 }
 
-/** The division, and the highest tier that is not served in full. */
+/** The division, and the highest tier that presses in vain. */
 export interface Division {
   readonly shares: readonly Share[];
-  /** 0 where every need is met. */
+  /** 0 where none does. */
   readonly pressure: number;
 }
 
@@ -55,9 +57,9 @@
   let pressure = 0;
   for (const tier of TIERS) {
     const wanted = wantedBy(needs, left, tier);
-    const short = total(wanted) > rest;
+    const short = total(wanted) > rest && places > 0;
     rest -= giveEvenly(rest, wanted, given);
-    if (short && pressure === 0) pressure = tier;
+    if (pressure === 0 && short && presses(needs, tier)) pressure = tier;
   }
   spread(rest, given);
   const shares = [...given].map(([host, count]) => ({host, places: count}));
@@ -129,6 +131,12 @@
   return wanted;
 }
 
+function presses(needs: readonly HostNeed[], tier: number): boolean {
+  return needs.some(({classes}) =>
+    classes.some(need => need.tier === tier && need.pressing > 0),
+  );
+}
+
 function total(wanted: ReadonlyMap<string, number>): number {
   let sum = 0;
   for (const count of wanted.values()) sum += count;
--- a/source/credits/messages.ts
+++ b/source/credits/messages.ts
@@ -21,6 +21,8 @@
       floorShare: z.number(),
       running: z.number().int(),
       waiting: z.number().int(),
+      /** Of those that wait, how many are to be served before others go on. */
+      pressing: z.number().int(),
     }),
   ),
   /** Requests of the host that each endpoint runs. */
--- a/source/fleet/credits.ts
+++ b/source/fleet/credits.ts
@@ -178,9 +178,12 @@
       const known = tables.classes.get(name)?.object;
       if (known) needs.set(name, {...needOf(known), running});
     }
-    for (const {lane, count} of admission.waitingIn(pool)) {
+    const presses = this.pressesOn(part);
+    for (const {lane, count, late} of admission.waitingIn(pool)) {
       const need = needs.get(lane.className) ?? needOfLane(lane);
-      needs.set(lane.className, {...need, waiting: need.waiting + count});
+      const waiting = need.waiting + count;
+      const pressing = presses ? need.pressing + late : 0;
+      needs.set(lane.className, {...need, waiting, pressing});
     }
     const latest = holding.latest(ledger, pool, zone);
     return {
@@ -196,6 +199,20 @@
     };
   }
 
+  /**
+   * Others give up running work in one zone only, or a single request that
+   * waits would cost one in each: in this host's own, or in the first zone
+   * that has endpoints of the pool, if its own has none to use.
+   */
+  private pressesOn({pool, zone}: PoolZone): boolean {
+    const zones = this.options.endpoints
+      .list(pool)
+      .filter(({zoneIn}) => zoneIn)
+      .map(({endpoint}) => endpoint.zone);
+    const own = this.options.zone;
+    return zone === (zones.includes(own) ? own : zones.sort()[0]);
+  }
+
   /** The books of a demand's pool, if this host owns them. */
   private booksFor({ledger, pool, zone}: Demand): Books | undefined {
     const part = {pool, zone};
@@ -288,10 +305,10 @@
 }
 
 function needOf({name, tier, floorShare}: Class): Demand['classes'][number] {
-  return {name, tier, floorShare, running: 0, waiting: 0};
+  return {name, tier, floorShare, running: 0, waiting: 0, pressing: 0};
 }
 
 function needOfLane(lane: Lane): Demand['classes'][number] {
   const {className: name, tier, floorShare} = lane;
-  return {name, tier, floorShare, running: 0, waiting: 0};
+  return {name, tier, floorShare, running: 0, waiting: 0, pressing: 0};
 }
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -4,6 +4,7 @@
 const programs = {
   arbutusslipd: 'source/daemon/main.ts',
   arbutusslip: 'source/command/main.ts',
+  quickstart: 'tools/quickstart.ts',
   'standin-platform': 'standins/platform.ts',
   'standin-engine': 'standins/engine.ts',
   'standin-service': 'standins/service.ts',
