Prove the deciding modules by fuzzing, and mend what that found

Cause: nothing was proved. Each module gets fast-check commands against a simple oracle, with planted faults that the check is seen to notice. A keyed request now runs on when its caller leaves, so that a repeat gets its outcome. Ruled out: holding lapsed grants of warm endpoints too, since every crash would then cost a host's share of capacity for as long as its requests may last.

--- a/source/claims/once.ts
+++ b/source/claims/once.ts
@@ -1,7 +1,7 @@
 /**
  * Runs a request at most once, whichever hosts its repeats reach. The process
  * whose claim the log has first runs it; everyone else waits for its outcome.
- * Without the log nobody can claim, so such requests are refused as not run.
+ * Without the log nobody can claim, so such requests are refused.
  */
 import type {Clock} from '../clock/index.js';
 import {Refusal} from '../errors/index.js';
@@ -124,7 +124,7 @@
       }
       await this.change(id, left);
       if (standing && !table.get(id))
-        throw unavailable('the first did not run');
+        throw unavailable('the first was given up');
     }
   }
 
@@ -147,8 +147,12 @@
   return {id, outcome, status: 0, contentType: ''};
 }
 
+/**
+ * This host cannot know whether an earlier request with the key runs elsewhere,
+ * so it does not say that the request was not run.
+ */
 function unavailable(detail: string): Refusal {
-  return new Refusal('claims-unavailable', 'not-run', detail);
+  return new Refusal('claims-unavailable', 'unknown', detail);
 }
 
 function conflict(): Refusal {
--- a/source/credits/grantor.ts
+++ b/source/credits/grantor.ts
@@ -2,8 +2,13 @@
  * The owner's side of credits. The owner of a pool keeps, for every host, what
  * that host may still believe that it has been granted: every grant that has
  * neither lapsed nor been replaced by a later one that the host says it has
- * applied. A new grant never exceeds what the others' beliefs leave, so the
- * sum over all hosts stays within an endpoint's limit at every instant.
+ * applied. A new grant never exceeds what the others' beliefs leave.
+ *
+ * Requests outlast the grants that they were started with, so a host that has
+ * fallen silent may still be running some. For warm endpoints that is borne: a
+ * lapsed grant counts for nothing. Strict books, for cold endpoints, count a
+ * silent host's last grant until the endpoint itself says that it runs less,
+ * so the sum over all hosts stays within the limit at every instant.
  */
 import {divide, type HostNeed} from './divide.js';
 import type {Demand, Grant} from './messages.js';
@@ -17,12 +22,25 @@
 export interface Limit {
   readonly endpoint: string;
   readonly places: number;
+  readonly report?: LoadNews | undefined;
+}
+
+/** What the endpoint has said of itself. */
+export interface LoadNews {
+  readonly running: number;
+  /**
+   * Owner's monotonic milliseconds: what was started before and still runs is
+   * in the report.
+   */
+  readonly covers: number;
 }
 
 interface Outstanding {
   readonly number: number;
   /** Owner’s monotonic milliseconds after which the host cannot use it. */
   readonly lapses: number;
+  /** Host’s monotonic milliseconds after which it does not use it. */
+  readonly until: number;
   readonly counts: ReadonlyMap<string, number>;
 }
 
@@ -38,6 +56,8 @@
 export interface Grantor {
   /** Incarnation of the owner. */
   readonly owner: string;
+  /** Whether silent hosts count until the endpoint says otherwise. */
+  readonly strict: boolean;
   /** Owner’s monotonic milliseconds from which it may grant at all. */
   readonly from: number;
   readonly limits: readonly Limit[];
@@ -49,9 +69,13 @@
  * The books of a new owner. It waits until everything that a former owner
  * may have granted has lapsed.
  */
-export function emptyGrantor(owner: string, now: number): Grantor {
+export function emptyGrantor(
+  owner: string,
+  strict: boolean,
+  now: number,
+): Grantor {
   const from = now + CREDIT_MILLISECONDS + DRIFT_MILLISECONDS;
-  return {owner, from, limits: [], hosts: new Map(), nextNumber: 1};
+  return {owner, strict, from, limits: [], hosts: new Map(), nextNumber: 1};
 }
 
 /** The books with new limits. */
@@ -69,7 +93,7 @@
   const present = before.hosts.get(host);
   const applied = demand.owner === before.owner ? demand.applied : 0;
   const outstanding = (present?.outstanding ?? []).filter(
-    ({number, lapses}) => number >= applied && lapses > now,
+    ({number, until}) => number >= applied && until > demand.sentAt,
   );
   const inUse = new Map(
     demand.inUse.map(({endpoint, count}) => [endpoint, count]),
@@ -94,26 +118,37 @@
 
 /** Places at an endpoint that a host may be using or may yet use. */
 function committedOf(
-  {inUse, outstanding}: HostAccount,
-  endpoint: string,
+  {strict}: Grantor,
+  {inUse, outstanding, heardAt}: HostAccount,
+  {endpoint, report}: Limit,
   now: number,
 ): number {
-  let most = inUse.get(endpoint) ?? 0;
+  const used = inUse.get(endpoint) ?? 0;
+  let granted = 0;
+  let lapsed = 0;
+  let lapsedAt = heardAt;
   for (const {counts, lapses} of outstanding) {
-    if (lapses > now) most = Math.max(most, counts.get(endpoint) ?? 0);
+    const count = counts.get(endpoint) ?? 0;
+    if (lapses > now) granted = Math.max(granted, count);
+    else lapsed = Math.max(lapsed, count);
+    if (lapses <= now) lapsedAt = Math.max(lapsedAt, lapses);
   }
-  return most;
+  if (!strict) return Math.max(used, granted);
+  const silent = Math.max(used, lapsed);
+  const told = report !== undefined && report.covers >= lapsedAt;
+  return Math.max(granted, told ? Math.min(silent, report.running) : silent);
 }
 
 /** Places at an endpoint that all hosts together may be using. */
 export function committedAt(
-  {hosts}: Grantor,
-  endpoint: string,
+  grantor: Grantor,
+  limit: Limit,
   now: number,
 ): number {
   let sum = 0;
-  for (const account of hosts.values())
-    sum += committedOf(account, endpoint, now);
+  for (const account of grantor.hosts.values()) {
+    sum += committedOf(grantor, account, limit, now);
+  }
   return sum;
 }
 
@@ -153,7 +188,8 @@
     pressure,
   };
   const lapses = now + CREDIT_MILLISECONDS + DRIFT_MILLISECONDS;
-  const outstanding = [...account.outstanding, {number, lapses, counts}];
+  const until = answers + CREDIT_MILLISECONDS;
+  const outstanding = [...account.outstanding, {number, lapses, until, counts}];
   const hosts = new Map(cleaned.hosts).set(host, {...account, outstanding});
   return {grantor: {...cleaned, hosts, nextNumber: number + 1}, grant};
 }
@@ -178,10 +214,10 @@
   now: number,
 ): Map<string, number> {
   const room = new Map<string, number>();
-  for (const {endpoint, places: limit} of grantor.limits) {
-    const all = committedAt(grantor, endpoint, now);
-    const others = all - committedOf(account, endpoint, now);
-    room.set(endpoint, Math.max(limit - others, 0));
+  for (const limit of grantor.limits) {
+    const all = committedAt(grantor, limit, now);
+    const others = all - committedOf(grantor, account, limit, now);
+    room.set(limit.endpoint, Math.max(limit.places - others, 0));
   }
   const counts = new Map<string, number>();
   let rest = places;
@@ -214,12 +250,16 @@
   return best;
 }
 
-/** Forgets hosts that have not been heard for so long that all has lapsed. */
+/** Forgets hosts that were silent for long and that nothing counts for. */
 function withoutLapsed(before: Grantor, now: number): Grantor {
   const patience = 2 * CREDIT_MILLISECONDS + DRIFT_MILLISECONDS;
-  const kept = [...before.hosts].filter(
-    ([, {heardAt}]) => now - heardAt <= patience,
-  );
+  const isGone = (account: HostAccount) =>
+    now - account.heardAt > patience &&
+    (!before.strict ||
+      before.limits.every(
+        limit => committedOf(before, account, limit, now) === 0,
+      ));
+  const kept = [...before.hosts].filter(([, account]) => !isGone(account));
   if (kept.length === before.hosts.size) return before;
   return {...before, hosts: new Map(kept)};
 }
--- a/source/daemon/service.ts
+++ b/source/daemon/service.ts
@@ -76,6 +76,7 @@
     Buffer.concat([Buffer.from(`${method} ${path}\n`), body]),
   );
   let ran = false;
+  exchange.runsOn = true;
   const settlement = await host.zone.once.run(id, bodyDigest, async () => {
     const answer = await run(host, exchange, base);
     ran = true;
--- a/source/exchange/exchange.ts
+++ b/source/exchange/exchange.ts
@@ -20,6 +20,8 @@
   /** Endpoints that it has failed at. */
   readonly failedAt = new Set<string>();
   attempts = 0;
+  /** Whether an attempt under way goes on without its caller, for a repeat. */
+  runsOn = false;
   private state = requestChart.initial;
   private left = false;
 
@@ -30,10 +32,13 @@
     /** Monotonic milliseconds. */
     readonly arrived: number,
   ) {
-    answer.onGone(() => {
-      if (!this.ended.signal.aborted) this.left = true;
-      this.ended.abort();
-    });
+    answer.onGone(() => this.noteGone());
+  }
+
+  private noteGone(): void {
+    if (!this.ended.signal.aborted) this.left = true;
+    const running = this.state === 'dispatched' || this.state === 'answering';
+    if (!this.runsOn || !running) this.ended.abort();
   }
 
   /** Whether the caller left before its answer was whole. */
@@ -57,7 +62,8 @@
     this.ended.abort(refusal);
   }
 
-  private knownOutcome(): Outcome {
+  /** What is known about the request having run. */
+  knownOutcome(): Outcome {
     if (this.state === 'answering') return 'ran';
     return this.state === 'dispatched' ? 'unknown' : 'not-run';
   }
--- a/source/exchange/run.ts
+++ b/source/exchange/run.ts
@@ -162,5 +162,9 @@
 function reasonOf(exchange: Exchange): Refusal {
   const {reason} = exchange.ended.signal;
   if (reason instanceof Refusal) return reason;
-  return new Refusal('internal', 'unknown', 'the caller has left');
+  return new Refusal(
+    'internal',
+    exchange.knownOutcome(),
+    'the caller has left',
+  );
 }
--- a/source/fleet/cold.ts
+++ b/source/fleet/cold.ts
@@ -1,30 +1,33 @@
 /**
  * What a cold endpoint still bears. The holder of the zone's lease counts on
  * nothing that it has not seen: grants from when the endpoint was warm must
- * have lapsed, and a report asked for after that must say what is running
- * there that no host has told it of.
+ * have lapsed, and a report that covers that moment must say what is running.
  */
 import type {Endpoint} from '../configuration/index.js';
-import {CREDIT_MILLISECONDS, type Grantor} from '../credits/index.js';
+import {
+  committedAt,
+  CREDIT_MILLISECONDS,
+  type Grantor,
+  type Limit,
+} from '../credits/index.js';
 import type {Sighting} from './watch.js';
 
 /** Longest time by which a load report lags, in milliseconds. */
 const REPORT_LAG_MILLISECONDS = 2_000;
 
-/** Places at a cold endpoint that can be granted to hosts. */
-export function coldPlaces(
-  endpoint: Endpoint,
+/** The limit of a cold endpoint, with its last report. */
+export function coldLimit(
+  {name: endpoint, coldSlots}: Endpoint,
   sighting: Sighting | undefined,
-  {hosts}: Grantor,
+  grantor: Grantor,
   now: number,
-): number {
-  if (!sighting || sighting.state !== 'cold') return 0;
-  const settled =
-    sighting.since + CREDIT_MILLISECONDS + REPORT_LAG_MILLISECONDS;
-  if (sighting.askedAt < settled) return 0;
-  if (now - sighting.askedAt > REPORT_LAG_MILLISECONDS) return 0;
-  let told = 0;
-  for (const {inUse} of hosts.values()) told += inUse.get(endpoint.name) ?? 0;
-  const foreign = Math.max(sighting.running - told, 0);
-  return Math.max(endpoint.coldSlots - foreign, 0);
+): Limit {
+  const none = {endpoint, places: 0};
+  if (!sighting || sighting.state !== 'cold') return none;
+  const {running, askedAt, since} = sighting;
+  const report = {running, covers: askedAt - REPORT_LAG_MILLISECONDS};
+  if (report.covers < since + CREDIT_MILLISECONDS) return {...none, report};
+  const unexplained = running - committedAt(grantor, {...none, report}, now);
+  const places = Math.max(coldSlots - Math.max(unexplained, 0), 0);
+  return {endpoint, places, report};
 }
--- a/source/fleet/credits.ts
+++ b/source/fleet/credits.ts
@@ -25,7 +25,7 @@
 import type {Message} from '../messages/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {EndpointTable, PoolZone} from '../placement/index.js';
-import {coldPlaces} from './cold.js';
+import {coldLimit} from './cold.js';
 import type {LeaseDesk} from './lease.js';
 import type {Membership} from './membership.js';
 import {zoneLeaseOf} from './names.js';
@@ -214,14 +214,19 @@
   }
 
   /** The books of a demand's pool, if this host owns them. */
-  private booksFor({ledger, pool, zone}: Demand): Books | undefined {
+  private booksFor(demand: Demand): Books | undefined {
+    const {ledger, pool, zone} = demand;
     const part = {pool, zone};
     if (!this.owns(ledger, part)) return undefined;
     const key = `${ledger} ${pool} ${zone}`;
     let books = this.books.get(key);
     if (!books) {
       const {incarnation, clock} = this.options;
-      const grantor = emptyGrantor(incarnation, clock.monotonic());
+      const grantor = emptyGrantor(
+        incarnation,
+        demand.ledger === 'cold',
+        clock.monotonic(),
+      );
       books = {grantor, ledger, part, told: new Map()};
       this.books.set(key, books);
     }
@@ -272,16 +277,12 @@
       if (endpoint.zone !== part.zone) continue;
       const cold = state === 'cold' || state === 'unknown';
       const usable = zoneIn && state !== 'leaving' && state !== 'gone';
-      let places = 0;
-      if (usable && ledger === 'warm' && !cold) places = endpoint.slots;
       if (usable && ledger === 'cold' && cold) {
-        places = coldPlaces(
-          endpoint,
-          watch.sighting(endpoint.name),
-          grantor,
-          now,
-        );
+        const sighting = watch.sighting(endpoint.name);
+        limits.push(coldLimit(endpoint, sighting, grantor, now));
+        continue;
       }
+      const places = usable && ledger === 'warm' && !cold ? endpoint.slots : 0;
       limits.push({endpoint: endpoint.name, places});
     }
     return limits;
--- /dev/null
+++ b/test/usage.test.ts
@@ -0,0 +1,280 @@
+/**
+ * Usage: a window is reported with one set of figures, and nothing that was
+ * used is counted twice (invariant 7).
+ */
+import test from 'ava';
+import fc from 'fast-check';
+
+import {foldEntry, emptyFold, type Fold} from '../source/log/index.js';
+import type {UsageReport} from '../source/platform/index.js';
+import {
+  dueFreeze,
+  dueReport,
+  UsageSheets,
+  usageLeaseOf,
+} from '../source/usage/index.js';
+import {holds, isSeenToFail} from './support/fuzz.js';
+import {Tape} from './support/tape.js';
+
+const REGION = 'sicily';
+const HOSTS = 3;
+const PATIENCE = 3;
+
+interface Faults {
+  /** A holder reports what it has, frozen or not. */
+  readonly reportsUnfrozen?: boolean;
+  /** What a freeze left out is carried over whole. */
+  readonly carriesAll?: boolean;
+}
+
+interface UsingHost {
+  readonly incarnation: string;
+  readonly sheets: UsageSheets;
+  fold: Fold;
+}
+
+class World {
+  present = 10;
+  readonly tape = new Tape();
+  hosts: UsingHost[] = [];
+  readonly reports: Array<Pick<UsageReport, 'window' | 'figures'>> = [];
+  used = 0;
+  killed = 0;
+  private made = 0;
+
+  constructor(private readonly faults: Faults) {
+    for (let index = 0; index < HOSTS; index++) this.hosts.push(this.create());
+    this.claim(0);
+  }
+
+  create(): UsingHost {
+    const incarnation = `incarnation-${++this.made}`;
+    const sheets = new UsageSheets(REGION, incarnation);
+    return {incarnation, sheets, fold: emptyFold(0)};
+  }
+
+  use(index: number, team: string, tokens: number): void {
+    this.hosts[index]?.sheets.add(this.present, {team, requests: 1, tokens});
+    this.used += tokens;
+  }
+
+  copy(from: number, to: number, full: boolean, lost: boolean): void {
+    const [source, target] = [this.hosts[from], this.hosts[to]];
+    if (!source || !target || from === to) return;
+    const sheets = source.sheets.copies(full);
+    if (lost) return;
+    for (const sheet of sheets) target.sheets.receive(sheet);
+    if (!full) return;
+    for (const sheet of source.sheets.foreign()) target.sheets.receive(sheet);
+  }
+
+  read(index: number): void {
+    const host = this.hosts[index];
+    if (!host) return;
+    for (const entry of this.tape.read(host.fold.next)) {
+      ({fold: host.fold} = foldEntry(host.fold, entry));
+    }
+    host.sheets.sealBefore(this.present);
+    const ledger = this.faults.carriesAll
+      ? withoutIncludes(host.fold.usage)
+      : host.fold.usage;
+    host.sheets.settle(ledger, this.present);
+  }
+
+  claim(index: number): void {
+    const host = this.hosts[index];
+    if (!host) return;
+    this.read(index);
+    const lease = usageLeaseOf(REGION);
+    const follows = host.fold.leases.get(lease)?.offset ?? -1;
+    this.tape.send({
+      kind: 'lease',
+      lease,
+      holder: host.incarnation,
+      action: 'claim',
+      follows,
+      token: 1,
+      duration: 1_000,
+    });
+    this.tape.landAll(0);
+  }
+
+  freeze(index: number): void {
+    const host = this.hosts[index];
+    const standing = host?.fold.leases.get(usageLeaseOf(REGION));
+    if (!host || !standing) return;
+    const record = dueFreeze(host.sheets, host.fold.usage, {
+      region: REGION,
+      holder: host.incarnation,
+      fence: standing.fence,
+      present: this.present,
+      patience: PATIENCE,
+      alive: new Set(this.hosts.map(({incarnation}) => incarnation)),
+    });
+    if (!record) return;
+    if (this.faults.reportsUnfrozen) this.reports.push(record);
+    else this.tape.send(record);
+  }
+
+  report(index: number, lost: boolean): void {
+    const host = this.hosts[index];
+    const due = host && dueReport(host.fold.usage, REGION);
+    if (!due) return;
+    const {window} = due;
+    this.reports.push({window, figures: [...due.figures]});
+    if (!lost) this.tape.send({kind: 'usage-reported', region: REGION, window});
+  }
+
+  kill(index: number): void {
+    this.hosts[index] = this.create();
+    this.killed++;
+  }
+
+  /** Everyone copies, freezes and reports until nothing is due. */
+  settle(): void {
+    for (let round = 0; round < 40; round++) {
+      this.present++;
+      for (const from of this.hosts.keys()) {
+        this.read(from);
+        for (const to of this.hosts.keys()) this.copy(from, to, true, false);
+      }
+      if (round === 0) this.claim(0);
+      this.read(0);
+      this.freeze(0);
+      this.tape.landAll(0);
+      this.read(0);
+      this.report(0, false);
+      this.tape.landAll(0);
+    }
+  }
+
+  check(): void {
+    const byWindow = new Map<number, string>();
+    for (const {window, figures} of this.reports) {
+      const text = JSON.stringify(figures);
+      const before = byWindow.get(window) ?? text;
+      if (before !== text)
+        throw new Error(`window ${window} has two sets of figures`);
+      byWindow.set(window, text);
+    }
+  }
+
+  checkSum(): void {
+    const windows = new Map(
+      this.reports.map(report => [report.window, report]),
+    );
+    let sum = 0;
+    for (const {figures} of windows.values()) {
+      for (const {tokens} of figures) sum += tokens;
+    }
+    if (sum > this.used)
+      throw new Error(`${sum} tokens reported of ${this.used}`);
+    if (this.killed === 0 && sum < this.used) {
+      throw new Error(`only ${sum} tokens reported of ${this.used}`);
+    }
+  }
+}
+
+function withoutIncludes(ledger: Fold['usage']): Fold['usage'] {
+  return new Map(
+    [...ledger].map(([region, {closedThrough, windows}]) => [
+      region,
+      {
+        closedThrough,
+        windows: new Map(
+          [...windows].map(([window, frozen]) => [
+            window,
+            {...frozen, includes: []},
+          ]),
+        ),
+      },
+    ]),
+  );
+}
+
+type Command = fc.Command<object, World>;
+
+function command(text: string, run: (world: World) => void): Command {
+  return {
+    check: () => true,
+    run: (_, world) => {
+      run(world);
+      world.check();
+    },
+    toString: () => text,
+  };
+}
+
+const host = fc.nat(HOSTS - 1);
+
+const kill = host.map(index =>
+  command(`kill ${index}`, world => world.kill(index)),
+);
+
+const calm = [
+  fc
+    .tuple(host, fc.constantFrom('one', 'two'), fc.integer({min: 1, max: 99}))
+    .map(([index, team, tokens]) =>
+      command(`use ${index} ${team} ${tokens}`, world =>
+        world.use(index, team, tokens),
+      ),
+    ),
+  fc
+    .tuple(host, host, fc.boolean(), fc.boolean())
+    .map(([from, to, full, lost]) =>
+      command(`copy ${from} ${to} full=${full} lost=${lost}`, world =>
+        world.copy(from, to, full, lost),
+      ),
+    ),
+  fc.constant(command('next window', world => world.present++)),
+  host.map(index => command(`read ${index}`, world => world.read(index))),
+  host.map(index => command(`freeze ${index}`, world => world.freeze(index))),
+  host.map(index => command(`claim ${index}`, world => world.claim(index))),
+  fc
+    .nat(5)
+    .map(index =>
+      command(`land ${index}`, ({tape}) => tape.land(index, false)),
+    ),
+  fc
+    .nat(5)
+    .map(index =>
+      command(`double ${index}`, ({tape}) => tape.land(index, true)),
+    ),
+  fc
+    .tuple(host, fc.boolean())
+    .map(([index, lost]) =>
+      command(`report ${index} lost=${lost}`, world =>
+        world.report(index, lost),
+      ),
+    ),
+];
+
+function property(faults: Faults, kills: boolean) {
+  const commands = fc.commands(kills ? [...calm, kill] : calm, {
+    maxCommands: 50,
+    size: 'max',
+  });
+  return fc.property(commands, list => {
+    const world = new World(faults);
+    fc.modelRun(() => ({model: {}, real: world}), list);
+    world.settle();
+    world.check();
+    world.checkSum();
+  });
+}
+
+test('windows are reported once, and to the token', t => {
+  holds(t, property({}, false), 1_000);
+});
+
+test('where hosts are killed, nothing is reported twice', t => {
+  holds(t, property({}, true), 1_000);
+});
+
+test('the check notices reports of what is not frozen', t => {
+  isSeenToFail(t, property({reportsUnfrozen: true}, true), 1_000);
+});
+
+test('the check notices what is carried over twice', t => {
+  isSeenToFail(t, property({carriesAll: true}, false), 1_000);
+});
