Prove over real processes with scenarios, and mend what they found

Cause: what crosses processes was not proved. Found and mended: a second SIGTERM ended a draining host at once and cut its streams; a newcomer called a withdrawn key unknown, since tombstones did not keep what was withdrawn (they do now, and no withdrawn digest can be added again under another name). Ruled out: ignoring further signals in the daemon (the drain itself is what has to be asked only once).

--- a/ava.config.js
+++ b/ava.config.js
@@ -3,6 +3,6 @@
   extensions: {ts: 'module'},
   nodeArguments: ['--import=tsx'],
   workerThreads: false,
-  timeout: '180s',
+  timeout: '300s',
   concurrency: 4,
 };
--- a/source/configuration/state.ts
+++ b/source/configuration/state.ts
@@ -20,10 +20,11 @@
   type ObjectOf,
 } from './objects.js';
 
-/** An object with its revision; a tombstone has no object. */
+/** An object with its revision; a tombstone has only what was withdrawn. */
 export interface Versioned<T> {
   readonly revision: number;
   readonly object: T | undefined;
+  readonly withdrawn?: T | undefined;
 }
 
 type Table<T> = ReadonlyMap<string, Versioned<T>>;
@@ -154,7 +155,8 @@
   for (const {name, revision} of note.withdrawn[collection]) {
     touch(name);
     expectRevision(table, collection, name, revision);
-    table.set(name, {revision: revision + 1, object: undefined});
+    const withdrawn = table.get(name)?.object;
+    table.set(name, {revision: revision + 1, object: undefined, withdrawn});
   }
   for (const {revision, object} of note.changed[collection]) {
     touch(object.name);
@@ -215,6 +217,9 @@
 
 function checkKeys(tables: MutableTables): void {
   const digests = new Set<string>();
+  for (const {withdrawn} of tables.keys.values()) {
+    if (withdrawn) digests.add(withdrawn.digest);
+  }
   for (const key of live(tables.keys)) {
     if (!tables.teams.has(key.team)) reject('reference', 'keys', key.name);
     if (digests.has(key.digest)) reject('key-reused', 'keys', key.name);
@@ -228,6 +233,7 @@
       name: z.string(),
       revision: z.number().int().positive(),
       object: object.optional(),
+      withdrawn: object.optional(),
     }),
   );
 }
@@ -249,11 +255,7 @@
 export type ConfigurationSnapshot = z.infer<typeof configurationSnapshotSchema>;
 
 function listed<T>(table: Table<T>) {
-  return [...table].map(([name, {revision, object}]) => ({
-    name,
-    revision,
-    object,
-  }));
+  return [...table].map(([name, versioned]) => ({name, ...versioned}));
 }
 
 /**
@@ -280,11 +282,19 @@
   };
 }
 
-function tableFrom<T>(
-  entries: ReadonlyArray<{name: string; revision: number; object?: T}>,
-): Table<T> {
+interface ListedObject<T> {
+  readonly name: string;
+  readonly revision: number;
+  readonly object?: T | undefined;
+  readonly withdrawn?: T | undefined;
+}
+
+function tableFrom<T>(entries: ReadonlyArray<ListedObject<T>>): Table<T> {
   return new Map(
-    entries.map(({name, revision, object}) => [name, {revision, object}]),
+    entries.map(({name, revision, object, withdrawn}) => [
+      name,
+      {revision, object, withdrawn},
+    ]),
   );
 }
 
--- a/source/daemon/host.ts
+++ b/source/daemon/host.ts
@@ -30,6 +30,8 @@
 
 /** Milliseconds without news of the log after which a host counts as cut off. */
 const CUT_OFF_MILLISECONDS = 3_000;
+/** Period at which a leaving host closes idle connections, in milliseconds. */
+const IDLE_CLOSE_MILLISECONDS = 50;
 /** Milliseconds that a leaving host waits for what it hands over. */
 const HAND_OVER_MILLISECONDS = 5_000;
 
@@ -58,6 +60,7 @@
   private readonly callers: Server;
   private readonly operators: Server;
   private state = hostChart.initial;
+  private leaving: Promise<void> | undefined;
 
   constructor(parts: HostParts) {
     const {settings, clock, logger, metrics} = parts;
@@ -124,16 +127,27 @@
     );
   }
 
-  /** Leaves without cutting a request; resolves when all have ended. */
-  async drain(): Promise<void> {
-    if (!hostChart.allows(this.state, 'drain')) return;
-    this.move('drain');
+  /**
+   * Leaves without cutting a request; resolves when all have ended. Asked
+   * again, it is still the same leaving.
+   */
+  drain(): Promise<void> {
+    this.leaving ??= this.leave();
+    return this.leaving;
+  }
+
+  private async leave(): Promise<void> {
+    if (hostChart.allows(this.state, 'drain')) this.move('drain');
     await this.zone.announce();
     await this.wait(this.settings.drainMilliseconds);
     const closed = new Promise(resolve => this.callers.close(resolve));
     this.callers.closeIdleConnections();
     await this.exchanges.whenEmpty();
+    const stopClosing = this.clock.every(IDLE_CLOSE_MILLISECONDS, () =>
+      this.callers.closeIdleConnections(),
+    );
     await closed;
+    stopClosing();
     await this.zone.leave(HAND_OVER_MILLISECONDS);
     this.stop();
   }
@@ -186,7 +200,7 @@
   ): void {
     if (after === before) return;
     this.routes = new RouteTable(after);
-    this.identities = new Identities(after, this.identities);
+    this.identities = new Identities(after);
     this.zone.endpoints.configure(after);
     const ended = this.exchanges.withdraw(difference(before, after));
     if (ended > 0) this.metrics.count('withdrawn-under-way', {}, ended);
--- a/source/identity/identity.ts
+++ b/source/identity/identity.ts
@@ -45,16 +45,10 @@
 export class Identities {
   private readonly byDigest = new Map<string, KeyEntry>();
 
-  /** `former` keeps the digests of withdrawn keys, to tell them from unknown ones. */
-  constructor(
-    private readonly configuration: Configuration,
-    former?: Identities,
-  ) {
-    for (const [digest, {name}] of former?.byDigest ?? []) {
-      this.byDigest.set(digest, {name, key: undefined});
-    }
-    for (const [name, {object}] of configuration.tables.keys) {
-      if (object) this.byDigest.set(object.digest, {name, key: object});
+  constructor(private readonly configuration: Configuration) {
+    for (const [name, {object, withdrawn}] of configuration.tables.keys) {
+      const known = object ?? withdrawn;
+      if (known) this.byDigest.set(known.digest, {name, key: object});
     }
   }
 
--- /dev/null
+++ b/test/scenarios/fleet.test.ts
@@ -0,0 +1,4 @@
+/** Runs scenarios/fleet.feature over real processes. */
+import {runFeature} from '../support/feature.js';
+
+runFeature('fleet');
--- /dev/null
+++ b/test/support/steps.ts
@@ -0,0 +1,517 @@
+/** The steps of the scenarios. What is awaited has no bound but the test's own. */
+import {strict} from 'node:assert';
+
+import {z} from 'zod';
+
+import {usageReportSchema} from '../../source/platform/index.js';
+import {
+  changeZone,
+  publish,
+  readLog,
+  withdrawKey,
+} from '../../source/operator/index.js';
+import {plannedEndpoints} from '../../tools/deployments.js';
+import {ask, until} from '../../tools/fleet.js';
+import type {ScenarioWorld} from './world.js';
+
+/** A step: its text as a cucumber expression, and what it does. */
+export interface Step {
+  readonly text: string;
+  readonly run: (
+    world: ScenarioWorld,
+    ...values: never[]
+  ) => Promise<void> | void;
+}
+
+function step(
+  text: string,
+  run: (world: ScenarioWorld, ...values: never[]) => Promise<void> | void,
+): Step {
+  return {text, run};
+}
+
+/** Says what was found, since the runner shows only an error's message. */
+function same(found: unknown, expected: unknown): void {
+  const message = `${JSON.stringify(found)} is not ${JSON.stringify(expected)}`;
+  strict.deepEqual(found, expected, message);
+}
+
+function sleep(duration: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, duration));
+}
+
+async function publishFor(
+  {fleet}: ScenarioWorld,
+  make: (
+    configuration: Awaited<ReturnType<typeof readLog>>['configuration'],
+  ) => Parameters<typeof publish>[1],
+): Promise<void> {
+  const platform = fleet.client();
+  const {configuration} = await readLog(platform);
+  const {verdict} = await publish(platform, make(configuration));
+  same(verdict.kind, 'accepted');
+}
+
+const statusSchema = z.object({
+  incarnation: z.string(),
+  name: z.string(),
+  state: z.string(),
+  applied: z.number(),
+  peers: z.array(z.string()),
+  leases: z.array(
+    z.object({lease: z.string(), state: z.string(), holder: z.string()}),
+  ),
+  endpoints: z.array(
+    z.object({name: z.string(), state: z.string(), zoneIn: z.boolean()}),
+  ),
+});
+
+async function statusOf(world: ScenarioWorld, number: number) {
+  const {operators} = world.host(number);
+  return statusSchema.parse(await ask(operators, 'GET', '/status'));
+}
+
+async function starts(world: ScenarioWorld): Promise<Map<string, number>> {
+  const ledgers = await world.ledgers('drafting');
+  return new Map(
+    [...ledgers].map(([name, ledger]) => [name, ledger.started ?? 0]),
+  );
+}
+
+const GIVEN: Step[] = [
+  step('hosts with {string}', ({hostFlags}, flag: string) => {
+    hostFlags.push(flag);
+  }),
+  step('engines with {string}', ({engineFlags}, flag: string) => {
+    engineFlags.push(flag);
+  }),
+  step(
+    'a {word} fleet of {int} hosts',
+    (world, name: 'consorzio', hosts: number) => world.start(name, hosts),
+  ),
+  step('all hosts are linked', world =>
+    until('links', async () => {
+      for (const index of world.fleet.hosts.keys()) {
+        const {peers} = await statusOf(world, index + 1);
+        if (peers.length < world.fleet.hosts.length - 1) return undefined;
+      }
+      return true;
+    }).then(() => {}),
+  ),
+];
+
+const CALLERS: Step[] = [
+  step(
+    '{int} callers of {word} stream from {word}',
+    (world, count: number, team: string, model: string) => {
+      for (let index = 0; index < count; index++)
+        void world.stream(team, model);
+    },
+  ),
+  step(
+    'a caller of {word} streams from {word} through host {int}',
+    (world, team: string, model: string, number: number) => {
+      void world.stream(team, model, world.host(number));
+    },
+  ),
+  step(
+    '{word} posts {string} with key {word} through host {int}',
+    async (world, team: string, body: string, key: string, number: number) => {
+      await world.call(
+        team,
+        'POST',
+        '/register/r',
+        key,
+        world.host(number),
+        body,
+      );
+    },
+  ),
+  step(
+    '{word} is posting {string} with key {word} through host {int}',
+    (world, team: string, body: string, key: string, number: number) => {
+      void world.call(
+        team,
+        'POST',
+        '/register/r',
+        key,
+        world.host(number),
+        body,
+      );
+    },
+  ),
+  step(
+    '{word} posts {string} without a key through host {int}',
+    async (world, team: string, body: string, number: number) => {
+      const host = world.host(number);
+      await world.call(team, 'POST', '/register/r', undefined, host, body);
+    },
+  ),
+  step(
+    '{word} looks up {string} through host {int}',
+    async (world, team: string, path: string, number: number) => {
+      const host = world.host(number);
+      await world.call(team, 'GET', path, undefined, host, undefined);
+    },
+  ),
+  step('all callers are done', async ({streams, calls}) => {
+    await Promise.all([...streams, ...calls]);
+  }),
+];
+
+const FAULTS: Step[] = [
+  step('{int} ms pass', (_, duration: number) => sleep(duration)),
+  step('host {int} is frozen', (world, number: number) => {
+    world.host(number).process.kill('SIGSTOP');
+  }),
+  step('host {int} thaws', (world, number: number) => {
+    world.host(number).process.kill('SIGCONT');
+  }),
+  step('host {int} is killed', async (world, number: number) => {
+    const {process, exited} = world.host(number);
+    process.kill('SIGKILL');
+    await exited;
+  }),
+  step('host {int} is told to leave', (world, number: number) => {
+    world.host(number).process.kill('SIGTERM');
+  }),
+  step('host {int} is cut off from the platform', (world, number: number) => {
+    world.wires.get(world.host(number).name)?.cut();
+  }),
+  step('host {int} reaches the platform again', (world, number: number) => {
+    world.wires.get(world.host(number).name)?.heal();
+  }),
+  step('a host starts in {word}', async (world, zone: string) => {
+    await world.fleet.startHost(zone);
+  }),
+  step('the platform is away', ({fleet}) =>
+    fleet.control('platform', {outage: true}),
+  ),
+  step('the platform is back', ({fleet}) =>
+    fleet.control('platform', {outage: false}),
+  ),
+  step('the platform loses {int} answers', ({fleet}, loseAnswers: number) =>
+    fleet.control('platform', {loseAnswers}),
+  ),
+  step('the platform keeps {int} records', ({fleet}, retention: number) =>
+    fleet.control('platform', {retention}),
+  ),
+  step('the platform is {int} ms slow', ({fleet}, delay: number) =>
+    fleet.control('platform', {delay}),
+  ),
+  step(
+    '{word} is set to {string}',
+    ({fleet}, endpoint: string, faults: string) =>
+      fleet.control(endpoint, JSON.parse(faults)),
+  ),
+  step(
+    'every {word} endpoint is set to {string}',
+    async (world, pool: string, faults: string) => {
+      for (const name of world.fleet.endpoints.keys()) {
+        if (name.startsWith(`${pool}-`)) {
+          await world.fleet.control(name, JSON.parse(faults));
+        }
+      }
+    },
+  ),
+  step('{word} crashes', async ({fleet}, endpoint: string) => {
+    const program = fleet.endpoints.get(endpoint);
+    program?.process.kill('SIGKILL');
+    await program?.exited;
+  }),
+  step('the key of {word} is withdrawn', (world, team: string) =>
+    publishFor(world, configuration =>
+      withdrawKey(configuration, `${team}-first`),
+    ),
+  ),
+  step('zone {word} is taken out', (world, zone: string) =>
+    publishFor(world, configuration => changeZone(configuration, zone, 'out')),
+  ),
+  step('zone {word} is brought back', (world, zone: string) =>
+    publishFor(world, configuration => changeZone(configuration, zone, 'in')),
+  ),
+];
+
+const CHECKS: Step[] = [
+  step('every stream came whole', async ({streams}) => {
+    const codes = (await Promise.all(streams)).map(({code}) => code);
+    same([...new Set(codes)], ['whole']);
+  }),
+  step(
+    'every stream of {word} ended with {word}',
+    async ({streams}, team: string, code: string) => {
+      const results = (await Promise.all(streams)).filter(
+        found => found.team === team,
+      );
+      same([...new Set(results.map(found => found.code))], [code]);
+    },
+  ),
+  step(
+    'the last answer is {int} with outcome {word}',
+    async ({calls}, status: number, outcome: string) => {
+      const last = await calls.at(-1);
+      same([last?.status, last?.outcome], [status, outcome]);
+    },
+  ),
+  step(
+    'the last answer is {int}, {word}, with outcome {word}',
+    async ({calls}, status: number, code: string, outcome: string) => {
+      const last = await calls.at(-1);
+      const found = [last?.status, last?.code, last?.outcome];
+      same(found, [status, code, outcome]);
+    },
+  ),
+  step('the last answer repeats the first', async ({calls}) => {
+    const [first, last] = [await calls[0], await calls.at(-1)];
+    same(last?.repeat, true);
+    same(last?.body, first?.body);
+  }),
+  step('the register holds {int} entries', async (world, count: number) => {
+    const ledgers = await world.ledgers('register');
+    const entries = [...ledgers.values()].flatMap(
+      ledger => ledger.entries ?? [],
+    );
+    same(entries.length, count);
+  }),
+  step(
+    'host {int} refuses {word} with {word}',
+    async (world, number: number, team: string, code: string) => {
+      await until(`refusal ${code}`, async () => {
+        const host = world.host(number);
+        const {code: found} = await world.call(
+          team,
+          'GET',
+          '/register/x',
+          undefined,
+          host,
+          undefined,
+        );
+        return found === code || undefined;
+      });
+    },
+  ),
+  step(
+    'host {int} refuses {word} with {word} from its first answer on',
+    async (world, number: number, team: string, code: string) => {
+      const host = world.host(number);
+      const {code: found} = await world.call(
+        team,
+        'GET',
+        '/register/x',
+        undefined,
+        host,
+        undefined,
+      );
+      same(found, code);
+    },
+  ),
+  step(
+    'host {int} serves {word}',
+    async (world, number: number, team: string) => {
+      await until(`service of ${team}`, async () => {
+        const host = world.host(number);
+        const {status} = await world.call(
+          team,
+          'GET',
+          '/register/x',
+          undefined,
+          host,
+          undefined,
+        );
+        return status === 200 || undefined;
+      });
+    },
+  ),
+  step('no endpoint has seen a key', async world => {
+    for (const [name, {keysSeen}] of [
+      ...(await world.ledgers('drafting')),
+      ...(await world.ledgers('register')),
+    ]) {
+      same(keysSeen, 0);
+    }
+  }),
+  step(
+    'every host knows that zone {word} is out',
+    async (world, zone: string) => {
+      const names = plannedEndpoints(world.fleet.deployment)
+        .filter(found => found.zone === zone)
+        .map(found => found.name);
+      await until('zone out', async () => {
+        for (const index of world.fleet.hosts.keys()) {
+          const status = await statusOf(world, index + 1);
+          const still = status.endpoints.some(
+            ({name, zoneIn}) => names.includes(name) && zoneIn,
+          );
+          if (still) return undefined;
+        }
+        return true;
+      });
+    },
+  ),
+  step(
+    'every host knows that {word} is {word}',
+    async (world, endpoint: string, state: string) => {
+      await until(`${endpoint} ${state}`, async () => {
+        for (const index of world.fleet.hosts.keys()) {
+          const {endpoints} = await statusOf(world, index + 1);
+          const found = endpoints.find(({name}) => name === endpoint);
+          if (found?.state !== state) return undefined;
+        }
+        return true;
+      });
+    },
+  ),
+  step('the starts are noted', async world => {
+    world.marked = await starts(world);
+  }),
+  step('{word} has had no start since', async (world, endpoint: string) => {
+    same((await starts(world)).get(endpoint), world.marked.get(endpoint));
+  }),
+  step('{word} has had starts since', async (world, endpoint: string) => {
+    const now = (await starts(world)).get(endpoint) ?? 0;
+    strict.ok(now > (world.marked.get(endpoint) ?? 0));
+  }),
+  step(
+    '{word} never ran more than {int} while cold',
+    async (world, endpoint: string, most: number) => {
+      const {coldMost} = await world.ledger(endpoint);
+      strict.ok((coldMost ?? 0) <= most, `ran ${coldMost}`);
+    },
+  ),
+  step(
+    'host {int} leaves with code {int}',
+    async (world, number: number, code: number) => {
+      same(await world.host(number).exited, code);
+    },
+  ),
+  step(
+    'host {int} holds {string}',
+    async (world, number: number, lease: string) => {
+      await until(`holder of ${lease}`, async () => {
+        const {leases} = await statusOf(world, number);
+        return (
+          leases.some(
+            found => found.lease === lease && found.state === 'holding',
+          ) || undefined
+        );
+      });
+    },
+  ),
+  step(
+    'another host than {int} holds {string}',
+    async (world, number: number, lease: string) => {
+      await until(`holder of ${lease}`, async () => {
+        for (const index of world.fleet.hosts.keys()) {
+          if (index === number - 1) continue;
+          const {leases} = await statusOf(world, index + 1);
+          if (
+            leases.some(
+              found => found.lease === lease && found.state === 'holding',
+            )
+          )
+            return true;
+        }
+        return undefined;
+      });
+    },
+  ),
+  step('the holder of {string} is frozen', async (world, lease: string) => {
+    for (const [index, host] of world.fleet.hosts.entries()) {
+      const {leases} = await statusOf(world, index + 1);
+      const holds = leases.some(
+        found => found.lease === lease && found.state === 'holding',
+      );
+      if (!holds) continue;
+      world.frozen = index + 1;
+      host.process.kill('SIGSTOP');
+      return;
+    }
+    throw new Error(`nobody holds ${lease}`);
+  }),
+  step('a host that is not frozen holds {string}', (world, lease: string) =>
+    until(`successor for ${lease}`, async () => {
+      for (const index of world.fleet.hosts.keys()) {
+        if (index + 1 === world.frozen) continue;
+        const {leases} = await statusOf(world, index + 1);
+        if (
+          leases.some(
+            found => found.lease === lease && found.state === 'holding',
+          )
+        )
+          return true;
+      }
+      return undefined;
+    }).then(() => {}),
+  ),
+  step('the frozen host thaws', world => {
+    world.host(world.frozen).process.kill('SIGCONT');
+    world.frozen = 0;
+  }),
+  step('usage reports add up to what the engines ran', async world => {
+    await until('usage', async () => {
+      const [reported, ran] = [
+        await reportedTokens(world),
+        await ranTokens(world),
+      ];
+      return (ran > 0 && reported === ran) || undefined;
+    });
+  }),
+  step(
+    'no window was reported with two sets of figures, nor by two holders',
+    async world => {
+      const reports = await usageReports(world);
+      strict.ok(reports.length > 0);
+      const figures = new Map<string, string>();
+      let fence = -1;
+      for (const report of reports) {
+        const key = `${report.region} ${report.window}`;
+        const text = JSON.stringify(report.figures);
+        same(figures.get(key) ?? text, text);
+        figures.set(key, text);
+        strict.ok(report.fence >= fence, 'a former holder reported');
+        fence = report.fence;
+      }
+    },
+  ),
+  step('all hosts have the same configuration', async world => {
+    const schema = z.object({digest: z.string()});
+    await until('one digest', async () => {
+      const digests = new Set<string>();
+      for (const {operators} of world.fleet.hosts) {
+        digests.add(
+          schema.parse(await ask(operators, 'GET', '/status')).digest,
+        );
+      }
+      return digests.size === 1 || undefined;
+    });
+  }),
+];
+
+async function usageReports({fleet}: ScenarioWorld) {
+  const reports = await ask(fleet.platform.address, 'GET', '/usage-reports');
+  return z.array(usageReportSchema).parse(reports);
+}
+
+async function reportedTokens(world: ScenarioWorld): Promise<number> {
+  const windows = new Map(
+    (await usageReports(world)).map(report => [report.window, report.figures]),
+  );
+  return [...windows.values()]
+    .flat()
+    .reduce((sum, {tokens}) => sum + tokens, 0);
+}
+
+async function ranTokens(world: ScenarioWorld): Promise<number> {
+  const ledgers = await world.ledgers('drafting');
+  return [...ledgers.values()].reduce(
+    (sum, {tokens}) => sum + (tokens ?? 0),
+    0,
+  );
+}
+
+export const STEPS: readonly Step[] = [
+  ...GIVEN,
+  ...CALLERS,
+  ...FAULTS,
+  ...CHECKS,
+];
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -5,6 +5,8 @@
   arbutusslipd: 'source/daemon/main.ts',
   arbutusslip: 'source/command/main.ts',
   quickstart: 'tools/quickstart.ts',
+  cost: 'tools/cost.ts',
+  'standin-fast': 'standins/fast.ts',
   'standin-platform': 'standins/platform.ts',
   'standin-engine': 'standins/engine.ts',
   'standin-service': 'standins/service.ts',
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -103,6 +103,8 @@
   readonly hostFlags?: readonly string[];
   readonly engineFlags?: readonly string[];
   readonly platformFlags?: readonly string[];
+  /** Gives each host its own way to the platform. */
+  readonly wayToPlatform?: (host: string, platform: string) => Promise<string>;
 }
 
 /** The running programs of a deployment. */
@@ -196,6 +198,9 @@
       freeAddress(),
       freeAddress(),
     ]);
+    const {address} = this.platform;
+    const way = this.options.wayToPlatform;
+    const platform = way ? await way(name, address) : address;
     const flags = [
       `--name=${name}`,
       `--zone=${zone}`,
@@ -203,7 +208,7 @@
       `--callers=${callers}`,
       `--operators=${operators}`,
       `--peers=${peers}`,
-      `--platform=${this.platform.address}`,
+      `--platform=${platform}`,
       '--peer-secret=the-secret-of-a-test-fleet',
       '--log-level=warn',
       ...(this.options.hostFlags ?? []),
