--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -6,6 +6,8 @@
   arbutusslip: 'source/command/main.ts',
   quickstart: 'tools/quickstart.ts',
   control: 'tools/control.ts',
+  measure: 'tools/measure.ts',
+  document: 'tools/document.ts',
   cost: 'tools/cost.ts',
   'standin-fast': 'standins/fast.ts',
   'standin-platform': 'standins/platform.ts',
