Leave failed engines alone, preempt what wasted least, let freed keys run

In the scenario of a refused credit a repeat at once was refused with unknown, since the first had only just been given up. Ruled out: a longer suspicion alone (the second engine of a pool would be lost for as long). Change: a suspect gets nothing until its time is up and then one request, and all are used only where all are suspect; slowness is added to the load and fades; hosts give up no more than presses, the request that began last first, at most every 100 ms; a repeat of a given-up request claims it anew.

--- a/source/admission/admission.ts
+++ b/source/admission/admission.ts
@@ -22,6 +22,8 @@
 interface Running {
   readonly ticket: Ticket;
   readonly preempt: () => void;
+  /** Monotonic milliseconds. */
+  readonly began: number;
   preempted: boolean;
 }
 
@@ -92,7 +94,8 @@
 
   /**
    * Preempts up to `count` running repeatable tickets of the pool, of tiers
-   * below `tier`, the lowest first and in it the youngest. Answers how many.
+   * below `tier`, the lowest first and in it the one that began last, which
+   * wastes least. Answers how many.
    */
   preempt(pool: string, tier: number, count: number): number {
     const candidates = [...this.running].filter(
@@ -102,7 +105,7 @@
     candidates.sort(
       (one, other) =>
         other.ticket.lane.tier - one.ticket.lane.tier ||
-        other.ticket.arrived - one.ticket.arrived,
+        other.began - one.began,
     );
     const chosen = candidates.slice(0, count);
     for (const running of chosen) {
@@ -149,9 +152,9 @@
     work: Work,
     preempt: () => void,
   ): Promise<void> {
-    const running = {ticket, preempt, preempted: false};
-    this.running.add(running);
     const began = this.options.clock.monotonic();
+    const running = {ticket, preempt, began, preempted: false};
+    this.running.add(running);
     let tokens = 0;
     try {
       tokens = await work();
--- a/source/claims/once.ts
+++ b/source/claims/once.ts
@@ -51,18 +51,20 @@
     work: () => Promise<Settlement>,
   ): Promise<Settlement> {
     const {table} = this.options;
-    if (table.get(id) || this.inFlight.has(id))
-      return this.repeat(id, bodyDigest);
+    while (table.get(id) || this.inFlight.has(id)) {
+      const settlement = await this.repeat(id, bodyDigest);
+      if (settlement) return settlement;
+    }
     this.inFlight.add(id);
     try {
       const standing = await this.claim(id, bodyDigest);
-      if (standing.incarnation !== this.options.incarnation) {
-        return await this.repeat(id, bodyDigest);
+      if (standing.incarnation === this.options.incarnation) {
+        return await this.work(id, work);
       }
-      return await this.work(id, work);
     } finally {
       this.inFlight.delete(id);
     }
+    return this.run(id, bodyDigest, work);
   }
 
   /** Frees the claims of a record that this process no longer wants. */
@@ -110,7 +112,11 @@
     }
   }
 
-  private async repeat(id: string, bodyDigest: string): Promise<Settlement> {
+  /** The outcome of the first request, or nothing where it was given up. */
+  private async repeat(
+    id: string,
+    bodyDigest: string,
+  ): Promise<Settlement | undefined> {
     const {table, clock} = this.options;
     const deadline = clock.monotonic() + REPEAT_BOUND_MILLISECONDS;
     for (;;) {
@@ -123,8 +129,7 @@
         throw new Refusal('idempotency-pending', 'unknown', detail);
       }
       await this.change(id, left);
-      if (standing && !table.get(id))
-        throw unavailable('the first was given up');
+      if (!table.get(id) && !this.inFlight.has(id)) return undefined;
     }
   }
 
--- a/source/credits/grantor.ts
+++ b/source/credits/grantor.ts
@@ -186,6 +186,7 @@
     answers,
     counts: list,
     pressure,
+    yields: yieldsOf(cleaned, host, account, counts, pressure),
   };
   const lapses = now + CREDIT_MILLISECONDS + DRIFT_MILLISECONDS;
   const until = answers + CREDIT_MILLISECONDS;
@@ -205,6 +206,42 @@
   }));
 }
 
+/**
+ * What a host gives up for those that press: as much as it runs beyond its
+ * grant, but over all hosts no more than press. The first hosts by name go
+ * first, so that every call shares it out alike.
+ */
+function yieldsOf(
+  grantor: Grantor,
+  host: string,
+  account: HostAccount,
+  counts: ReadonlyMap<string, number>,
+  pressure: number,
+): number {
+  if (pressure === 0) return 0;
+  let pressing = 0;
+  for (const {demand} of grantor.hosts.values()) {
+    for (const need of demand.classes) {
+      if (need.tier === pressure) pressing += need.pressing;
+    }
+  }
+  const used = totalOf(account.inUse);
+  const beyond = Math.max(used - totalOf(counts), 0);
+  const {shares} = divide(placesOf(grantor), needsOf(grantor));
+  for (const {host: other, places} of shares) {
+    if (other >= host) continue;
+    const known = grantor.hosts.get(other);
+    if (known) pressing -= Math.max(totalOf(known.inUse) - places, 0);
+  }
+  return Math.max(Math.min(beyond, pressing), 0);
+}
+
+function totalOf(counts: ReadonlyMap<string, number>): number {
+  let sum = 0;
+  for (const count of counts.values()) sum += count;
+  return sum;
+}
+
 /** Spreads a host’s places over the endpoints, within what the others leave. */
 function countsFor(
   grantor: Grantor,
--- a/source/credits/messages.ts
+++ b/source/credits/messages.ts
@@ -44,5 +44,7 @@
   counts: z.array(z.object({endpoint: z.string(), count: z.number().int()})),
   /** The highest tier that waits anywhere in vain; 0 for none. */
   pressure: z.number().int(),
+  /** Running requests of lower tiers that the host is to give up for it. */
+  yields: z.number().int(),
 });
 export type Grant = z.infer<typeof grantSchema>;
--- a/source/exchange/answer.ts
+++ b/source/exchange/answer.ts
@@ -17,7 +17,11 @@
   answer: Answer,
   latency: number,
 ): void {
-  plane.endpoints.update(endpoint.name, {kind: 'answered', latency});
+  plane.endpoints.update(endpoint.name, {
+    kind: 'answered',
+    latency,
+    now: plane.clock.monotonic(),
+  });
   if (answer.state) plane.observed(endpoint.name, answer.state);
 }
 
--- a/source/fleet/credits.ts
+++ b/source/fleet/credits.ts
@@ -40,6 +40,12 @@
 /** Ticks for which a pool of another zone is asked after it was last needed. */
 const REMOTE_TICKS = 10;
 
+/** Places that are granted at an endpoint that has failed, for a probe. */
+const SUSPECT_PLACES = 1;
+
+/** Least time between two yields of a pool, in milliseconds: one takes effect first. */
+const YIELD_MILLISECONDS = 100;
+
 type Ledger = Demand['ledger'];
 
 /** What a credit desk is made from. */
@@ -71,6 +77,7 @@
 export class CreditDesk {
   private readonly books = new Map<string, Books>();
   private readonly remoteUntil = new Map<string, number>();
+  private readonly yieldedAt = new Map<string, number>();
   private gathering: Cancel | undefined;
   private urgent = false;
   private ticks = 0;
@@ -110,7 +117,7 @@
 
   /** Takes a grant; asks again at once if that frees places for others. */
   takeGrant(grant: Grant): void {
-    const {holding, admission, endpoints} = this.options;
+    const {holding, admission} = this.options;
     const {ledger, pool, zone} = grant;
     const before = holding.latest(ledger, pool, zone);
     holding.take(grant);
@@ -120,7 +127,7 @@
     const shrunk = [...(before?.counts ?? [])].some(
       ([endpoint, count]) => (after.counts.get(endpoint) ?? 0) < count,
     );
-    if (grant.pressure > 0) this.yieldTo(grant, endpoints);
+    if (grant.yields > 0) this.yieldTo(grant);
     if (shrunk) this.ask(ledger, {pool, zone});
   }
 
@@ -271,8 +278,8 @@
       books.grantor = grantor;
       return;
     }
-    const {counts, answers, pressure} = grant;
-    const told = JSON.stringify({counts, answers, pressure});
+    const {counts, answers, pressure, yields} = grant;
+    const told = JSON.stringify({counts, answers, pressure, yields});
     if (books.told.get(host) === told) return;
     books.grantor = grantor;
     books.told.set(host, told);
@@ -293,26 +300,24 @@
         limits.push(coldLimit(endpoint, sighting, grantor, now));
         continue;
       }
-      const places = usable && ledger === 'warm' && !cold ? endpoint.slots : 0;
+      const suspect = now < known.suspectUntil;
+      const whole = suspect ? SUSPECT_PLACES : endpoint.slots;
+      const places = usable && ledger === 'warm' && !cold ? whole : 0;
       limits.push({endpoint: endpoint.name, places});
     }
     return limits;
   }
 
-  /** Gives up what runs beyond the grant, of tiers below the one that waits. */
-  private yieldTo(
-    {pool, zone, pressure, counts}: Grant,
-    endpoints: EndpointTable,
-  ): void {
-    const granted = counts.reduce((sum, {count}) => sum + count, 0);
-    let running = 0;
-    for (const count of endpoints.useOf(pool, zone).endpoints.values()) {
-      running += count;
-    }
-    if (running <= granted) return;
-    const {admission, metrics} = this.options;
-    const preempted = admission.preempt(pool, pressure, running - granted);
-    if (preempted > 0) metrics.count('preempted', {pool}, preempted);
+  /** Gives up running requests of tiers below the one that waits in vain. */
+  private yieldTo({pool, pressure, yields}: Grant): void {
+    const {admission, metrics, clock} = this.options;
+    const now = clock.monotonic();
+    const last = this.yieldedAt.get(pool) ?? -Infinity;
+    if (now - last < YIELD_MILLISECONDS) return;
+    const preempted = admission.preempt(pool, pressure, yields);
+    if (preempted === 0) return;
+    this.yieldedAt.set(pool, now);
+    metrics.count('preempted', {pool}, preempted);
   }
 }
 
--- a/source/placement/choose.ts
+++ b/source/placement/choose.ts
@@ -1,12 +1,13 @@
 /**
  * Which endpoint gets a request. Warm ones go before cold ones, the host’s own
  * availability zone before others, and then the one whose share is least used.
- * An endpoint that answers slowly counts as fuller than it is, so it gets less
- * work and is still probed. Suspects are used only where nothing else is left,
- * so that no run of failures can empty a pool.
+ * An endpoint that answers slowly is used when the others are full, and its
+ * slowness is forgotten with time, so that it is probed. A suspect gets nothing
+ * for a while and then a single request; only where every endpoint of the pool
+ * is suspect are they all used, so no run of failures can empty a pool.
  */
 import type {Allowances} from './allowance.js';
-import type {EndpointState} from './endpoint.js';
+import {FAILURES_BEFORE_SUSPECT, type EndpointState} from './endpoint.js';
 
 /** What a request asks of an endpoint. */
 export interface Demand {
@@ -21,21 +22,34 @@
 
 const COLD_PENALTY = 100;
 const OTHER_ZONE_PENALTY = 0.5;
-const SUSPECT_PENALTY = 1000;
 const FAILED_BEFORE_PENALTY = 500;
 const CHEAP_BONUS = 0.25;
 const PREFIX_BONUS = 0.3;
+/** Times the usual latency from which an endpoint counts as slow. */
+const SLOW_RATIO = 1.5;
 const SLOWNESS_MOST = 4;
+/** Milliseconds without an answer after which half of a slowness is forgotten. */
+const SLOWNESS_HALF_LIFE_MILLISECONDS = 5_000;
 
-/** Whether an endpoint may get new work from this host now. */
+/** Whether an endpoint may get new work at all. */
+function takesWork({state, zoneIn}: EndpointState): boolean {
+  return zoneIn && state !== 'leaving' && state !== 'gone';
+}
+
+/** The endpoints of a pool that may get new work from this host now. */
 export function usable(
-  candidate: EndpointState,
+  pool: readonly EndpointState[],
   allowances: Allowances,
   now: number,
-): boolean {
-  const {state, zoneIn, running} = candidate;
-  if (!zoneIn || state === 'leaving' || state === 'gone') return false;
-  return running < allowances.of(candidate, now);
+): EndpointState[] {
+  const open = pool.filter(takesWork);
+  const sound = open.some(({failures}) => failures < FAILURES_BEFORE_SUSPECT);
+  return open.filter(candidate => {
+    const {running, failures, suspectUntil} = candidate;
+    if (running >= allowances.of(candidate, now)) return false;
+    if (!sound || failures < FAILURES_BEFORE_SUSPECT) return true;
+    return now >= suspectUntil && running === 0;
+  });
 }
 
 /**
@@ -54,16 +68,10 @@
   const usual = usualLatency(pool);
   let best: EndpointState | undefined;
   let least = Infinity;
-  for (const candidate of pool) {
+  for (const candidate of usable(pool, allowances, now)) {
+    const allowance = allowances.of(candidate, now);
     if (demand.cheap === 'never' && candidate.endpoint.cheap) continue;
-    if (!usable(candidate, allowances, now)) continue;
-    const score = scoreOf(
-      candidate,
-      demand,
-      allowances.of(candidate, now),
-      usual,
-      now,
-    );
+    const score = scoreOf(candidate, demand, allowance, usual, now);
     if (score < least) {
       least = score;
       best = candidate;
@@ -80,20 +88,26 @@
   now: number,
 ): number {
   const {endpoint, state} = candidate;
-  let score =
-    ((candidate.running + 1) / allowance) * slowness(candidate, usual);
+  let score = (candidate.running + 1) / allowance;
+  score += slowness(candidate, usual, now);
   if (state === 'cold' || state === 'unknown') score += COLD_PENALTY;
   if (endpoint.zone !== demand.zone) score += OTHER_ZONE_PENALTY;
-  if (now < candidate.suspectUntil) score += SUSPECT_PENALTY;
   if (demand.avoid.has(endpoint.name)) score += FAILED_BEFORE_PENALTY;
   if (endpoint.cheap) score -= CHEAP_BONUS;
   if (endpoint.name === demand.holder) score -= PREFIX_BONUS;
   return score;
 }
 
-function slowness({latency}: EndpointState, usual: number): number {
-  if (latency === 0 || usual === 0) return 1;
-  return Math.min(Math.max(latency / usual, 1), SLOWNESS_MOST);
+/** How much slower than usual, from zero. */
+function slowness(
+  {latency, answeredAt}: EndpointState,
+  usual: number,
+  now: number,
+): number {
+  if (latency < usual * SLOW_RATIO || usual === 0) return 0;
+  const age = now - answeredAt;
+  const kept = 0.5 ** (age / SLOWNESS_HALF_LIFE_MILLISECONDS);
+  return kept * Math.min(latency / usual - 1, SLOWNESS_MOST);
 }
 
 /** The least latency of the pool, which stands for one in good health. */
--- a/source/placement/endpoint.ts
+++ b/source/placement/endpoint.ts
@@ -15,6 +15,8 @@
   readonly running: number;
   /** Mean milliseconds to the first byte; zero before the first answer. */
   readonly latency: number;
+  /** Monotonic milliseconds of the last answer. */
+  readonly answeredAt: number;
   /** Failures since the last answer. */
   readonly failures: number;
   /** Monotonic milliseconds until which a suspect gets no new work. */
@@ -27,7 +29,7 @@
 export type EndpointEvent =
   | {readonly kind: 'started'}
   | {readonly kind: 'finished'}
-  | {readonly kind: 'answered'; readonly latency: number}
+  | {readonly kind: 'answered'; readonly latency: number; readonly now: number}
   | {readonly kind: 'failed'; readonly now: number}
   | {readonly kind: 'reported'; readonly state: 'cold' | 'warm' | 'leaving'}
   | {
@@ -38,7 +40,8 @@
   | {readonly kind: 'removed'};
 
 const LATENCY_WEIGHT = 0.2;
-const FAILURES_BEFORE_SUSPECT = 2;
+/** Failures in a row that make an endpoint suspect. */
+export const FAILURES_BEFORE_SUSPECT = 2;
 const SUSPECT_MILLISECONDS = 1_000;
 const SUSPECT_MILLISECONDS_MOST = 16_000;
 
@@ -58,6 +61,7 @@
     state: endpointChart.initial,
     running: 0,
     latency: 0,
+    answeredAt: 0,
     failures: 0,
     suspectUntil: 0,
     zoneIn,
@@ -81,7 +85,7 @@
     case 'finished':
       return {...before, running: Math.max(before.running - 1, 0)};
     case 'answered':
-      return answered(before, event.latency);
+      return answered(before, event.latency, event.now);
     case 'failed':
       return failed(before, event.now);
     case 'reported':
@@ -98,12 +102,22 @@
   return {...before, state: endpointChart.next(before.state, event)};
 }
 
-function answered(before: EndpointState, latency: number): EndpointState {
+function answered(
+  before: EndpointState,
+  latency: number,
+  now: number,
+): EndpointState {
   const mean =
     before.latency === 0
       ? latency
       : before.latency + LATENCY_WEIGHT * (latency - before.latency);
-  return {...before, latency: mean, failures: 0, suspectUntil: 0};
+  return {
+    ...before,
+    latency: mean,
+    answeredAt: now,
+    failures: 0,
+    suspectUntil: 0,
+  };
 }
 
 function failed(before: EndpointState, now: number): EndpointState {
--- a/source/placement/table.ts
+++ b/source/placement/table.ts
@@ -123,10 +123,8 @@
   override hasRoom(lane: Lane): boolean {
     const now = this.clock.monotonic();
     const cheap = this.mayUseCheap(lane);
-    return this.list(lane.pool).some(
-      candidate =>
-        (cheap || !candidate.endpoint.cheap) &&
-        usable(candidate, this.allowances, now),
+    return usable(this.list(lane.pool), this.allowances, now).some(
+      ({endpoint}) => cheap || !endpoint.cheap,
     );
   }
 
--- a/tools/policy/ours.ts
+++ b/tools/policy/ours.ts
@@ -172,7 +172,11 @@
         state.first = clock.monotonic() - state.at;
         state.gap = gap;
         const latency = clock.monotonic() - began;
-        this.endpoints.update(name, {kind: 'answered', latency});
+        this.endpoints.update(name, {
+          kind: 'answered',
+          latency,
+          now: clock.monotonic(),
+        });
       },
       ended: (served, tokens) => {
         if (served) {
