--- a/source/placement/split.ts
+++ b/source/placement/split.ts
@@ -47,7 +47,8 @@
 
   override of({endpoint, state}: EndpointState): number {
     const rank = this.rank(endpoint.name);
-    if (state !== 'warm') return rank === 0 ? endpoint.coldSlots : 0;
+    const cold = state === 'cold' || state === 'unknown';
+    if (cold) return rank === 0 ? endpoint.coldSlots : 0;
     const whole = Math.floor(endpoint.slots / this.hosts.length);
     const rest = endpoint.slots % this.hosts.length;
     return whole + (rank < rest ? 1 : 0);
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -16,6 +16,7 @@
 import {LogDesk} from '../source/fleet/index.js';
 import {emptyFold, isComplete, takeSnapshot} from '../source/log/index.js';
 import {Metrics} from '../source/metrics/index.js';
+import {step, steps} from './support/commands.js';
 import {holds, isSeenToFail} from './support/fuzz.js';
 import {Tape} from './support/tape.js';
 
@@ -236,18 +237,7 @@
   }
 }
 
-type Command = fc.Command<object, World>;
-
-function command(text: string, run: (world: World) => void): Command {
-  return {
-    check: () => true,
-    run: (_, world) => {
-      run(world);
-      world.check();
-    },
-    toString: () => text,
-  };
-}
+const command = step<World>;
 
 const change: fc.Arbitrary<Change> = fc.record({
   operation: fc.constantFrom('added', 'added', 'changed', 'withdrawn'),
@@ -258,7 +248,7 @@
 });
 const host = fc.nat(HOSTS - 1);
 
-const commands = fc.commands(
+const commands = steps(
   [
     fc
       .tuple(fc.nat(40), fc.array(change, {minLength: 1, maxLength: 3}))
@@ -305,7 +295,7 @@
         command(`relay ${from} ${to}`, world => world.relay(from, to)),
       ),
   ],
-  {maxCommands: 50, size: 'max'},
+  50,
 );
 
 function property(faults: Faults) {
--- a/test/credits.test.ts
+++ b/test/credits.test.ts
@@ -20,6 +20,7 @@
   type Grantor,
   type HostNeed,
 } from '../source/credits/index.js';
+import {step, steps} from './support/commands.js';
 import {holds, isSeenToFail} from './support/fuzz.js';
 
 const HOSTS = 3;
@@ -204,18 +205,8 @@
   }
 }
 
-type Command = fc.Command<object, World>;
-
-function command(text: string, run: (world: World) => void): Command {
-  return {
-    check: () => true,
-    run: (_, world) => {
-      run(world);
-      world.check();
-    },
-    toString: () => text,
-  };
-}
+const command = step<World>;
+type Command = ReturnType<typeof command>;
 
 function on(
   name: string,
@@ -243,7 +234,7 @@
 const report = fc
   .constantFrom(0, 500, REPORT_LAG_MILLISECONDS)
   .map(lag => command(`report ${lag}`, world => world.report(lag)));
-const commands = fc.commands(
+const commands = steps(
   [
     deliver,
     deliver,
@@ -270,7 +261,7 @@
     on('kill', (world, host) => world.kill(host)),
     fc.constant(command('replace owner', world => world.replaceOwner())),
   ],
-  {maxCommands: 80, size: 'max'},
+  80,
 );
 
 let started = 0;
--- a/test/lease.test.ts
+++ b/test/lease.test.ts
@@ -13,6 +13,7 @@
   type Leases,
 } from '../source/lease/index.js';
 import {logRecordSchema} from '../source/platform/index.js';
+import {step, steps} from './support/commands.js';
 import {holds, isSeenToFail} from './support/fuzz.js';
 import {Tape} from './support/tape.js';
 
@@ -150,7 +151,7 @@
     }
   }
 
-  private check(): void {
+  check(): void {
     const acting = this.contenders.filter(
       ({frozen, role, skew}) => !frozen && mayAct(role, this.now + skew),
     );
@@ -159,15 +160,8 @@
   }
 }
 
-type Command = fc.Command<object, World>;
-
-function command(text: string, run: (world: World) => void): Command {
-  return {
-    check: () => true,
-    run: (_, world) => run(world),
-    toString: () => text,
-  };
-}
+const command = step<World>;
+type Command = ReturnType<typeof command>;
 
 function on(
   name: string,
@@ -192,7 +186,7 @@
     ),
   );
 
-const commands = fc.commands(
+const commands = steps(
   [
     advance,
     advance,
@@ -224,7 +218,7 @@
     on('leave', (world, contender) => world.leave(contender)),
     on('order', (world, contender, flight) => world.order(contender, flight)),
   ],
-  {maxCommands: 60, size: 'max'},
+  60,
 );
 
 function property(faults: Faults) {
--- a/test/usage.test.ts
+++ b/test/usage.test.ts
@@ -13,6 +13,7 @@
   UsageSheets,
   usageLeaseOf,
 } from '../source/usage/index.js';
+import {step, steps} from './support/commands.js';
 import {holds, isSeenToFail} from './support/fuzz.js';
 import {Tape} from './support/tape.js';
 
@@ -192,18 +193,7 @@
   );
 }
 
-type Command = fc.Command<object, World>;
-
-function command(text: string, run: (world: World) => void): Command {
-  return {
-    check: () => true,
-    run: (_, world) => {
-      run(world);
-      world.check();
-    },
-    toString: () => text,
-  };
-}
+const command = step<World>;
 
 const host = fc.nat(HOSTS - 1);
 
@@ -250,10 +240,7 @@
 ];
 
 function property(faults: Faults, kills: boolean) {
-  const commands = fc.commands(kills ? [...calm, kill] : calm, {
-    maxCommands: 50,
-    size: 'max',
-  });
+  const commands = steps(kills ? [...calm, kill] : calm, 50);
   return fc.property(commands, list => {
     const world = new World(faults);
     fc.modelRun(() => ({model: {}, real: world}), list);
