Grant to a large zone in one run over its hosts

Cause: at 49 hosts in a zone the links did not come up: the owners of pools ran at 40 to 90 % of a core (seen with ps), so their heartbeats were late, links were dropped as silent and set up anew. Every demand granted to every host, and each grant divided the places twice and added up all hosts for each endpoint. Ruled out: TLS set-up (60 failed handshakes, but as a consequence), the platform. Change: a demand is answered alone; others hear only of changed shares, gathered over 10 ms, in a run that divides once and keeps the sums.

--- a/source/credits/grantor.ts
+++ b/source/credits/grantor.ts
@@ -10,13 +10,12 @@
  * silent host's last grant until the endpoint itself says that it runs less,
  * so the sum over all hosts stays within the limit at every instant.
  */
-import {divide, type HostNeed} from './divide.js';
-import type {Demand, Grant} from './messages.js';
+import type {Demand} from './messages.js';
 
 /** Milliseconds for which a host may use a grant, from when it asked. */
 export const CREDIT_MILLISECONDS = 3_000;
 /** Milliseconds by which two clocks may drift apart over a grant. */
-const DRIFT_MILLISECONDS = 250;
+export const DRIFT_MILLISECONDS = 250;
 
 /** What an endpoint bears from all hosts together. */
 export interface Limit {
@@ -44,12 +43,15 @@
   readonly counts: ReadonlyMap<string, number>;
 }
 
-interface HostAccount {
+/** What the owner knows of one host. */
+export interface HostAccount {
   readonly demand: Demand;
   readonly inUse: ReadonlyMap<string, number>;
   readonly outstanding: readonly Outstanding[];
   /** Owner’s monotonic milliseconds. */
   readonly heardAt: number;
+  /** What the host was told last. */
+  readonly told: ReadonlyMap<string, number> | undefined;
 }
 
 /** The books of one pool in one availability zone. */
@@ -98,7 +100,8 @@
   const inUse = new Map(
     demand.inUse.map(({endpoint, count}) => [endpoint, count]),
   );
-  const account = {demand, inUse, outstanding, heardAt: now};
+  const told = present?.told;
+  const account = {demand, inUse, outstanding, heardAt: now, told};
   return {...before, hosts: new Map(before.hosts).set(host, account)};
 }
 
@@ -117,7 +120,7 @@
 }
 
 /** Places at an endpoint that a host may be using or may yet use. */
-function committedOf(
+export function committedOf(
   {strict}: Grantor,
   {inUse, outstanding, heardAt}: HostAccount,
   {endpoint, report}: Limit,
@@ -152,143 +155,8 @@
   return sum;
 }
 
-/** Books after a grant, with the grant. */
-export interface Granted {
-  readonly grantor: Grantor;
-  readonly grant: Grant | undefined;
-}
-
-/**
- * What a host may use now, in answer to its latest demand.
- *
- * ```ts
- * const {grantor, grant} = grantsFor(before, 'host-2', clock.monotonic());
- * ```
- */
-export function grantsFor(before: Grantor, host: string, now: number): Granted {
-  const cleaned = withoutLapsed(before, now);
-  const account = cleaned.hosts.get(host);
-  if (!account || now < before.from)
-    return {grantor: cleaned, grant: undefined};
-  const {shares, pressure} = divide(placesOf(cleaned), needsOf(cleaned));
-  const places = shares.find(share => share.host === host)?.places ?? 0;
-  const counts = countsFor(cleaned, host, account, places, now);
-  const number = cleaned.nextNumber;
-  const {ledger, pool, zone, sentAt: answers} = account.demand;
-  const list = [...counts].map(([endpoint, count]) => ({endpoint, count}));
-  const grant: Grant = {
-    kind: 'grant',
-    ledger,
-    pool,
-    zone,
-    number,
-    owner: before.owner,
-    answers,
-    counts: list,
-    pressure,
-    yields: yieldsOf(cleaned, host, account, counts, pressure),
-  };
-  const lapses = now + CREDIT_MILLISECONDS + DRIFT_MILLISECONDS;
-  const until = answers + CREDIT_MILLISECONDS;
-  const outstanding = [...account.outstanding, {number, lapses, until, counts}];
-  const hosts = new Map(cleaned.hosts).set(host, {...account, outstanding});
-  return {grantor: {...cleaned, hosts, nextNumber: number + 1}, grant};
-}
-
-function placesOf({limits}: Grantor): number {
-  return limits.reduce((sum, {places}) => sum + places, 0);
-}
-
-function needsOf({hosts}: Grantor): HostNeed[] {
-  return [...hosts].map(([host, {demand}]) => ({
-    host,
-    classes: demand.classes,
-  }));
-}
-
-/**
- * What a host gives up for those that press: as much as it runs beyond its
- * grant, but over all hosts no more than press. The first hosts by name go
- * first, so that every call shares it out alike.
- */
-function yieldsOf(
-  grantor: Grantor,
-  host: string,
-  account: HostAccount,
-  counts: ReadonlyMap<string, number>,
-  pressure: number,
-): number {
-  if (pressure === 0) return 0;
-  let pressing = 0;
-  for (const {demand} of grantor.hosts.values()) {
-    for (const need of demand.classes) {
-      if (need.tier === pressure) pressing += need.pressing;
-    }
-  }
-  const used = totalOf(account.inUse);
-  const beyond = Math.max(used - totalOf(counts), 0);
-  const {shares} = divide(placesOf(grantor), needsOf(grantor));
-  for (const {host: other, places} of shares) {
-    if (other >= host) continue;
-    const known = grantor.hosts.get(other);
-    if (known) pressing -= Math.max(totalOf(known.inUse) - places, 0);
-  }
-  return Math.max(Math.min(beyond, pressing), 0);
-}
-
-function totalOf(counts: ReadonlyMap<string, number>): number {
-  let sum = 0;
-  for (const count of counts.values()) sum += count;
-  return sum;
-}
-
-/** Spreads a host’s places over the endpoints, within what the others leave. */
-function countsFor(
-  grantor: Grantor,
-  host: string,
-  account: HostAccount,
-  places: number,
-  now: number,
-): Map<string, number> {
-  const room = new Map<string, number>();
-  for (const limit of grantor.limits) {
-    const all = committedAt(grantor, limit, now);
-    const others = all - committedOf(grantor, account, limit, now);
-    room.set(limit.endpoint, Math.max(limit.places - others, 0));
-  }
-  const counts = new Map<string, number>();
-  let rest = places;
-  for (const [endpoint, free] of room) {
-    const kept = Math.min(account.inUse.get(endpoint) ?? 0, free, rest);
-    counts.set(endpoint, kept);
-    rest -= kept;
-  }
-  for (; rest > 0; rest--) {
-    const roomiest = roomiestOf(room, counts);
-    if (roomiest === undefined) break;
-    counts.set(roomiest, (counts.get(roomiest) ?? 0) + 1);
-  }
-  return counts;
-}
-
-function roomiestOf(
-  room: ReadonlyMap<string, number>,
-  counts: ReadonlyMap<string, number>,
-): string | undefined {
-  let best: string | undefined;
-  let most = 0;
-  for (const [endpoint, free] of room) {
-    const left = free - (counts.get(endpoint) ?? 0);
-    if (left > most) {
-      most = left;
-      best = endpoint;
-    }
-  }
-  return best;
-}
-
 /** Forgets hosts that were silent for long and that nothing counts for. */
-function withoutLapsed(before: Grantor, now: number): Grantor {
+export function withoutLapsed(before: Grantor, now: number): Grantor {
   const patience = 2 * CREDIT_MILLISECONDS + DRIFT_MILLISECONDS;
   const isGone = (account: HostAccount) =>
     now - account.heardAt > patience &&
--- a/source/credits/index.ts
+++ b/source/credits/index.ts
@@ -2,7 +2,6 @@
 export {divide, type Share, type HostNeed, type ClassNeed} from './divide.js';
 export {
   emptyGrantor,
-  grantsFor,
   takeDemand,
   dropHost,
   setLimits,
@@ -11,6 +10,12 @@
   type Grantor,
   type Limit,
 } from './grantor.js';
+export {
+  grantAnswer,
+  grantNews,
+  type Addressed,
+  type Granted,
+} from './grants.js';
 export {Holding, type Held} from './holding.js';
 export {
   demandSchema,
--- a/source/fleet/credits.ts
+++ b/source/fleet/credits.ts
@@ -12,12 +12,14 @@
 import {
   dropHost,
   emptyGrantor,
-  grantsFor,
+  grantAnswer,
+  grantNews,
   Holding,
   setLimits,
   takeDemand,
   type Demand,
   type Grant,
+  type Granted,
   type Grantor,
   type Limit,
 } from '../credits/index.js';
@@ -40,6 +42,8 @@
 /** Ticks for which a pool of another zone is asked after it was last needed. */
 const REMOTE_TICKS = 10;
 
+/** Time within which an owner gathers changes for the others, in milliseconds. */
+const SPREAD_MILLISECONDS = 10;
 /** Places that are granted at an endpoint that has failed, for a probe. */
 const SUSPECT_PLACES = 1;
 
@@ -69,8 +73,7 @@
   grantor: Grantor;
   readonly ledger: Ledger;
   readonly part: PoolZone;
-  /** What each host was told last, to tell it only of changes. */
-  readonly told: Map<string, string>;
+  spreading: boolean;
 }
 
 /** The credits of a host. */
@@ -111,8 +114,11 @@
     const books = this.booksFor(demand);
     if (!books) return;
     const now = this.options.clock.monotonic();
+    const before = books.grantor.hosts.get(from)?.demand;
     books.grantor = takeDemand(books.grantor, from, demand, now);
-    this.grantAll(books);
+    books.grantor = setLimits(books.grantor, this.limitsOf(books, now));
+    this.give(books, grantAnswer(books.grantor, from, now));
+    if (!sameNeeds(before, demand)) this.spreadSoon(books);
   }
 
   /** Takes a grant; asks again at once if that frees places for others. */
@@ -135,7 +141,7 @@
   drop(incarnation: string): void {
     for (const books of this.books.values()) {
       books.grantor = dropHost(books.grantor, incarnation);
-      this.grantAll(books);
+      this.spreadSoon(books);
     }
   }
 
@@ -245,7 +251,7 @@
         demand.ledger === 'cold',
         clock.monotonic(),
       );
-      books = {grantor, ledger, part, told: new Map()};
+      books = {grantor, ledger, part, spreading: false};
       this.books.set(key, books);
     }
     return books;
@@ -264,27 +270,24 @@
     }
   }
 
-  /** Grants to every host whose share has changed. */
-  private grantAll(books: Books): void {
-    const now = this.options.clock.monotonic();
-    books.grantor = setLimits(books.grantor, this.limitsOf(books, now));
-    for (const host of books.grantor.hosts.keys())
-      this.grantTo(books, host, now);
+  /** Tells every host whose share has changed, soon and once for all changes. */
+  private spreadSoon(books: Books): void {
+    if (books.spreading) return;
+    books.spreading = true;
+    this.options.clock.after(SPREAD_MILLISECONDS, () => {
+      books.spreading = false;
+      const now = this.options.clock.monotonic();
+      books.grantor = setLimits(books.grantor, this.limitsOf(books, now));
+      this.give(books, grantNews(books.grantor, now));
+    });
   }
 
-  private grantTo(books: Books, host: string, now: number): void {
-    const {grantor, grant} = grantsFor(books.grantor, host, now);
-    if (!grant) {
-      books.grantor = grantor;
-      return;
-    }
-    const {counts, answers, pressure, yields} = grant;
-    const told = JSON.stringify({counts, answers, pressure, yields});
-    if (books.told.get(host) === told) return;
+  private give(books: Books, {grantor, grants}: Granted): void {
     books.grantor = grantor;
-    books.told.set(host, told);
-    if (host === this.options.incarnation) this.takeGrant(grant);
-    else this.options.send(host, grant);
+    for (const {host, grant} of grants) {
+      if (host === this.options.incarnation) this.takeGrant(grant);
+      else this.options.send(host, grant);
+    }
   }
 
   private limitsOf({ledger, part, grantor}: Books, now: number): Limit[] {
@@ -321,6 +324,14 @@
   }
 }
 
+/** Whether a demand only renews the one before it. */
+function sameNeeds(before: Demand | undefined, after: Demand): boolean {
+  if (!before) return false;
+  const text = ({classes, applied}: Demand) =>
+    JSON.stringify({classes, applied});
+  return text(before) === text(after);
+}
+
 function needOf({name, tier, floorShare}: Class): Demand['classes'][number] {
   return {name, tier, floorShare, running: 0, waiting: 0, pressing: 0};
 }
--- a/tools/control.ts
+++ b/tools/control.ts
@@ -44,6 +44,8 @@
   readonly kilobytesMost: number;
 }
 
+/** Milliseconds that each host of a zone may take to link up. */
+const LINK_MILLISECONDS = 400;
 const programs: Program[] = [];
 
 function stopAll(): void {
@@ -125,6 +127,8 @@
 });
 
 async function linked(hosts: readonly HostProcess[]): Promise<void> {
+  // Large zones take their time to start on one machine.
+  await sleep(hosts.length * LINK_MILLISECONDS);
   await until('links', async () => {
     for (const {operators} of hosts) {
       const status = statusSchema.parse(await ask(operators, 'GET', '/status'));
