Keep a failed cold endpoint cold, fewer heartbeats and lists in large zones

Also, a host that came in reach was told hearsay that could be older than what it knew. Change: an endpoint keeps its last report beside its state, and a test fails one while cold; hosts pass on only what they have seen in the last 3 s.

--- a/source/daemon/zone.ts
+++ b/source/daemon/zone.ts
@@ -14,6 +14,7 @@
   LeaseDesk,
   LogDesk,
   Membership,
+  Roster,
   UsageDesk,
   zoneLeaseOf,
   type Member,
@@ -70,6 +71,7 @@
   private readonly writer: ClaimWriter;
   private readonly follower: LogFollower;
   private readonly mesh: Mesh;
+  private readonly roster: Roster;
   private readonly hello: Hello;
   private watch!: EndpointWatch;
   private credits!: CreditDesk;
@@ -92,6 +94,7 @@
     this.log = this.createLog();
     this.follower = this.createFollower();
     this.mesh = this.createMesh();
+    this.roster = this.createRoster();
     this.leases = new LeaseDesk({
       clock,
       logger,
@@ -165,17 +168,8 @@
   }
 
   /** Enters this host in the platform’s list and reads the list. */
-  async announce(): Promise<void> {
-    const {settings, incarnation, platform, metrics} = this.options;
-    const {name, zone, callers, operators, peers} = settings;
-    const state = this.options.state();
-    try {
-      const entry = {name, incarnation, zone, state, callers, operators, peers};
-      await platform.announce(entry);
-      this.takeList(await platform.hosts());
-    } catch {
-      metrics.count('announce-failed');
-    }
+  announce(): Promise<void> {
+    return this.roster.announce();
   }
 
   /** Hands over everything that others need; resolves when they can have it. */
@@ -223,14 +217,6 @@
     this.leases.contend(usageLeaseOf(region), patienceOf(regionRank));
   }
 
-  private takeList(hosts: readonly HostEntry[]): void {
-    const {incarnation} = this.options;
-    const others = hosts.filter(host => host.incarnation !== incarnation);
-    this.membership.setListed(others);
-    this.mesh.setListed(others);
-    this.split.setHosts(this.membership.names());
-  }
-
   /** One host that holds a lease appends a snapshot before records expire. */
   private snapshotIfDue(): void {
     const {settings, platform, metrics} = this.options;
@@ -372,6 +358,31 @@
     });
   }
 
+  private createRoster(): Roster {
+    const {platform, metrics, settings, incarnation} = this.options;
+    const {name, zone, callers, operators, peers} = settings;
+    const addresses = {callers, operators, peers};
+    return new Roster({
+      clock: this.options.clock,
+      platform,
+      metrics,
+      membership: this.membership,
+      split: this.split,
+      entry: () => {
+        const state = this.options.state();
+        return {name, incarnation, zone, state, ...addresses};
+      },
+      listed: others =>
+        this.mesh.setListed(others.filter(host => this.isNear(host.zone))),
+    });
+  }
+
+  /** Links lead to the hosts of the region; a zone not yet known may be in it. */
+  private isNear(zone: string): boolean {
+    const known = this.fold.configuration.tables.zones.get(zone)?.object;
+    return known === undefined || known.region === this.options.settings.region;
+  }
+
   private createWriter(): ClaimWriter {
     const {platform, clock, metrics, incarnation} = this.options;
     return new ClaimWriter({
--- a/source/fleet/allowances.ts
+++ b/source/fleet/allowances.ts
@@ -22,13 +22,12 @@
   }
 
   override of(known: EndpointState): number {
-    const {endpoint, state} = known;
+    const {endpoint, warm} = known;
     const {pool, zone, name} = endpoint;
     const now = this.clock.monotonic();
-    const cold = state === 'cold' || state === 'unknown';
-    const ledger = cold ? 'cold' : 'warm';
+    const ledger = warm ? 'warm' : 'cold';
     const held = this.holding.get(ledger, pool, zone, now);
     if (held) return held.counts.get(name) ?? 0;
-    return cold ? 0 : this.split.of(known);
+    return warm ? this.split.of(known) : 0;
   }
 }
--- a/source/fleet/credits.ts
+++ b/source/fleet/credits.ts
@@ -39,6 +39,8 @@
  */
 const GATHER_WAITING_MILLISECONDS = 5;
 const GATHER_IDLE_MILLISECONDS = 250;
+/** Time before a grant lapses at which it is asked for again, in milliseconds. */
+const RENEW_BEFORE_MILLISECONDS = 1_600;
 /** Ticks for which a pool of another zone is asked after it was last needed. */
 const REMOTE_TICKS = 10;
 
@@ -79,6 +81,8 @@
 /** The credits of a host. */
 export class CreditDesk {
   private readonly books = new Map<string, Books>();
+  /** The latest demand of each pool and zone. */
+  private readonly asked = new Map<string, Demand>();
   private readonly remoteUntil = new Map<string, number>();
   private readonly yieldedAt = new Map<string, number>();
   private gathering: Cancel | undefined;
@@ -145,14 +149,27 @@
     }
   }
 
+  /** Asks for every pool whose needs have changed or whose grant grows old. */
   private askAll(): void {
     for (const part of this.options.endpoints.poolZones()) {
       if (!this.concerns(part)) continue;
-      this.ask('warm', part);
+      if (this.isDue(part)) this.ask('warm', part);
       if (this.hasCold(part)) this.ask('cold', part);
     }
   }
 
+  private isDue(part: PoolZone): boolean {
+    const {pool, zone} = part;
+    const {clock, holding} = this.options;
+    const now = clock.monotonic();
+    const held = holding.get('warm', pool, zone, now);
+    if (!held || held.until - now < RENEW_BEFORE_MILLISECONDS) return true;
+    return !sameNeeds(
+      this.asked.get(`${pool} ${zone}`),
+      this.demandFor('warm', part),
+    );
+  }
+
   /** Pools of other zones are asked only while this zone's do not suffice. */
   private concerns({pool, zone}: PoolZone): boolean {
     if (zone === this.options.zone) return true;
@@ -169,16 +186,14 @@
   private hasCold({pool, zone}: PoolZone): boolean {
     return this.options.endpoints
       .list(pool)
-      .some(
-        ({endpoint, state}) =>
-          endpoint.zone === zone && (state === 'cold' || state === 'unknown'),
-      );
+      .some(({endpoint, warm}) => endpoint.zone === zone && !warm);
   }
 
   private ask(ledger: Ledger, part: PoolZone): void {
     const owner = this.ownerOf(ledger, part);
     if (owner === undefined) return;
     const demand = this.demandFor(ledger, part);
+    if (ledger === 'warm') this.asked.set(`${part.pool} ${part.zone}`, demand);
     if (owner === this.options.incarnation) this.takeDemand(owner, demand);
     else this.options.send(owner, demand);
   }
@@ -296,7 +311,7 @@
     for (const known of endpoints.list(part.pool)) {
       const {endpoint, state, zoneIn} = known;
       if (endpoint.zone !== part.zone) continue;
-      const cold = state === 'cold' || state === 'unknown';
+      const cold = !known.warm;
       const usable = zoneIn && state !== 'leaving' && state !== 'gone';
       if (usable && ledger === 'cold' && cold) {
         const sighting = watch.sighting(endpoint.name);
--- a/source/fleet/index.ts
+++ b/source/fleet/index.ts
@@ -6,4 +6,5 @@
 export {LeaseDesk, type LeaseDeskOptions} from './lease.js';
 export {UsageDesk, type UsageDeskOptions} from './usage.js';
 export {LogDesk, type LogDeskOptions} from './log.js';
+export {Roster, type RosterOptions} from './roster.js';
 export {zoneLeaseOf} from './names.js';
--- a/source/fleet/watch.ts
+++ b/source/fleet/watch.ts
@@ -16,6 +16,9 @@
 /** Milliseconds after which a state that did not change is told again. */
 const REFRESH_MILLISECONDS = 5_000;
 
+/** Milliseconds for which a host passes on what it has seen. */
+const FRESH_MILLISECONDS = 3_000;
+
 type State = LoadReport['state'];
 
 interface Load {
@@ -82,20 +85,27 @@
     this.note(endpoint, state);
   }
 
-  /** What a host should be told that has just come in reach. */
+  /**
+   * What a host should be told that has just come in reach: what this one has
+   * itself seen of late, since hearsay may be older than what the other knows.
+   */
   messages(): Message[] {
-    return [...this.sightings].map(([endpoint, {state}]) => ({
+    const since = this.options.clock.monotonic() - FRESH_MILLISECONDS;
+    const fresh = [...this.sightings].filter(
+      ([, {askedAt}]) => askedAt >= since,
+    );
+    return fresh.map(([endpoint, {state}]) => ({
       kind: 'endpoint-state',
       endpoint,
       state,
     }));
   }
 
-  private pollsFor({endpoint, state}: EndpointState): boolean {
+  private pollsFor({endpoint, warm}: EndpointState): boolean {
     const {membership, guards} = this.options;
     const rank = membership.rank(endpoint.zone, endpoint.name);
     if (rank >= 0 && rank < POLLERS) return true;
-    return state !== 'warm' && guards(endpoint.zone);
+    return !warm && guards(endpoint.zone);
   }
 
   private async ask({endpoint}: EndpointState): Promise<void> {
--- a/source/messages/message.ts
+++ b/source/messages/message.ts
@@ -25,6 +25,8 @@
   sequence: z.number().int(),
   /** Sequence of the last heartbeat that came from the other side. */
   heard: z.number().int(),
+  /** Milliseconds until the next one. */
+  period: z.number().int().positive().max(60_000),
   /** Offset of the last log entry that the sender has applied. */
   applied: z.number().int(),
   logInReach: z.boolean(),
--- a/source/peers/link.ts
+++ b/source/peers/link.ts
@@ -15,9 +15,10 @@
 } from '../messages/index.js';
 import {encodeFrame, FrameReader} from './frame.js';
 
-const HEARTBEAT_MILLISECONDS = 1_000;
-/** Silence after which a link is dropped. */
-export const SILENCE_MILLISECONDS = 2_500;
+/** Heartbeats that may be missing before a link is dropped. */
+const SILENT_PERIODS = 2.5;
+const FIRST_PERIOD_MILLISECONDS = 1_000;
+const SILENCE_CHECK_MILLISECONDS = 500;
 /** Bytes that may wait in a link before messages for it are dropped. */
 const BACKLOG_BYTES_MOST = 8_388_608;
 
@@ -25,7 +26,12 @@
 export interface LinkHandlers {
   readonly hello: () => Hello;
   /** What a heartbeat says, but for its own counts. */
-  readonly pulse: () => Omit<Heartbeat, 'kind' | 'sequence' | 'heard'>;
+  readonly pulse: () => Omit<
+    Heartbeat,
+    'kind' | 'sequence' | 'heard' | 'period'
+  >;
+  /** Milliseconds between heartbeats; longer where there are many links. */
+  readonly period: () => number;
   readonly up: (link: Link, hello: Hello) => void;
   readonly message: (link: Link, message: Message) => void;
   readonly down: (link: Link) => void;
@@ -38,7 +44,9 @@
   /** What the other side said of itself; undefined until then. */
   peer: Hello | undefined;
   private readonly reader = new FrameReader();
-  private readonly stopTimers: Cancel[];
+  private readonly stopCheck: Cancel;
+  private stopBeat: Cancel = () => {};
+  private peerPeriod = FIRST_PERIOD_MILLISECONDS;
   private sequence = 0;
   private heard = 0;
   private heardAt: number;
@@ -54,10 +62,9 @@
     socket.on('data', bytes => this.take(bytes));
     socket.on('error', () => this.close());
     socket.on('close', () => this.close());
-    this.stopTimers = [
-      clock.every(HEARTBEAT_MILLISECONDS, () => this.beat()),
-      clock.every(HEARTBEAT_MILLISECONDS / 2, () => this.checkSilence()),
-    ];
+    this.stopCheck = clock.every(SILENCE_CHECK_MILLISECONDS, () =>
+      this.checkSilence(),
+    );
     this.send(handlers.hello());
   }
 
@@ -75,7 +82,8 @@
   close(): void {
     if (!this.open) return;
     this.open = false;
-    for (const stop of this.stopTimers) stop();
+    this.stopCheck();
+    this.stopBeat();
     this.socket.destroy();
     this.handlers.down(this);
   }
@@ -110,7 +118,10 @@
       this.beat();
       return;
     }
-    if (message.kind === 'heartbeat') this.heard = message.sequence;
+    if (message.kind === 'heartbeat') {
+      this.heard = message.sequence;
+      this.peerPeriod = message.period;
+    }
     this.handlers.message(this, message);
   }
 
@@ -119,12 +130,15 @@
     this.sequence++;
     const {sequence, heard} = this;
     const pulse = this.handlers.pulse();
-    this.send({kind: 'heartbeat', sequence, heard, ...pulse});
+    const period = this.handlers.period();
+    this.send({kind: 'heartbeat', sequence, heard, period, ...pulse});
+    this.stopBeat();
+    this.stopBeat = this.clock.after(period, () => this.beat());
   }
 
   private checkSilence(): void {
     const silence = this.clock.monotonic() - this.heardAt;
-    if (silence < SILENCE_MILLISECONDS) return;
+    if (silence < SILENT_PERIODS * this.peerPeriod) return;
     this.handlers.fault('silent');
     this.close();
   }
--- a/source/peers/mesh.ts
+++ b/source/peers/mesh.ts
@@ -16,6 +16,10 @@
 const CIPHERS = 'ECDHE-PSK-CHACHA20-POLY1305:ECDHE-PSK-AES128-CBC-SHA256';
 const TLS_VERSION = 'TLSv1.2';
 const RECONNECT_MILLISECONDS = 500;
+/** Least time between two heartbeats of a link. */
+const HEARTBEAT_MILLISECONDS = 1_000;
+/** With many peers each gets fewer, so that a host sends at most 20 a second. */
+const HEARTBEAT_MILLISECONDS_PER_PEER = 50;
 const IDENTITY_CHARACTERS = 16;
 const CONNECT_BOUND_MILLISECONDS = 2_000;
 
@@ -32,7 +36,10 @@
   readonly self: Hello;
   /** The present secret first, then those that are still accepted. */
   readonly secrets: readonly string[];
-  readonly pulse: () => Omit<Heartbeat, 'kind' | 'sequence' | 'heard'>;
+  readonly pulse: () => Omit<
+    Heartbeat,
+    'kind' | 'sequence' | 'heard' | 'period'
+  >;
   readonly up: (peer: Peer) => void;
   readonly down: (hello: Hello) => void;
   readonly message: (hello: Hello, message: Message) => void;
@@ -137,6 +144,11 @@
     const link = new Link(socket, clock, {
       hello: () => self,
       pulse,
+      period: () =>
+        Math.max(
+          HEARTBEAT_MILLISECONDS,
+          this.peers.size * HEARTBEAT_MILLISECONDS_PER_PEER,
+        ),
       fault,
       up: (up, hello) => this.linkUp(up, hello),
       message: (from, message) => this.linkMessage(from, message),
--- a/source/placement/choose.ts
+++ b/source/placement/choose.ts
@@ -87,10 +87,10 @@
   usual: number,
   now: number,
 ): number {
-  const {endpoint, state} = candidate;
+  const {endpoint, warm} = candidate;
   let score = (candidate.running + 1) / allowance;
   score += slowness(candidate, usual, now);
-  if (state === 'cold' || state === 'unknown') score += COLD_PENALTY;
+  if (!warm) score += COLD_PENALTY;
   if (endpoint.zone !== demand.zone) score += OTHER_ZONE_PENALTY;
   if (demand.avoid.has(endpoint.name)) score += FAILED_BEFORE_PENALTY;
   if (endpoint.cheap) score -= CHEAP_BONUS;
--- a/source/placement/endpoint.ts
+++ b/source/placement/endpoint.ts
@@ -11,6 +11,11 @@
   readonly endpoint: Endpoint;
   /** A state of charts/endpoint.json. */
   readonly state: string;
+  /**
+   * Whether its last report was warm. A suspect may still be cold, and then
+   * bears no more than before.
+   */
+  readonly warm: boolean;
   /** Requests of this host that it runs. */
   readonly running: number;
   /** Mean milliseconds to the first byte; zero before the first answer. */
@@ -59,6 +64,7 @@
   return {
     endpoint,
     state: endpointChart.initial,
+    warm: false,
     running: 0,
     latency: 0,
     answeredAt: 0,
@@ -138,7 +144,8 @@
     before.state === 'leaving' && state !== 'leaving'
       ? moved(before, 'return')
       : before;
-  return moved(returned, REPORTS[state]);
+  const warm = state === 'leaving' ? returned.warm : state === 'warm';
+  return {...moved(returned, REPORTS[state]), warm};
 }
 
 function configured(
--- a/source/placement/split.ts
+++ b/source/placement/split.ts
@@ -45,10 +45,9 @@
     this.ranks.clear();
   }
 
-  override of({endpoint, state}: EndpointState): number {
+  override of({endpoint, warm}: EndpointState): number {
     const rank = this.rank(endpoint.name);
-    const cold = state === 'cold' || state === 'unknown';
-    if (cold) return rank === 0 ? endpoint.coldSlots : 0;
+    if (!warm) return rank === 0 ? endpoint.coldSlots : 0;
     const whole = Math.floor(endpoint.slots / this.hosts.length);
     const rest = endpoint.slots % this.hosts.length;
     return whole + (rank < rest ? 1 : 0);
--- a/source/placement/table.ts
+++ b/source/placement/table.ts
@@ -179,7 +179,7 @@
       this.count(endpoint.name, lane.className, -1);
       this.update(endpoint.name, {kind: 'finished'});
     };
-    return {endpoint, warm: chosen.state === 'warm', release};
+    return {endpoint, warm: chosen.warm, release};
   }
 
   private count(endpoint: string, className: string, change: number): void {
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -17,9 +17,14 @@
 import {
   Allowances,
   EndpointTable,
+  endpointState,
+  FixedSplit,
+  updateEndpoint,
   type EndpointState,
   type Slot,
 } from '../source/placement/index.js';
+import {Holding} from '../source/credits/index.js';
+import {GrantedAllowances} from '../source/fleet/index.js';
 import {step, steps, type Step} from './support/commands.js';
 import {holds, isSeenToFail} from './support/fuzz.js';
 
@@ -28,8 +33,8 @@
 const SLOTS = 2;
 
 class FixedAllowances extends Allowances {
-  override of({state}: EndpointState): number {
-    return state === 'cold' || state === 'unknown' ? 0 : SLOTS;
+  override of({warm}: EndpointState): number {
+    return warm ? SLOTS : 0;
   }
 }
 
@@ -138,6 +143,10 @@
     this.running.set(name, (this.running.get(name) ?? 1) - 1);
   }
 
+  endpoints() {
+    return this.configuration.tables.endpoints;
+  }
+
   check(): void {
     if (this.problem !== '') throw new Error(this.problem);
   }
@@ -225,3 +234,23 @@
   for (let count = 0; count < 20; count++) world.take(false, 0);
   t.is(world.taken, 2 * SLOTS + 1);
 });
+
+test('a cold endpoint that fails stays cold until it is reported warm', t => {
+  const [{object: endpoint} = {object: undefined}] = [
+    ...new World({}).endpoints().values(),
+  ];
+  if (!endpoint) throw new Error('no endpoint');
+  let known = endpointState(endpoint, true);
+  known = updateEndpoint(known, {kind: 'reported', state: 'warm'});
+  known = updateEndpoint(known, {kind: 'reported', state: 'cold'});
+  for (let now = 0; now < 5; now++) {
+    known = updateEndpoint(known, {kind: 'failed', now});
+  }
+  t.is(known.state, 'suspect');
+  const clock = new ManualClock();
+  const split = new FixedSplit('host');
+  const allowances = new GrantedAllowances(new Holding(), split, clock);
+  t.is(allowances.of(known), 0);
+  known = updateEndpoint(known, {kind: 'reported', state: 'warm'});
+  t.is(allowances.of(known), SLOTS);
+});
--- a/test/support/feature.ts
+++ b/test/support/feature.ts
@@ -1,6 +1,6 @@
 /**
  * Runs the scenarios of a feature file. The language is Gherkin, read by its
- * own library; the steps are in steps.ts.
+ * own library; the steps are in steps/.
  */
 import {readFileSync} from 'node:fs';
 
@@ -17,7 +17,7 @@
 } from '@cucumber/gherkin';
 import {IdGenerator, type Pickle} from '@cucumber/messages';
 
-import {STEPS} from './steps.js';
+import {STEPS} from './steps/index.js';
 import {ScenarioWorld} from './world.js';
 
 const registry = new ParameterTypeRegistry();
