Give each test process its own range of ports

Cause: in a fresh clone one scenario failed to start an engine: two test files had found the same free port, since it is released before its program takes it. Ruled out: a slow start (the next process on that port was another file's). Change: each process holds a lock port and takes ports from its own range.

--- a/test/input.test.ts
+++ b/test/input.test.ts
@@ -12,7 +12,8 @@
 import {refusalBodySchema} from '../source/errors/index.js';
 import {partsOf} from '../source/wire/index.js';
 import {DEPLOYMENTS} from '../tools/deployments.js';
-import {ask, Fleet, freeAddress, startProgram} from '../tools/fleet.js';
+import {ask, Fleet, startProgram} from '../tools/fleet.js';
+import {freeAddress} from '../tools/ports.js';
 
 let fleet: Fleet;
 
--- a/test/support/wire.ts
+++ b/test/support/wire.ts
@@ -2,7 +2,7 @@
 import {connect, createServer, type Server, type Socket} from 'node:net';
 
 import {listen, partsOf} from '../../source/wire/index.js';
-import {freeAddress} from '../../tools/fleet.js';
+import {freeAddress} from '../../tools/ports.js';
 
 /** Passes connections on until it is told otherwise. */
 export class Wire {
--- a/tools/control.ts
+++ b/tools/control.ts
@@ -11,7 +11,8 @@
 import {createKey, publish} from '../source/operator/index.js';
 import {HttpPlatform} from '../source/platform/index.js';
 import {readSettings} from '../source/settings/index.js';
-import {ask, freeAddress, startProgram, until, type Program} from './fleet.js';
+import {ask, startProgram, until, type Program} from './fleet.js';
+import {freeAddress} from './ports.js';
 import {readProcess, type Reading} from './process.js';
 
 const settingsSchema = z.strictObject({
--- a/tools/cost.ts
+++ b/tools/cost.ts
@@ -14,7 +14,8 @@
 import {HttpPlatform} from '../source/platform/index.js';
 import {readSettings} from '../source/settings/index.js';
 import {partsOf} from '../source/wire/index.js';
-import {ask, freeAddress, startProgram, until, type Program} from './fleet.js';
+import {ask, startProgram, until, type Program} from './fleet.js';
+import {freeAddress} from './ports.js';
 
 const settingsSchema = z.strictObject({
   seconds: z.coerce.number().default(3),
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -3,7 +3,6 @@
  * ends them again. The quickstart, the measurements and the scenarios use it.
  */
 import {spawn, type ChildProcess} from 'node:child_process';
-import {createServer} from 'node:net';
 import {fileURLToPath} from 'node:url';
 
 import {z} from 'zod';
@@ -12,6 +11,7 @@
 import {createKey, publish} from '../source/operator/index.js';
 import {HttpPlatform} from '../source/platform/index.js';
 import {callJson} from '../source/wire/index.js';
+import {freeAddress} from './ports.js';
 import {
   firstNote,
   plannedEndpoints,
@@ -38,19 +38,6 @@
   readonly operators: string;
 }
 
-/** A port of loopback that is free now. */
-export function freeAddress(): Promise<string> {
-  return new Promise((resolve, reject) => {
-    const server = createServer();
-    server.on('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      const address = server.address();
-      const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
-      server.close(() => resolve(`127.0.0.1:${port}`));
-    });
-  });
-}
-
 /** Starts a program of dist/. */
 export function startProgram(
   program: string,
