Let no report that is older than a leave undo it

Cause: a host that asked an endpoint for its load and then learned that it leaves took over the answer, which was older, and counted it warm again; the same with what another host told, which may be 3 s old.

Ruled out: the list of hosts and the fold of notes, which carry no state of an endpoint.

Before: test/watch.test.ts, 2 of 3 fail.

--- a/source/fleet/watch.ts
+++ b/source/fleet/watch.ts
@@ -18,6 +18,8 @@
 
 /** Milliseconds for which a host passes on what it has seen. */
 const FRESH_MILLISECONDS = 3_000;
+/** Milliseconds that a message or the head of an answer may be on its way. */
+const FLIGHT_MILLISECONDS = 1_000;
 
 type State = LoadReport['state'];
 
@@ -75,14 +77,16 @@
   noteAnswer(endpoint: string, state: State): void {
     const before = this.sightings.get(endpoint);
     if (before?.state === state) return;
-    this.note(endpoint, state);
+    const seenAt = this.options.clock.monotonic() - FLIGHT_MILLISECONDS;
+    if (!this.note(endpoint, state, seenAt)) return;
     this.options.metrics.count('endpoint-turned', {endpoint, state});
     this.options.broadcast({kind: 'endpoint-state', endpoint, state});
   }
 
   /** Notes what another host has told. */
   noteMessage({endpoint, state}: EndpointTold): void {
-    this.note(endpoint, state);
+    const age = FRESH_MILLISECONDS + FLIGHT_MILLISECONDS;
+    this.note(endpoint, state, this.options.clock.monotonic() - age);
   }
 
   /**
@@ -116,8 +120,9 @@
     const askedAt = clock.monotonic();
     try {
       const {state, running} = await adapter.load(endpoint);
-      this.note(name, state, {running, askedAt});
-      this.tell(name, askedAt);
+      if (this.note(name, state, askedAt, {running, askedAt})) {
+        this.tell(name, askedAt);
+      }
     } catch {
       endpoints.update(name, {kind: 'failed', now: clock.monotonic()});
     } finally {
@@ -125,17 +130,31 @@
     }
   }
 
-  private note(endpoint: string, state: State, load?: Load): void {
+  /**
+   * Takes over a state that was seen at `seenAt` at the earliest; answers
+   * whether it counts. Reports overtake each other, so one that may be older
+   * than the leave does not undo it.
+   */
+  private note(
+    endpoint: string,
+    state: State,
+    seenAt: number,
+    load?: Load,
+  ): boolean {
     const before = this.sightings.get(endpoint);
+    const left = before?.state === 'leaving' && state !== 'leaving';
+    if (left && seenAt < before.since) return false;
     const same = before?.state === state;
     const since = same ? before.since : this.options.clock.monotonic();
     const latest = load ?? before ?? NO_LOAD;
     const {running, askedAt} = latest;
     this.sightings.set(endpoint, {state, since, running, askedAt});
     this.options.endpoints.update(endpoint, {kind: 'reported', state});
-    if (same) return;
-    this.toldAt.delete(endpoint);
-    this.options.changed();
+    if (!same) {
+      this.toldAt.delete(endpoint);
+      this.options.changed();
+    }
+    return true;
   }
 
   private tell(endpoint: string, now: number): void {
