Serve the users' platform with a thin whole path

Cause: the product knew only its own interface; the users' platform speaks another one, with whole configurations and endpoints' entries in its store.

Change: routes, directory, balance, forward and edge are new inside; platform/ holds names, formats and calls. Admission (on p-queue), the retry decision, the charts, logging, metrics and the wire are those of the product.

--- a/source/attempt/decide.ts
+++ b/source/attempt/decide.ts
@@ -13,8 +13,12 @@
   /** Events that the caller already has. */
   readonly delivered: number;
   readonly repeatable: boolean;
-  /** Attempts made, this one included. */
+  /** Whether a stream that has begun may go on at another endpoint. */
+  readonly resumable: boolean;
+  /** Attempts made that may have run, this one included. */
   readonly attempts: number;
+  /** Attempts that the request may make. */
+  readonly attemptsMost: number;
   /** Whether the host's budget allows a retry. */
   readonly budget: boolean;
 }
@@ -28,7 +32,7 @@
       readonly outcome: Outcome;
     };
 
-/** Attempts that one request may make. */
+/** Attempts that one request may make where its route does not say. */
 export const ATTEMPTS_MOST = 3;
 
 /** What is known about a failed attempt having run. */
@@ -54,8 +58,8 @@
 }
 
 function mayRetry(failure: Failure): boolean {
-  if (failure.delivered > 0) return false;
-  if (failure.attempts >= ATTEMPTS_MOST || !failure.budget) return false;
+  if (failure.delivered > 0 && !failure.resumable) return false;
+  if (failure.attempts >= failure.attemptsMost || !failure.budget) return false;
   return failure.repeatable || failure.stage === 'connect';
 }
 
--- /dev/null
+++ b/source/balance/choose.ts
@@ -0,0 +1,121 @@
+/**
+ * Which endpoint gets a request: that at which its first event is expected
+ * soonest. For a model engine this is the reading that waits there and that of
+ * the prompt itself, which is shorter where its shared parts are kept; their
+ * home is the first in rank, and a late home spills to the next. For a plain
+ * service it is the share of its places that are taken.
+ */
+import {expectedRequests, type EndpointLoad} from './load.js';
+import {pull} from './rank.js';
+import {
+  isLarge,
+  readingTime,
+  sharedPart,
+  sharedTokens,
+  type Prompt,
+} from './work.js';
+
+/** An endpoint that may get the request. */
+export interface Candidate {
+  readonly id: string;
+  readonly slots: number;
+  /** Whether it is in the host's own zone. */
+  readonly near: boolean;
+  /** Whether it is in its cold start. */
+  readonly cold: boolean;
+  /** Whether the request has failed there before. */
+  readonly failed: boolean;
+  readonly load: EndpointLoad;
+}
+
+/** The choice that was made, with what it rests on, for the log. */
+export interface Choice {
+  readonly id: string;
+  /** Expected milliseconds to the first event, in relation to the others. */
+  readonly cost: number;
+  /** Milliseconds of reading that the request brings. */
+  readonly reading: number;
+}
+
+const COLD_COST_MILLISECONDS = 400;
+const FAILED_COST_MILLISECONDS = 5_000;
+const FAR_COST_MILLISECONDS = 4;
+/** Cost of an endpoint at which no slot is free. */
+const FULL_COST_MILLISECONDS = 1_000;
+/** Cost of each request that runs beside, in milliseconds. */
+const BESIDE_COST_MILLISECONDS = 1.5;
+/** Cost of each further rank, so that spilled prompts meet at one engine. */
+const RANK_COST_MILLISECONDS = 8;
+
+/**
+ * The endpoint for a request without a prompt.
+ *
+ * ```ts
+ * const choice = chooseLeastBusy(candidates, now);
+ * ```
+ */
+export function chooseLeastBusy(
+  candidates: readonly Candidate[],
+  now: number,
+): Choice | undefined {
+  return best(candidates, candidate => {
+    const busy = expectedRequests(candidate.load, now) / candidate.slots;
+    return {cost: standing(candidate, now) + busy * 100, reading: 0};
+  });
+}
+
+/** The endpoint for a request with a prompt. */
+export function chooseEngine(
+  candidates: readonly Candidate[],
+  prompt: Prompt,
+  now: number,
+): Choice | undefined {
+  const shared = isLarge(prompt) ? sharedPart(prompt) : undefined;
+  const own = prompt.tokens - (shared ? sharedTokens(prompt) : 0);
+  const ranks = shared ? ranked(candidates, shared.id) : undefined;
+  return best(candidates, candidate => {
+    const rank = ranks?.get(candidate.id) ?? 0;
+    const read = rank === 0 ? own : prompt.tokens;
+    const reading = readingTime(read);
+    const beside = expectedRequests(candidate.load, now);
+    const cost =
+      standing(candidate, now) +
+      candidate.load.ownReading +
+      reading +
+      rank * RANK_COST_MILLISECONDS +
+      beside * BESIDE_COST_MILLISECONDS;
+    return {cost, reading};
+  });
+}
+
+function standing(candidate: Candidate, now: number): number {
+  let cost = 0;
+  if (candidate.cold) cost += COLD_COST_MILLISECONDS;
+  if (candidate.failed) cost += FAILED_COST_MILLISECONDS;
+  if (!candidate.near) cost += FAR_COST_MILLISECONDS;
+  const expected = expectedRequests(candidate.load, now);
+  if (expected >= candidate.slots) cost += FULL_COST_MILLISECONDS;
+  return cost;
+}
+
+function ranked(
+  candidates: readonly Candidate[],
+  key: string,
+): Map<string, number> {
+  const order = [...candidates].sort(
+    (one, other) => pull(key, other.id) - pull(key, one.id),
+  );
+  return new Map(order.map(({id}, rank) => [id, rank]));
+}
+
+function best(
+  candidates: readonly Candidate[],
+  price: (candidate: Candidate) => Omit<Choice, 'id'>,
+): Choice | undefined {
+  let chosen: Choice | undefined;
+  for (const candidate of candidates) {
+    const choice = {id: candidate.id, ...price(candidate)};
+    if (!chosen || choice.cost < chosen.cost) chosen = choice;
+  }
+  return chosen;
+}
--- /dev/null
+++ b/source/balance/index.ts
@@ -0,0 +1,46 @@
+/** The door of the balance folder. */
+export {
+  EndpointBook,
+  type Demand,
+  type Place,
+  type Surroundings,
+} from './book.js';
+export {
+  counted,
+  mayRepeat,
+  NO_REPEATS,
+  type RepeatBound,
+  type RepeatCount,
+} from './budget.js';
+export {
+  chooseEngine,
+  chooseLeastBusy,
+  type Candidate,
+  type Choice,
+} from './choose.js';
+export {coldShare, mayAdd, withSend, type ColdSends} from './cold.js';
+export {
+  afterLoad,
+  expectedRequests,
+  IDLE_LOAD,
+  isAvoided,
+  type EndpointLoad,
+  type LoadEvent,
+  type NamedLoad,
+} from './load.js';
+export {pull, rankOf} from './rank.js';
+export {
+  afterPrompt,
+  largeEngines,
+  NO_WORK,
+  type PromptWork,
+} from './split.js';
+export {
+  engineTime,
+  isLarge,
+  readingTime,
+  sharedPart,
+  sharedTokens,
+  type Prompt,
+  type PromptPart,
+} from './work.js';
--- /dev/null
+++ b/source/balance/load.ts
@@ -0,0 +1,132 @@
+/**
+ * What a host knows of the load and health of one endpoint, as an immutable
+ * value. Its own requests it knows exactly; those of other hosts it learns from
+ * what answers say, which grows old.
+ */
+
+/** The load that an endpoint named in an answer. */
+export interface NamedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
+/** What is known of an endpoint's load and health. */
+export interface EndpointLoad {
+  /** Requests of this host that it has. */
+  readonly own: number;
+  /** Milliseconds of reading that requests of this host wait for there. */
+  readonly ownReading: number;
+  /** Requests of other hosts, when an answer last told. */
+  readonly others: number;
+  /** Monotonic milliseconds at which an answer last told. */
+  readonly toldAt: number;
+  /** Mean milliseconds to the head of an answer; 0 before the first. */
+  readonly latency: number;
+  /** Failures since the last good answer. */
+  readonly failures: number;
+  /** Monotonic milliseconds until which it gets no requests after failures. */
+  readonly avoidedUntil: number;
+}
+
+/** What can happen at an endpoint. */
+export type LoadEvent =
+  | {readonly kind: 'sent'; readonly reading: number}
+  | {readonly kind: 'read'; readonly reading: number}
+  | {readonly kind: 'ended'}
+  | {
+      readonly kind: 'answered';
+      readonly latency: number;
+      readonly now: number;
+      readonly named: NamedLoad | undefined;
+    }
+  | {readonly kind: 'failed'; readonly now: number};
+
+/** Failures in a row after which an endpoint is avoided. */
+const FAILURES_BEFORE_AVOIDED = 2;
+const AVOIDED_MILLISECONDS = 500;
+const AVOIDED_MILLISECONDS_MOST = 8_000;
+const LATENCY_WEIGHT = 0.2;
+/** Milliseconds after which half of what an answer told counts no more. */
+const TOLD_HALF_LIFE_MILLISECONDS = 1_000;
+
+/** An endpoint about which nothing has been learned. */
+export const IDLE_LOAD: EndpointLoad = {
+  own: 0,
+  ownReading: 0,
+  others: 0,
+  toldAt: -Infinity,
+  latency: 0,
+  failures: 0,
+  avoidedUntil: -Infinity,
+};
+
+/**
+ * The load after an event.
+ *
+ * ```ts
+ * load = afterLoad(load, {kind: 'sent', reading: 58});
+ * ```
+ */
+export function afterLoad(before: EndpointLoad, event: LoadEvent): EndpointLoad {
+  switch (event.kind) {
+    case 'sent':
+      return {
+        ...before,
+        own: before.own + 1,
+        ownReading: before.ownReading + event.reading,
+      };
+    case 'read':
+      return {
+        ...before,
+        ownReading: Math.max(before.ownReading - event.reading, 0),
+      };
+    case 'ended':
+      return {...before, own: Math.max(before.own - 1, 0)};
+    case 'answered':
+      return afterAnswer(before, event);
+    case 'failed':
+      return afterFailure(before, event.now);
+  }
+}
+
+/** Requests that an endpoint is believed to have, of all hosts. */
+export function expectedRequests(
+  {own, others, toldAt}: EndpointLoad,
+  now: number,
+): number {
+  if (others === 0) return own;
+  return own + others * 0.5 ** ((now - toldAt) / TOLD_HALF_LIFE_MILLISECONDS);
+}
+
+/** Whether an endpoint is given a rest after failures. */
+export function isAvoided({avoidedUntil}: EndpointLoad, now: number): boolean {
+  return now < avoidedUntil;
+}
+
+function afterAnswer(
+  before: EndpointLoad,
+  {latency, now, named}: Extract<LoadEvent, {kind: 'answered'}>,
+): EndpointLoad {
+  const weight = before.latency === 0 ? 1 : LATENCY_WEIGHT;
+  const answered = {
+    ...before,
+    latency: before.latency + weight * (latency - before.latency),
+    failures: 0,
+    avoidedUntil: -Infinity,
+  };
+  if (!named) return answered;
+  const others = Math.max(named.running + named.waiting - before.own, 0);
+  return {...answered, others, toldAt: now};
+}
+
+function afterFailure(before: EndpointLoad, now: number): EndpointLoad {
+  const failures = before.failures + 1;
+  const beyond = failures - FAILURES_BEFORE_AVOIDED;
+  if (beyond < 0) return {...before, failures};
+  const rest = Math.min(
+    AVOIDED_MILLISECONDS * 2 ** beyond,
+    AVOIDED_MILLISECONDS_MOST,
+  );
+  return {...before, failures, avoidedUntil: now + rest};
+}
--- /dev/null
+++ b/source/balance/work.ts
@@ -0,0 +1,62 @@
+/**
+ * How much work a request brings to an endpoint. Reading a prompt is what
+ * delays others at a model engine, so it is counted in milliseconds of reading;
+ * parts that an engine keeps in its memory need not be read again.
+ */
+
+/** A part of a prompt; requests that share it name it alike. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** What a request asks of a model engine. */
+export interface Prompt {
+  readonly model: string;
+  /** In order; the last one is the request's own. */
+  readonly parts: readonly PromptPart[];
+  /** Tokens of the whole prompt. */
+  readonly tokens: number;
+  /** Tokens that the answer is expected to have. */
+  readonly output: number;
+}
+
+/** Prompt tokens that an engine reads in a millisecond. */
+const READ_TOKENS_PER_MILLISECOND = 50;
+/** Milliseconds of an engine that one token of an answer takes up. */
+const OUTPUT_MILLISECONDS_PER_TOKEN = 0.25;
+/** Prompts above this many tokens hold up the answers that run beside them. */
+const LARGE_PROMPT_TOKENS = 2_500;
+
+/** Milliseconds that an engine takes to read so many tokens. */
+export function readingTime(tokens: number): number {
+  return tokens / READ_TOKENS_PER_MILLISECOND;
+}
+
+/** Whether reading the prompt holds up the answers that run beside it. */
+export function isLarge({tokens}: Prompt): boolean {
+  return tokens > LARGE_PROMPT_TOKENS;
+}
+
+/** The part by which a prompt finds its way back to an engine that keeps it. */
+export function sharedPart({parts}: Prompt): PromptPart | undefined {
+  return parts.length > 1 ? parts[parts.length - 2] : undefined;
+}
+
+/** Tokens of the parts that other requests share. */
+export function sharedTokens({parts}: Prompt): number {
+  return parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
+}
+
+/**
+ * Milliseconds that a request takes up of an engine that keeps its shared
+ * parts.
+ *
+ * ```ts
+ * const work = engineTime(prompt);
+ * ```
+ */
+export function engineTime(prompt: Prompt): number {
+  const own = prompt.tokens - sharedTokens(prompt);
+  return readingTime(own) + prompt.output * OUTPUT_MILLISECONDS_PER_TOKEN;
+}
--- /dev/null
+++ b/source/directory/index.ts
@@ -0,0 +1,10 @@
+/** The door of the directory folder. */
+export {endpointEntrySchema, type EndpointEntry} from './entry.js';
+export {
+  afterEntries,
+  afterLapses,
+  type Directory,
+  type EntryChange,
+  type KnownEndpoint,
+  type StoreHealth,
+} from './directory.js';
--- /dev/null
+++ b/source/edge/host.ts
@@ -0,0 +1,149 @@
+/** One host on a platform: its parts, and its life from start to drain. */
+import {createServer, type Server} from 'node:http';
+
+import {Admission} from '../admission/index.js';
+import {EndpointBook} from '../balance/index.js';
+import {hostChart} from '../charts/index.js';
+import type {Clock} from '../clock/index.js';
+import {Connections, Forwarder} from '../forward/index.js';
+import type {Logger} from '../logging/index.js';
+import type {Metrics} from '../metrics/index.js';
+import type {Random} from '../random/index.js';
+import {listen} from '../wire/index.js';
+import {Knowledge} from './knowledge.js';
+import type {PlatformParts} from './platform.js';
+import {createReadinessPort} from './readiness.js';
+import type {EdgeSettings} from './settings.js';
+
+/** Requests that may wait in the host. */
+const WAITING_MOST = 2_000;
+/** Milliseconds for which the balancer may still send new connections. */
+const ROTATION_MILLISECONDS = 2_600;
+const IDLE_CLOSE_MILLISECONDS = 50;
+/** Milliseconds before the process is killed at which it ends by itself. */
+const END_MARGIN_MILLISECONDS = 700;
+/** Milliseconds between two looks at a line that waits for others' answers. */
+const POKE_MILLISECONDS = 25;
+const HEADER_CHECK_MILLISECONDS = 500;
+
+/** What a host is made from. */
+export interface EdgeHostParts {
+  readonly settings: EdgeSettings;
+  readonly platform: PlatformParts;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly random: Random;
+}
+
+/** One host of the system. */
+export class EdgeHost {
+  private readonly knowledge: Knowledge;
+  private readonly book: EndpointBook;
+  private readonly admission: Admission;
+  private readonly forwarder: Forwarder;
+  private readonly callers: Server;
+  private readonly readiness: Server;
+  private state = hostChart.initial;
+
+  constructor(private readonly parts: EdgeHostParts) {
+    const {settings, platform, clock, logger, metrics, random} = parts;
+    const {name: host, zone} = settings;
+    this.book = new EndpointBook({host, zone, clock});
+    this.admission = new Admission({
+      clock,
+      room: this.book,
+      places: WAITING_MOST,
+    });
+    this.forwarder = new Forwarder({
+      protocol: platform.protocol,
+      connections: new Connections(clock),
+      admission: this.admission,
+      book: this.book,
+      clock,
+      logger,
+      metrics,
+      random,
+      repeatBound: settings.repeats,
+      began: () => {},
+    });
+    this.knowledge = new Knowledge({
+      ...platform,
+      clock,
+      logger,
+      metrics,
+      random,
+      changed: () => this.adopt(),
+    });
+    this.callers = this.createCallerPort();
+    this.readiness = createReadinessPort({
+      isReady: () => this.state === 'serving',
+    });
+  }
+
+  /** Opens the ports and follows the store. Throws a SettingsError. */
+  async start(): Promise<void> {
+    const {settings, clock} = this.parts;
+    await listen(this.readiness, settings.readiness);
+    await listen(this.callers, settings.callers);
+    this.move('listen');
+    this.knowledge.start();
+    clock.every(POKE_MILLISECONDS, () => {
+      if (this.admission.waiting > 0) this.admission.poke();
+    });
+  }
+
+  /** Leaves without cutting a request; resolves when all have ended. */
+  async drain(): Promise<void> {
+    if (!hostChart.allows(this.state, 'drain')) return;
+    this.move('drain');
+    const {settings, clock} = this.parts;
+    const killed = settings.graceMilliseconds - END_MARGIN_MILLISECONDS;
+    const tooLate = this.wait(killed);
+    await this.wait(ROTATION_MILLISECONDS);
+    this.callers.close();
+    const stopClosing = clock.every(IDLE_CLOSE_MILLISECONDS, () =>
+      this.callers.closeIdleConnections(),
+    );
+    await Promise.race([this.forwarder.whenEmpty(), tooLate]);
+    stopClosing();
+    this.knowledge.stop();
+    this.move('stop');
+  }
+
+  private createCallerPort(): Server {
+    const server = createServer(
+      {connectionsCheckingInterval: HEADER_CHECK_MILLISECONDS},
+      (message, response) => {
+        if (this.state === 'draining') response.shouldKeepAlive = false;
+        void this.forwarder.serve(message, response);
+      },
+    );
+    server.requestTimeout = 0;
+    return server;
+  }
+
+  private adopt(): void {
+    const {table, directory, zonesOut} = this.knowledge;
+    this.book.setDirectory(directory);
+    this.book.setZonesOut(zonesOut);
+    if (table) {
+      this.book.setServices(table.services);
+      this.callers.keepAliveTimeout = table.limits.idleMilliseconds;
+      this.callers.headersTimeout = table.limits.headerMilliseconds;
+      this.forwarder.table = table;
+    }
+    const ready = this.knowledge.complete;
+    if (ready && this.state === 'catching-up') this.move('ready');
+    this.admission.poke();
+  }
+
+  private wait(duration: number): Promise<void> {
+    return new Promise(resolve => this.parts.clock.after(duration, resolve));
+  }
+
+  private move(event: string): void {
+    this.state = hostChart.next(this.state, event);
+    this.parts.logger.info('host-state', {state: this.state});
+  }
+}
--- /dev/null
+++ b/source/edge/index.ts
@@ -0,0 +1,10 @@
+/** The door of the edge folder. */
+export {
+  RecordReader,
+  type EndpointChange,
+  type OperatorChange,
+  type PlatformParts,
+} from './platform.js';
+export {runEdge, type EdgeOptions} from './run.js';
+export {EdgeHost, type EdgeHostParts} from './host.js';
+export {edgeSettingsSchema, type EdgeSettings} from './settings.js';
--- a/source/exchange/run.ts
+++ b/source/exchange/run.ts
@@ -3,7 +3,7 @@
  * attempt in it, and after a failure wait again or give up.
  */
 import {Cancellation, type Signal} from '../cancellation/index.js';
-import {afterFailure} from '../attempt/index.js';
+import {afterFailure, ATTEMPTS_MOST} from '../attempt/index.js';
 import {Refusal, WireError} from '../errors/index.js';
 import type {Slot} from '../placement/index.js';
 import type {Exchange} from './exchange.js';
@@ -150,7 +150,9 @@
     notRun,
     delivered,
     repeatable,
+    resumable: false,
     attempts,
+    attemptsMost: ATTEMPTS_MOST,
     budget,
   });
   if (decision.kind === 'refuse') {
--- /dev/null
+++ b/source/forward/connections.ts
@@ -0,0 +1,136 @@
+/**
+ * Connections to endpoints. A kept connection that an endpoint writes to
+ * between requests has lost its place, so it is closed; and a request that may
+ * run only once gets a connection of its own, since a kept one that is reset
+ * proves nothing about the request.
+ */
+import {Agent, request, type IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
+
+import type {Signal} from '../cancellation/index.js';
+import type {Cancel, Clock} from '../clock/index.js';
+import {WireError} from '../errors/index.js';
+import {partsOf} from '../wire/index.js';
+
+/** Milliseconds within which an endpoint must accept a connection. */
+const CONNECT_MILLISECONDS = 700;
+/** Milliseconds for which an idle connection is kept. */
+const IDLE_MILLISECONDS = 4_000;
+
+/** A request as it goes to an endpoint. */
+export interface Outgoing {
+  readonly address: string;
+  readonly method: string;
+  readonly url: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  /** Whether it gets a connection of its own. */
+  readonly fresh: boolean;
+}
+
+/** Keeps idle connections and closes those that receive something unasked. */
+class KeepingAgent extends Agent {
+  private readonly watches = new WeakMap<Duplex, () => void>();
+
+  constructor() {
+    super({
+      keepAlive: true,
+      scheduling: 'lifo',
+      timeout: IDLE_MILLISECONDS,
+      noDelay: true,
+    });
+  }
+
+  override keepSocketAlive(socket: Duplex): boolean {
+    // The return value of the base class is missing from its declared type.
+    const kept = super.keepSocketAlive(socket) as unknown as boolean;
+    if (!kept) return kept;
+    const watch = () => socket.destroy();
+    this.watches.set(socket, watch);
+    socket.on('data', watch);
+    return kept;
+  }
+
+  override reuseSocket(socket: Duplex, message: never): void {
+    const watch = this.watches.get(socket);
+    if (watch) socket.removeListener('data', watch);
+    super.reuseSocket(socket, message);
+  }
+}
+
+/** The connections of a host to endpoints. */
+export class Connections {
+  private readonly agents = new Map<string, KeepingAgent>();
+  private readonly single = new Agent({keepAlive: false, noDelay: true});
+
+  constructor(private readonly clock: Clock) {}
+
+  /**
+   * Sends a request; resolves with the head of its answer. Throws a WireError
+   * whose stage is `connect` only where nothing of the request was sent.
+   *
+   * ```ts
+   * const message = await connections.send(outgoing, signal);
+   * ```
+   */
+  send(outgoing: Outgoing, signal: Signal): Promise<IncomingMessage> {
+    const {address, method, url, headers, body, fresh} = outgoing;
+    return new Promise((resolve, reject) => {
+      let connected = false;
+      let stopTimer: Cancel = () => {};
+      const sent = request({
+        ...partsOf(address),
+        method,
+        path: url,
+        headers: headers as never,
+        agent: fresh ? this.single : this.agent(address),
+        setHost: false,
+      });
+      const fail = (error: Error) => {
+        stopTimer();
+        stopWatching();
+        const stage = connected ? 'write' : 'connect';
+        reject(new WireError(stage, `${address} ${error.message}`));
+      };
+      const stopWatching = signal.onAbort(() => sent.destroy());
+      sent.once('socket', (socket: Socket) => {
+        if (!socket.connecting) {
+          connected = true;
+          return;
+        }
+        stopTimer = this.clock.after(CONNECT_MILLISECONDS, () =>
+          sent.destroy(new Error('does not accept connections')),
+        );
+        socket.once('connect', () => {
+          connected = true;
+          stopTimer();
+        });
+      });
+      sent.once('response', message => {
+        stopWatching();
+        resolve(message);
+      });
+      sent.on('error', fail);
+      sent.end(body);
+    });
+  }
+
+  /** Closes the idle connections to an address. */
+  forget(address: string): void {
+    const free = this.agents.get(address)?.freeSockets ?? {};
+    this.agents.delete(address);
+    for (const sockets of Object.values(free)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
+  private agent(address: string): KeepingAgent {
+    const present = this.agents.get(address);
+    if (present) return present;
+    const agent = new KeepingAgent();
+    this.agents.set(address, agent);
+    return agent;
+  }
+}
--- a/source/logging/index.ts
+++ b/source/logging/index.ts
@@ -1,2 +1,8 @@
 /** The door of the logging folder. */
-export {createLogger, type Logger, type Fields} from './logger.js';
+export {
+  createLogger,
+  type Fields,
+  type LineSink,
+  type Logger,
+} from './logger.js';
+export {BoundedSink} from './bounded.js';
--- a/source/logging/logger.ts
+++ b/source/logging/logger.ts
@@ -21,8 +21,15 @@
 
 type Level = keyof Logger;
 
+/** Takes finished lines; the level says what to keep where not all fit. */
+export type LineSink = (level: string, line: string) => void;
+
+function toStandardError(_level: string, line: string): void {
+  process.stderr.write(line);
+}
+
 /**
- * A logger that writes to standard error.
+ * A logger that writes to standard error, or to a sink.
  *
  * ```ts
  * const logger = createLogger('warn', 'json', clock);
@@ -33,11 +40,12 @@
   level: Settings['logLevel'],
   form: Settings['logForm'],
   clock: Clock,
+  sink: LineSink = toStandardError,
 ): Logger {
   const target = loglevel.getLogger('arbutusslip');
   target.methodFactory = method => (event: string, fields: Fields) => {
     const line = form === 'json' ? jsonLine : humanLine;
-    process.stderr.write(line(clock.now(), method, event, fields));
+    sink(method, line(clock.now(), method, event, fields));
   };
   target.setLevel(level, false);
   const at =
--- /dev/null
+++ b/source/random/index.ts
@@ -0,0 +1,2 @@
+/** The door of the random folder. */
+export {seededRandom, type Random} from './random.js';
--- /dev/null
+++ b/source/routing/index.ts
@@ -0,0 +1,12 @@
+/** The door of the routing folder. */
+export {
+  RoutingTable,
+  routingSchema,
+  serviceFor,
+  type Limits,
+  type Range,
+  type Route,
+  type Routing,
+  type Service,
+  type Team,
+} from './table.js';
--- /dev/null
+++ b/source/store/keyed.ts
@@ -0,0 +1,68 @@
+/**
+ * What a host knows of a keyed topic, as an immutable value. Offsets decide:
+ * a record counts only if it is newer than what is known of its key, so pages
+ * that overlap, come late or are no snapshot can never take a key back.
+ */
+import type {KeyedPage, KeyedRecord} from './store.js';
+
+/** The newest record known of each key, removals among them. */
+export interface KeyedState {
+  readonly records: ReadonlyMap<string, KeyedRecord>;
+  /** The offset to follow from; undefined before the first reading. */
+  readonly next: number | undefined;
+}
+
+/** A state after a page, with the records that changed it. */
+export interface KeyedUpdate {
+  readonly state: KeyedState;
+  readonly changes: readonly KeyedRecord[];
+}
+
+/** The state of a host that has read nothing. */
+export const UNREAD: KeyedState = {records: new Map(), next: undefined};
+
+/**
+ * The state after a run of records.
+ *
+ * ```ts
+ * const {state, changes} = afterFollow(before, page);
+ * ```
+ */
+export function afterFollow(before: KeyedState, page: KeyedPage): KeyedUpdate {
+  const records = new Map(before.records);
+  const changes = page.records.filter(record => adopt(records, record));
+  const next = Math.max(before.next ?? 0, page.end);
+  return {state: {records, next}, changes};
+}
+
+/**
+ * The state after the newest records of all keys. A key that is missing has
+ * been removed, unless what is known of it is newer than the page.
+ *
+ * ```ts
+ * const {state, changes} = afterReload(UNREAD, await store.newest(topic, 1000));
+ * ```
+ */
+export function afterReload(before: KeyedState, page: KeyedPage): KeyedUpdate {
+  const listed = new Set(page.records.map(({key}) => key));
+  const removed: KeyedRecord[] = [];
+  for (const {key, value, offset} of before.records.values()) {
+    const missing = value !== undefined && !listed.has(key);
+    if (!missing || offset >= page.end) continue;
+    removed.push({key, value: undefined, offset: page.end - 1});
+  }
+  return afterFollow(before, {
+    records: [...page.records, ...removed],
+    end: page.end,
+  });
+}
+
+function adopt(
+  records: Map<string, KeyedRecord>,
+  record: KeyedRecord,
+): boolean {
+  const known = records.get(record.key);
+  if (known && known.offset >= record.offset) return false;
+  records.set(record.key, record);
+  return true;
+}
--- a/source/wire/index.ts
+++ b/source/wire/index.ts
@@ -1,4 +1,5 @@
 /** The door of the wire folder. */
 export {callJson, type Call} from './call.js';
+export {readBytes} from './body.js';
 export {callGuarded} from './guarded.js';
 export {listen, partsOf, type AddressParts} from './listen.js';
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -1,5 +1,5 @@
 /** Bundles the programs into dist/, so that they load little and start fast. */
-import {build} from 'esbuild';
+import {bundle} from './bundle.mjs';
 
 const programs = {
   arbutusslipd: 'source/daemon/main.ts',
@@ -15,19 +15,4 @@
   'standin-service': 'standins/service.ts',
 };
 
-await build({
-  entryPoints: programs,
-  outdir: 'dist',
-  bundle: true,
-  minifySyntax: true,
-  minifyWhitespace: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'esm',
-  sourcemap: false,
-  external: ['unix-dgram', 'cbor-extract'],
-  banner: {
-    js: "import {createRequire as createRequireHere} from 'node:module';const require=createRequireHere(import.meta.url);",
-  },
-  logLevel: 'warning',
-});
+await bundle(programs, 'dist');
