Hold duties through the store's groups, report usage, order endpoints (trial)

Change: a group's first partition is the lease; its generation is the fence; a new holder waits out the lease. Sheets and freezes stand in one topic, a freeze by conditional append. Orders follow a plan of the work.

--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -22,7 +22,13 @@
   type LoadEvent,
   type NamedLoad,
 } from './load.js';
-import {afterPrompt, largeEngines, NO_WORK, type PromptWork} from './split.js';
+import {
+  afterPrompt,
+  busyEngines,
+  largeEngines,
+  NO_WORK,
+  type PromptWork,
+} from './split.js';
 import {engineTime, isLarge, type Prompt} from './work.js';
 
 /** Requests that a plain service’s endpoint is given for each of its places. */
@@ -130,6 +136,12 @@
     this.work.set(service, work);
   }
 
+  /** Engines of the service that requests of all hosts keep busy. */
+  busy(service: string): number {
+    const work = this.work.get(service) ?? NO_WORK;
+    return busyEngines(work, this.now()) * this.hosts.length;
+  }
+
   /**
    * Takes a place for a request, or nothing where there is none.
    *
--- a/source/balance/split.ts
+++ b/source/balance/split.ts
@@ -56,3 +56,9 @@
   const ranked = [...ids].sort((a, b) => pull(KEY, b) - pull(KEY, a));
   return new Set(ranked.slice(0, count));
 }
+
+/** Engines that the work keeps busy, on the mean. */
+export function busyEngines({large, small, at}: PromptWork, now: number): number {
+  const kept = 0.5 ** ((now - at) / WORK_HALF_LIFE_MILLISECONDS);
+  return ((large + small) * kept * Math.LN2) / WORK_HALF_LIFE_MILLISECONDS;
+}
--- /dev/null
+++ b/source/duty/usage.ts
@@ -0,0 +1,258 @@
+/**
+ * Usage windows, through the store. Every host appends what it has counted; the
+ * holder of the duties adds up a window that has been over for a while and
+ * freezes it by an append that holds only if nothing came in between. The first
+ * freeze of a window counts for every reader, and only frozen figures are ever
+ * reported, so a report that is sent again says the same.
+ */
+import {decode, encode} from 'cbor-x';
+import {z} from 'zod';
+
+import type {Cancel, Clock} from '../clock/index.js';
+import type {Logger} from '../logging/index.js';
+import type {Metrics} from '../metrics/index.js';
+import {
+  logRecordSchema,
+  type LogRecord,
+  type Sheet,
+} from '../platform/index.js';
+import type {Random} from '../random/index.js';
+import {StoreError, type RecordStore} from '../store/index.js';
+import {
+  adoptFreeze,
+  dueFreeze,
+  dueReport,
+  emptyLedger,
+  foldReported,
+  UsageSheets,
+  type UsageLedger,
+} from '../usage/index.js';
+import type {DutyCalls, Holder} from './calls.js';
+
+const TOPIC = 'usage';
+/** All windows of the platform are one subject. */
+const REGION = 'all';
+const CALL_MILLISECONDS = 1_200;
+/** Milliseconds after its end at which a window's sheets are appended. */
+const APPEND_MILLISECONDS = 200;
+/** Longest further wait, which spreads the hosts' appends. */
+const APPEND_SPREAD_MILLISECONDS = 600;
+/** Milliseconds after its end at which a window is frozen. */
+const FREEZE_MILLISECONDS = 2_500;
+const RETRY_MILLISECONDS = 500;
+/** Windows that are still reported by a new holder. */
+const WINDOWS_REPORTED = 4;
+/** Windows whose figures a host keeps. */
+const WINDOWS_KEPT = 20;
+
+type UsageRecord = Extract<LogRecord, {kind: 'usage-sheets' | 'usage-freeze'}>;
+
+/** What usage is made from. */
+export interface UsageOptions {
+  readonly incarnation: string;
+  /** Length of a window in milliseconds. */
+  readonly window: number;
+  readonly store: RecordStore;
+  readonly calls: DutyCalls;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** This host's counts, and the windows as the store has them. */
+export class Usage {
+  private readonly sheets: UsageSheets;
+  private ledger: UsageLedger = emptyLedger();
+  private next: number | undefined;
+  private stopTimer: Cancel = () => {};
+
+  constructor(private readonly options: UsageOptions) {
+    this.sheets = new UsageSheets(REGION, options.incarnation);
+  }
+
+  /** Notes that an endpoint began to run a request of a team. */
+  add(team: string): void {
+    this.sheets.add(this.windowAt(0), {team, requests: 1, tokens: 0});
+  }
+
+  /** Begins to append this host's counts after each window. */
+  start(): void {
+    const {window, clock, random} = this.options;
+    const left = window - (clock.now().getTime() % window);
+    const spread = random.next() * APPEND_SPREAD_MILLISECONDS;
+    const wait = left + APPEND_MILLISECONDS + spread;
+    this.stopTimer = clock.after(wait, () => {
+      void this.append();
+      this.start();
+    });
+  }
+
+  /** Appends all that this host has counted, for good. */
+  async seal(): Promise<void> {
+    this.stopTimer();
+    this.sheets.sealBefore(Infinity);
+    await this.append();
+  }
+
+  /** The holder's part: freezes what is complete and reports what is frozen. */
+  async carryOut(holder: Holder): Promise<void> {
+    try {
+      await this.read();
+      await this.freeze(holder);
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      const {logger} = this.options;
+      logger.warn('usage-not-frozen', {detail: error.message});
+    }
+    await this.reportAll(holder);
+  }
+
+  private windowAt(ago: number): number {
+    const {clock, window} = this.options;
+    return Math.floor((clock.now().getTime() - ago) / window);
+  }
+
+  private async append(): Promise<void> {
+    this.sheets.sealBefore(this.windowAt(0));
+    this.sheets.forgetBefore(this.windowAt(0) - WINDOWS_KEPT);
+    const sheets = this.sheets.copies(false);
+    if (sheets.length === 0) return;
+    const {store, logger, clock} = this.options;
+    try {
+      const record = recordOf({kind: 'usage-sheets', sheets});
+      await store.append(TOPIC, [record], CALL_MILLISECONDS);
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      const windows = sheets.map(({window}) => window).join();
+      logger.warn('usage-not-appended', {windows, detail: error.message});
+      clock.after(RETRY_MILLISECONDS, () => void this.appendAgain(sheets));
+    }
+  }
+
+  /** Appends sheets whose first append may have been lost, as whole ones. */
+  private async appendAgain(lost: readonly Sheet[]): Promise<void> {
+    const windows = new Set(lost.map(({window}) => window));
+    const whole = this.sheets.copies(true);
+    const sheets = whole.filter(({window}) => windows.has(window));
+    if (sheets.length === 0) return;
+    const {store, logger, clock} = this.options;
+    try {
+      const record = recordOf({kind: 'usage-sheets', sheets});
+      await store.append(TOPIC, [record], CALL_MILLISECONDS);
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      logger.warn('usage-not-appended', {detail: error.message});
+      clock.after(RETRY_MILLISECONDS, () => void this.appendAgain(lost));
+    }
+  }
+
+  /** Reads the topic to its end. */
+  private async read(): Promise<void> {
+    const {store} = this.options;
+    this.next ??= await store.oldest(TOPIC, CALL_MILLISECONDS);
+    for (;;) {
+      const waiting = {from: this.next, wait: 0};
+      try {
+        const page = await store.follow(TOPIC, waiting, CALL_MILLISECONDS);
+        for (const bytes of page.records) this.fold(bytes);
+        this.next = page.end;
+        if (page.records.length === 0) return;
+      } catch (error) {
+        const expired =
+          error instanceof StoreError && error.failure === 'expired';
+        if (!expired) throw error;
+        this.next = await store.oldest(TOPIC, CALL_MILLISECONDS);
+      }
+    }
+  }
+
+  private fold(bytes: Buffer): void {
+    const record = parsedRecord(bytes);
+    if (record?.kind === 'usage-freeze') {
+      this.ledger = adoptFreeze(this.ledger, record);
+    } else if (record?.kind === 'usage-sheets') {
+      for (const sheet of record.sheets) this.sheets.receive(sheet);
+    } else {
+      this.options.metrics.count('record-malformed', {topic: TOPIC});
+    }
+  }
+
+  private async freeze({name, fence, mayAct}: Holder): Promise<void> {
+    const {store, logger} = this.options;
+    for (;;) {
+      const record = dueFreeze(this.sheets, this.ledger, {
+        region: REGION,
+        holder: name,
+        fence,
+        present: this.windowAt(FREEZE_MILLISECONDS),
+        patience: 0,
+        alive: new Set(),
+      });
+      if (!record || !mayAct()) return;
+      const at = this.next ?? 0;
+      try {
+        const bytes = [recordOf(record)];
+        await store.append(TOPIC, bytes, CALL_MILLISECONDS, at);
+        const {window, figures, includes} = record;
+        const teams = figures.length;
+        const hosts = includes.length;
+        logger.info('usage-frozen', {window, teams, hosts, offset: at});
+      } catch (error) {
+        // What came in between, or an append whose answer was lost, is read
+        // before the window is looked at again.
+        const settled =
+          error instanceof StoreError && error.failure === 'conflict';
+        if (!settled) throw error;
+      }
+      await this.read();
+    }
+  }
+
+  private async reportAll(holder: Holder): Promise<void> {
+    const oldest = this.windowAt(0) - WINDOWS_REPORTED;
+    for (;;) {
+      const frozen = dueReport(this.ledger, REGION);
+      if (!frozen || !holder.mayAct()) return;
+      const {window, figures} = frozen;
+      if (window >= oldest && !(await this.report(window, figures, holder))) {
+        return;
+      }
+      const reported = {kind: 'usage-reported', region: REGION, window} as const;
+      this.ledger = foldReported(this.ledger, reported);
+      this.sheets.settle(this.ledger, this.windowAt(0));
+    }
+  }
+
+  private async report(
+    window: number,
+    figures: ReadonlyArray<{team: string; requests: number}>,
+    holder: Holder,
+  ): Promise<boolean> {
+    const counts = Object.fromEntries(
+      figures.map(({team, requests}) => [team, requests]),
+    );
+    const outcome = await this.options.calls.report({window, counts}, holder);
+    const {fence} = holder;
+    this.options.logger.info('usage-reported', {window, fence, outcome});
+    return outcome === 'done';
+  }
+}
+
+function recordOf(record: UsageRecord): Buffer {
+  return encode(record);
+}
+
+const usageRecordSchema = z.custom<UsageRecord>(value => {
+  const parsed = logRecordSchema.safeParse(value);
+  if (!parsed.success) return false;
+  return parsed.data.kind.startsWith('usage-');
+});
+
+function parsedRecord(bytes: Buffer): UsageRecord | undefined {
+  try {
+    return usageRecordSchema.parse(decode(bytes));
+  } catch {
+    return undefined;
+  }
+}
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -1,10 +1,12 @@
 /** One host on a platform: its parts, and its life from start to drain. */
+import {randomUUID} from 'node:crypto';
 import {createServer, type Server} from 'node:http';
 
 import {Admission} from '../admission/index.js';
 import {EndpointBook} from '../balance/index.js';
 import {hostChart} from '../charts/index.js';
 import type {Clock} from '../clock/index.js';
+import {DutyDesk, Orders, Usage} from '../duty/index.js';
 import {Connections, Forwarder} from '../forward/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
@@ -38,10 +40,13 @@
 
 /** One host of the system. */
 export class EdgeHost {
+  private readonly incarnation = randomUUID();
   private readonly knowledge: Knowledge;
   private readonly book: EndpointBook;
   private readonly admission: Admission;
   private readonly forwarder: Forwarder;
+  private readonly usage: Usage | undefined;
+  private readonly duties: DutyDesk | undefined;
   private readonly callers: Server;
   private readonly readiness: Server;
   private state = hostChart.initial;
@@ -65,7 +70,7 @@
       metrics,
       random,
       repeatBound: settings.repeats,
-      began: () => {},
+      began: team => this.usage?.add(team),
     });
     this.knowledge = new Knowledge({
       ...platform,
@@ -75,6 +80,8 @@
       random,
       changed: () => this.adopt(),
     });
+    this.usage = this.createUsage();
+    this.duties = this.createDuties();
     this.callers = this.createCallerPort();
     this.readiness = createReadinessPort({
       isReady: () => this.state === 'serving',
@@ -88,6 +95,8 @@
     await listen(this.callers, settings.callers);
     this.move('listen');
     this.knowledge.start();
+    this.usage?.start();
+    this.duties?.start();
     clock.every(POKE_MILLISECONDS, () => {
       if (this.admission.waiting > 0) this.admission.poke();
     });
@@ -107,10 +116,61 @@
     );
     await Promise.race([this.forwarder.whenEmpty(), tooLate]);
     stopClosing();
+    await Promise.race([this.handOver(), tooLate]);
     this.knowledge.stop();
     this.move('stop');
   }
 
+  private async handOver(): Promise<void> {
+    await Promise.all([this.usage?.seal(), this.duties?.leave()]);
+  }
+
+  private createUsage(): Usage | undefined {
+    const {settings, platform, clock, logger, metrics, random} = this.parts;
+    if (!platform.duties) return undefined;
+    return new Usage({
+      incarnation: this.incarnation,
+      window: settings.usage.windowMilliseconds,
+      store: platform.store,
+      calls: platform.duties,
+      clock,
+      random,
+      logger,
+      metrics,
+    });
+  }
+
+  private createDuties(): DutyDesk | undefined {
+    const {settings, platform, clock, logger, metrics} = this.parts;
+    const {usage} = this;
+    if (!platform.duties || !usage) return undefined;
+    const orders = new Orders({
+      calls: platform.duties,
+      clock,
+      logger,
+      view: () => ({
+        services: this.knowledge.table?.services ?? new Map(),
+        directory: this.knowledge.directory,
+        zonesOut: this.knowledge.zonesOut,
+        busy: service => this.book.busy(service),
+      }),
+    });
+    return new DutyDesk({
+      name: settings.name,
+      member: `${settings.name} ${this.incarnation}`,
+      lease: settings.leaseMilliseconds,
+      store: platform.store,
+      clock,
+      logger,
+      metrics,
+      duties: [
+        holder => usage.carryOut(holder),
+        holder => orders.carryOut(holder),
+      ],
+      heard: answered => this.knowledge.heard(answered),
+    });
+  }
+
   private createCallerPort(): Server {
     const server = createServer(
       {connectionsCheckingInterval: HEADER_CHECK_MILLISECONDS},
--- a/source/edge/knowledge.ts
+++ b/source/edge/knowledge.ts
@@ -80,9 +80,10 @@
     return this.table !== undefined && this.endpoints.complete;
   }
 
-  private heard(answered: boolean): void {
+  /** Notes that the store has answered this host, or has failed to. */
+  heard(answered: boolean): void {
     const {clock, metrics} = this.options;
-    metrics.count('store-read', {answered: String(answered)});
+    metrics.count('store-call', {answered: String(answered)});
     if (!answered) this.lostAt = clock.monotonic();
   }
 
--- a/source/edge/platform.ts
+++ b/source/edge/platform.ts
@@ -1,5 +1,6 @@
 /** What a host needs from the platform that it stands on. */
 import type {EntryChange} from '../directory/index.js';
+import type {DutyCalls} from '../duty/index.js';
 import type {Protocol} from '../forward/index.js';
 import type {Routing} from '../routing/index.js';
 import type {KeyedRecord, RecordStore} from '../store/index.js';
@@ -29,4 +30,6 @@
   readonly store: RecordStore;
   readonly protocol: Protocol;
   readonly reader: RecordReader;
+  /** Absent where the platform has no duties. */
+  readonly duties: DutyCalls | undefined;
 }
--- a/source/usage/index.ts
+++ b/source/usage/index.ts
@@ -1,5 +1,6 @@
 /** The door of the usage folder. */
 export {
+  adoptFreeze,
   emptyLedger,
   foldFreeze,
   foldReported,
--- a/source/usage/ledger.ts
+++ b/source/usage/ledger.ts
@@ -67,9 +67,25 @@
   record: FreezeRecord,
   leases: Leases,
 ): UsageLedger {
-  const {region, window, holder, fence, figures, includes} = record;
+  const {region, holder, fence} = record;
   const standing = leases.get(usageLeaseOf(region));
   if (standing?.holder !== holder || standing.fence !== fence) return before;
+  return adoptFreeze(before, record);
+}
+
+/**
+ * The ledger after a freeze by whoever was entitled to it. One that is not the
+ * first of its window changes nothing.
+ *
+ * ```ts
+ * ledger = adoptFreeze(ledger, record);
+ * ```
+ */
+export function adoptFreeze(
+  before: UsageLedger,
+  record: FreezeRecord,
+): UsageLedger {
+  const {region, window, figures, includes} = record;
   const present = before.get(region) ?? {closedThrough: -1, windows: new Map()};
   if (window <= present.closedThrough) return before;
   if (present.windows.has(window)) return before;
--- a/source/usage/sheets.ts
+++ b/source/usage/sheets.ts
@@ -185,6 +185,16 @@
     return carried;
   }
 
+  /** Forgets all windows before `window`, frozen or not. */
+  forgetBefore(window: number): void {
+    for (const past of [...this.own.keys()]) {
+      if (past < window) this.own.delete(past);
+    }
+    for (const [key, other] of [...this.others]) {
+      if (other.window < window) this.others.delete(key);
+    }
+  }
+
   private ownSheet(window: number): Own {
     let own = this.own.get(window);
     if (!own) {
--- a/source/wire/call.ts
+++ b/source/wire/call.ts
@@ -17,6 +17,8 @@
   /** Milliseconds for the whole call. */
   readonly bound: number;
   readonly agent?: Agent;
+  /** Further headers. */
+  readonly headers?: Readonly<Record<string, string>>;
 }
 
 /**
@@ -55,7 +57,7 @@
       {
         method: call.method,
         agent: call.agent,
-        headers: {'content-type': 'application/json'},
+        headers: {'content-type': 'application/json', ...call.headers},
       },
       answer => {
         const parts: Buffer[] = [];
--- a/source/wire/guarded.ts
+++ b/source/wire/guarded.ts
@@ -37,7 +37,12 @@
       const outgoing = request({
         method: call.method,
         path: call.path,
-        headers: {'content-type': 'application/json', connection: 'close'},
+        headers: {
+          host: call.address,
+          'content-type': 'application/json',
+          connection: 'close',
+          ...call.headers,
+        },
         createConnection: () => socket,
       });
       outgoing.once('error', fail);
