--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,7 +7,7 @@
 const gts = require('gts');
 
 export default [
-  {ignores: ['dist/', 'build/', 'node_modules/']},
+  {ignores: ['dist/', 'build/', 'target/', 'journal/', 'node_modules/']},
   ...gts,
   {
     files: ['**/*.ts'],
--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -221,7 +221,9 @@
     const open = [...this.directory.values()].filter(
       known => known.entry.service === service && this.isOpen(known, now),
     );
-    const sound = open.filter(({entry}) => !isAvoided(this.load(entry.id), now));
+    const sound = open.filter(
+      ({entry}) => !isAvoided(this.load(entry.id), now),
+    );
     return sound.length > 0 ? sound : open;
   }
 
--- a/source/balance/index.ts
+++ b/source/balance/index.ts
@@ -29,12 +29,7 @@
   type NamedLoad,
 } from './load.js';
 export {pull, rankOf} from './rank.js';
-export {
-  afterPrompt,
-  largeEngines,
-  NO_WORK,
-  type PromptWork,
-} from './split.js';
+export {afterPrompt, largeEngines, NO_WORK, type PromptWork} from './split.js';
 export {
   engineTime,
   isLarge,
--- a/source/balance/load.ts
+++ b/source/balance/load.ts
@@ -68,7 +68,10 @@
  * load = afterLoad(load, {kind: 'sent', reading: 58});
  * ```
  */
-export function afterLoad(before: EndpointLoad, event: LoadEvent): EndpointLoad {
+export function afterLoad(
+  before: EndpointLoad,
+  event: LoadEvent,
+): EndpointLoad {
   switch (event.kind) {
     case 'sent':
       return {
--- a/source/balance/split.ts
+++ b/source/balance/split.ts
@@ -58,7 +58,10 @@
 }
 
 /** Engines that the work keeps busy, on the mean. */
-export function busyEngines({large, small, at}: PromptWork, now: number): number {
+export function busyEngines(
+  {large, small, at}: PromptWork,
+  now: number,
+): number {
   const kept = 0.5 ** ((now - at) / WORK_HALF_LIFE_MILLISECONDS);
   return ((large + small) * kept * Math.LN2) / WORK_HALF_LIFE_MILLISECONDS;
 }
--- a/source/capacity/plan.ts
+++ b/source/capacity/plan.ts
@@ -25,6 +25,8 @@
   readonly supplies: readonly ZoneSupply[];
   /** Endpoints that the work of callers keeps busy, on the mean. */
   readonly busy: number;
+  /** Lasting endpoints that stood before the first order. */
+  readonly found: number;
 }
 
 /** How many of each kind a zone is to have. */
@@ -36,47 +38,94 @@
 
 /** Endpoints for each that is busy on the mean, since arrivals are uneven. */
 const HEADROOM = 2.5;
-/** Endpoints of a zone while nothing is known of the work. */
-const FIRST_COUNT = 3;
+/** Of these, lasting ones, which carry on when cheap ones are taken away. */
+const LASTING_HEADROOM = 1;
+/** Share of the lasting endpoints found that is kept beside cheap ones. */
+const FOUND_SHARE = 1 / 3;
+/** Cheap endpoints of a zone at the least. */
+const CHEAP_LEAST = 3;
+/** Busy endpoints under which nobody is served yet. */
+const IDLE_BUSY = 0.05;
 
 /**
  * The plan for each zone.
  *
  * ```ts
- * const plans = planZones({range, supplies, busy: 1.8});
+ * const plans = planZones({range, supplies, busy: 1.8, found: 6});
  * ```
  */
 export function planZones(situation: Situation): ZonePlan[] {
-  const {range, supplies, busy} = situation;
-  const wanted = wantedInZone(situation);
-  const cheap = range.reclaimablePrice !== undefined;
-  const short = Math.max(Math.ceil(busy * HEADROOM) - ready(supplies), 0);
+  const {range, busy, found} = situation;
+  const supplies = situation.supplies.filter(({out}) => !out);
+  if (supplies.length === 0) return [];
+  const needed = Math.ceil(busy * HEADROOM);
+  if (range.reclaimablePrice === undefined) {
+    return lastingOnly(range, supplies, Math.max(needed, found));
+  }
+  const kept = Math.ceil(found * FOUND_SHARE);
+  const steady = Math.max(Math.ceil(busy * LASTING_HEADROOM), kept);
+  const shares = spread(steady, range, supplies);
+  const cheap = cheapInZone(situation, supplies, needed);
+  const missing = Math.max(needed - present(supplies), 0);
+  const standIns = spread(missing, range, supplies);
   return supplies.map(supply => {
-    const {zone, out, lasting, reclaimable, dry} = supply;
-    if (out) return {zone, lasting, reclaimable};
-    if (!cheap) return {zone, lasting: wanted, reclaimable: 0};
-    const missing = Math.max(wanted - reclaimable, 0);
-    const replaced = missing === 0 ? 0 : Math.min(lasting, missing);
-    const added = dry ? Math.min(short, missing) : 0;
+    const {zone, dry} = supply;
+    const steadyHere = shares.get(zone) ?? 0;
+    const reclaimable = Math.min(cheap, range.most - steadyHere);
     const least = Math.max(range.least - reclaimable, 0);
-    return {
-      zone,
-      lasting: Math.max(replaced, added, least),
-      reclaimable: wanted,
-    };
+    const replaced = supply.reclaimable >= reclaimable || busy < IDLE_BUSY;
+    const wanted = Math.max(steadyHere, least);
+    const kept = replaced ? wanted : Math.max(wanted, supply.lasting);
+    const lasting = kept + (dry ? (standIns.get(zone) ?? 0) : 0);
+    return {zone, lasting: Math.min(lasting, range.most), reclaimable};
   });
 }
 
-/** Endpoints of each zone, so that the others can do without any one zone. */
-function wantedInZone({range, supplies, busy}: Situation): number {
-  const zones = supplies.filter(({out}) => !out).length;
-  const needed = Math.ceil(busy * HEADROOM);
-  const each = Math.ceil(needed / Math.max(zones - 1, 1));
-  return Math.min(Math.max(each, FIRST_COUNT, range.least), range.most);
+/** Without cheap endpoints, the need is spread over the zones. */
+function lastingOnly(
+  range: Range,
+  supplies: readonly ZoneSupply[],
+  count: number,
+): ZonePlan[] {
+  const shares = spread(count, range, supplies);
+  return supplies.map(({zone}) => {
+    const lasting = Math.max(shares.get(zone) ?? 0, range.least);
+    return {zone, lasting: Math.min(lasting, range.most), reclaimable: 0};
+  });
+}
+
+/** Cheap endpoints of each zone, so that one zone can lose its own. */
+function cheapInZone(
+  {range}: Situation,
+  supplies: readonly ZoneSupply[],
+  needed: number,
+): number {
+  const wet = supplies.filter(({dry}) => !dry).length;
+  const each = Math.ceil(needed / Math.max(wet - 1, 1));
+  return Math.min(Math.max(each, CHEAP_LEAST), range.most);
+}
+
+/** Deals a count out to the zones in turn, the least priced first. */
+function spread(
+  count: number,
+  {prices}: Range,
+  supplies: readonly ZoneSupply[],
+): Map<string, number> {
+  const priceOf = (zone: string) => prices[zone] ?? 1;
+  const zones = supplies
+    .map(({zone}) => zone)
+    .sort((one, other) => priceOf(one) - priceOf(other));
+  const shares = new Map<string, number>();
+  for (let dealt = 0; dealt < count; dealt++) {
+    const zone = zones[dealt % zones.length] ?? '';
+    shares.set(zone, (shares.get(zone) ?? 0) + 1);
+  }
+  return shares;
 }
 
-function ready(supplies: readonly ZoneSupply[]): number {
-  return supplies
-    .filter(({out}) => !out)
-    .reduce((sum, {lasting, reclaimable}) => sum + lasting + reclaimable, 0);
+function present(supplies: readonly ZoneSupply[]): number {
+  return supplies.reduce(
+    (sum, {lasting, reclaimable}) => sum + lasting + reclaimable,
+    0,
+  );
 }
--- a/source/directory/directory.ts
+++ b/source/directory/directory.ts
@@ -99,7 +99,8 @@
 ): boolean {
   if (now - lostAt < LAPSE_MILLISECONDS) return true;
   const removed = changes.filter(
-    ({id, entry}) => entry === undefined && before.get(id)?.entry.leaving === false,
+    ({id, entry}) =>
+      entry === undefined && before.get(id)?.entry.leaving === false,
   );
   const least = Math.max(LAPSE_ENTRIES_LEAST, before.size * LAPSE_SHARE);
   return removed.length >= least;
--- a/source/duty/desk.ts
+++ b/source/duty/desk.ts
@@ -22,7 +22,7 @@
 const JOIN_BOUND_MILLISECONDS = 900;
 const TIME_TO_LIVE_MILLISECONDS = 3_500;
 /** Longest time that a call may be on its way. */
-const FLIGHT_MILLISECONDS = 1_000;
+const FLIGHT_MILLISECONDS = 600;
 
 /** Something that the holder does from time to time; never throws. */
 export type Duty = (holder: Holder) => Promise<void>;
@@ -104,7 +104,8 @@
     try {
       const joined = await store.join(joining, JOIN_BOUND_MILLISECONDS);
       const confirmation = {joined, askedAt, now: clock.monotonic()};
-      if (!this.left) this.adopt(afterJoin(this.term, confirmation, this.times));
+      if (!this.left)
+        this.adopt(afterJoin(this.term, confirmation, this.times));
       this.options.heard(true);
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
@@ -121,6 +122,11 @@
     const before = this.term;
     this.term = term;
     if (term.fence === before.fence) return;
+    const {clock} = this.options;
+    if (term.fence > 0) {
+      const wait = Math.max(term.from - clock.monotonic(), 0);
+      clock.after(wait + 1, () => void this.work());
+    }
     this.options.logger.info('duties', {
       held: term.fence > 0,
       fence: term.fence,
--- a/source/duty/orders.ts
+++ b/source/duty/orders.ts
@@ -44,6 +44,9 @@
   private readonly sent = new Map<string, Standing>();
   private readonly dryUntil = new Map<string, number>();
   private readonly peaks = new Map<string, Standing>();
+  private readonly found = new Map<string, number>();
+  /** Zones in which a service was ever seen; it may have lost all there. */
+  private readonly zones = new Map<string, ReadonlySet<string>>();
 
   constructor(private readonly options: OrdersOptions) {}
 
@@ -63,11 +66,15 @@
     const {range} = service;
     const view = this.options.view();
     const supplies = this.supplies(service, view);
-    if (!range || supplies.length === 0) return;
-    const busy = this.peak(service.name, view.busy(service.name));
-    for (const plan of planZones({range, supplies, busy})) {
+    if (!range || view.directory.size === 0) return;
+    const {name} = service;
+    const busy = this.peak(name, view.busy(name));
+    const lasting = supplies.reduce((sum, zone) => sum + zone.lasting, 0);
+    const found = this.found.get(name) ?? lasting;
+    this.found.set(name, found);
+    for (const plan of planZones({range, supplies, busy, found})) {
       const supply = supplies.find(({zone}) => zone === plan.zone);
-      if (supply) await this.orderZone(service.name, plan, supply, holder);
+      if (supply) await this.orderZone(name, plan, supply, holder);
     }
   }
 
@@ -95,8 +102,10 @@
       if (outcome === 'withheld') return;
       if (outcome === 'unavailable') {
         this.dryUntil.set(key, now + DRY_MILLISECONDS);
+        this.sent.delete(key);
+      } else if (outcome === 'done') {
+        this.sent.set(key, {count: kind.count, at: now});
       }
-      if (outcome !== 'failed') this.sent.set(key, {count: kind.count, at: now});
     }
   }
 
@@ -109,6 +118,18 @@
     return count !== present && now - standing.at >= AGAIN_MILLISECONDS;
   }
 
+  private zonesOf(
+    service: string,
+    endpoints: readonly KnownEndpoint[],
+    priced: readonly string[],
+  ): string[] {
+    const seen = this.zones.get(service) ?? new Set<string>();
+    const here = endpoints.map(({entry}) => entry.zone);
+    const zones = new Set([...seen, ...priced, ...here]);
+    this.zones.set(service, zones);
+    return [...zones].sort();
+  }
+
   /** The most that was busy lately, so that a lull gives nothing away. */
   private peak(service: string, busy: number): number {
     const now = this.options.clock.monotonic();
@@ -121,11 +142,15 @@
     return before.count;
   }
 
-  private supplies({name}: Service, view: OrderView): ZoneSupply[] {
+  private supplies({name, range}: Service, view: OrderView): ZoneSupply[] {
     const endpoints = [...view.directory.values()].filter(
       ({entry}) => entry.service === name,
     );
-    const zones = [...new Set(endpoints.map(({entry}) => entry.zone))].sort();
+    const zones = this.zonesOf(
+      name,
+      endpoints,
+      Object.keys(range?.prices ?? {}),
+    );
     const now = this.options.clock.monotonic();
     return zones.map(zone => {
       const here = endpoints.filter(({entry}) => entry.zone === zone);
--- a/source/duty/usage.ts
+++ b/source/duty/usage.ts
@@ -218,7 +218,11 @@
       if (window >= oldest && !(await this.report(window, figures, holder))) {
         return;
       }
-      const reported = {kind: 'usage-reported', region: REGION, window} as const;
+      const reported = {
+        kind: 'usage-reported',
+        region: REGION,
+        window,
+      } as const;
       this.ledger = foldReported(this.ledger, reported);
       this.sheets.settle(this.ledger, this.windowAt(0));
     }
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -214,7 +214,11 @@
     });
   }
 
-  private pass(whole: Buffer, head: AnswerHead, message: IncomingMessage): void {
+  private pass(
+    whole: Buffer,
+    head: AnswerHead,
+    message: IncomingMessage,
+  ): void {
     const {parts} = this;
     const {course} = this.order;
     const {answer} = course;
--- a/source/forward/events.ts
+++ b/source/forward/events.ts
@@ -35,7 +35,8 @@
    * ```
    */
   push(bytes: Buffer): Buffer {
-    const all = this.rest.length > 0 ? Buffer.concat([this.rest, bytes]) : bytes;
+    const all =
+      this.rest.length > 0 ? Buffer.concat([this.rest, bytes]) : bytes;
     const events: Buffer[] = [];
     let begin = 0;
     for (;;) {
--- a/source/forward/outcome.ts
+++ b/source/forward/outcome.ts
@@ -30,7 +30,8 @@
 export function statusOf({refusal, mayHaveRun}: GivenUp): number {
   const {status, outcome} = refusal;
   if (status < SERVER_ERROR && status !== 429) return status;
-  if (mayHaveRun) return status === UNAVAILABLE || status === 429 ? 502 : status;
+  if (mayHaveRun)
+    return status === UNAVAILABLE || status === 429 ? 502 : status;
   return outcome === 'not-run' ? UNAVAILABLE : status;
 }
 
