Tell a reset from the end of an answer that has no length

Where a reset arrives with the last bytes, the event loop's library reports a plain end, so an answer without a length whose connection was reset passed as whole.

Ruled out: an error on the request after its answer had begun (that is seen when the reset comes later), and answers with a length or in chunks.

Change: where only the end of the connection ends an answer, the connection is written to before the answer counts; after a reset the write fails.

--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -10,7 +10,7 @@
 import {WireError} from '../errors/index.js';
 import {readWhole} from '../relay/index.js';
 import type {Metrics} from '../metrics/index.js';
-import type {Connections} from './connections.js';
+import type {Connections, Received} from './connections.js';
 import type {Course} from './course.js';
 import {EventCutter} from './events.js';
 import type {AnswerHead, Protocol} from './protocol.js';
@@ -100,7 +100,7 @@
   }
 
   /** Sends the request; resolves with the message that answers it. */
-  private send(): Promise<IncomingMessage> {
+  private send(): Promise<Received> {
     const {course, place} = this.order;
     const {arrival, route, team, tier, timeLeft, lastEvent, body} = course;
     const {id, address} = place.endpoint.entry;
@@ -120,7 +120,8 @@
     return this.parts.connections.send(outgoing, this.halt);
   }
 
-  private async relay(message: IncomingMessage): Promise<void> {
+  private async relay(received: Received): Promise<void> {
+    const {message} = received;
     const {parts} = this;
     const {course, place} = this.order;
     const head = parts.protocol.answerHead(message);
@@ -136,20 +137,23 @@
     place.answered(latency, head.load);
     if (course.team) parts.began(course.team.name);
     if (course.route.streaming && head.status < SUCCESS_STATUS) {
-      await this.relayStream(message, head);
+      await this.relayStream(received, head);
       return;
     }
     this.stopPatience();
-    await this.relayWhole(message, head);
+    await this.relayWhole(received, head);
   }
 
   private async relayWhole(
-    message: IncomingMessage,
+    {message, isWhole}: Received,
     head: AnswerHead,
   ): Promise<void> {
     const {course} = this.order;
     const {timeLeft} = course;
     const body = await readWhole(message, HELD_BYTES, timeLeft, this.halt);
+    if (!(await isWhole())) {
+      throw new AttemptFailure('cut', 'the answer is cut short', false);
+    }
     if (head.status >= FAILURE_STATUS) {
       const detail = `status ${head.status}`;
       throw new AttemptFailure('status', detail, false, {head, body});
@@ -162,7 +166,7 @@
   }
 
   private relayStream(
-    message: IncomingMessage,
+    {message, isWhole}: Received,
     head: AnswerHead,
   ): Promise<void> {
     const {parts} = this;
@@ -170,6 +174,7 @@
     const {answer, route} = course;
     const cutter = new EventCutter(course.lastEvent);
     return new Promise((resolve, reject) => {
+      let ended = false;
       let finished = false;
       const finish = (failure?: AttemptFailure) => {
         if (finished) return;
@@ -199,16 +204,24 @@
         course.delivered += cutter.count;
         cutter.count = 0;
       });
-      message.on('end', () => {
-        if (!message.complete || cutter.unfinished) {
+      const end = (whole: boolean) => {
+        if (finished) return;
+        if (!whole || cutter.unfinished) {
           return fail('cut', 'the stream is cut short');
         }
         answer.begin(head);
         answer.end();
         finish();
+      };
+      message.on('end', () => {
+        ended = true;
+        if (message.complete) void isWhole().then(end);
+        else end(false);
       });
       message.on('error', error => fail('cut', error.message));
-      message.on('close', () => fail('cut', 'the connection is closed'));
+      message.on('close', () => {
+        if (!ended) fail('cut', 'the connection is closed');
+      });
       const stopWatching = this.halt.onAbort(() => fail('cut', 'ended'));
       listen();
     });
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -30,6 +30,22 @@
   readonly fresh: boolean;
 }
 
+/** A message that answers a request. */
+export interface Received {
+  readonly message: IncomingMessage;
+  /**
+   * Whether a message that has ended is whole. A reset that arrives together
+   * with the last bytes shows as a plain end, so where only the end of the
+   * connection says that the message is whole, the connection is tried.
+   */
+  readonly isWhole: () => Promise<boolean>;
+}
+
+/** Written to a connection that its other side has ended, to see if it can be. */
+const PROBE = '\r\n';
+
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /** Keeps idle connections and closes those that receive something unasked. */
 class KeepingAgent extends Agent {
   private readonly watches = new WeakMap<Duplex, () => void>();
@@ -72,10 +88,10 @@
    * whose stage is `connect` only where nothing of the request was sent.
    *
    * ```ts
-   * const message = await connections.send(outgoing, signal);
+   * const {message} = await connections.send(outgoing, signal);
    * ```
    */
-  send(outgoing: Outgoing, signal: Signal): Promise<IncomingMessage> {
+  send(outgoing: Outgoing, signal: Signal): Promise<Received> {
     const {address, method, url, headers, body, fresh} = outgoing;
     return new Promise((resolve, reject) => {
       let connected = false;
@@ -110,7 +126,9 @@
       });
       sent.once('response', message => {
         stopWatching();
-        resolve(message);
+        // A reset would else look like the end of an answer without a length.
+        sent.on('error', error => message.destroy(error));
+        resolve({message, isWhole: wholeness(message)});
       });
       sent.on('error', fail);
       sent.end(body);
@@ -134,3 +152,22 @@
     return agent;
   }
 }
+
+/** How to find out whether a message is whole, once it has ended. */
+function wholeness(message: IncomingMessage): Received['isWhole'] {
+  const {headers, socket, statusCode = 0} = message;
+  const framed =
+    BODILESS_STATUSES.has(statusCode) ||
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined;
+  if (framed) return () => Promise.resolve(message.complete);
+  const sound = new Promise<boolean>(resolve => {
+    // It goes before the listener that bars writing after the end.
+    socket.prependListener('end', () => {
+      socket.write(PROBE, error => resolve(!error));
+    });
+    socket.once('error', () => resolve(false));
+    socket.once('close', () => resolve(false));
+  });
+  return () => sound;
+}
--- /dev/null
+++ b/test/connections.test.ts
@@ -0,0 +1,139 @@
+/**
+ * What the connections to endpoints make of answers that are cut, doubled or
+ * never begun (invariants 10 to 12). A real server on the loopback answers with
+ * the bytes that a test names.
+ */
+import {
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
+
+import test, {type ExecutionContext} from 'ava';
+
+import {Cancellation} from '../source/cancellation/index.js';
+import {SystemClock} from '../source/clock/index.js';
+import {WireError} from '../source/errors/index.js';
+import {Connections, type Outgoing} from '../source/forward/index.js';
+import {readWhole} from '../source/relay/index.js';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nx-served-by: test\r\n';
+
+type Behaviour = (socket: Socket) => void;
+
+async function serverOf(
+  t: ExecutionContext,
+  behaviour: Behaviour,
+): Promise<string> {
+  const server: Server = createServer(socket => {
+    socket.on('error', () => {});
+    socket.on('data', () => behaviour(socket));
+  });
+  t.teardown(() => server.close());
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function outgoingTo(address: string, fresh = true): Outgoing {
+  return {
+    address,
+    method: 'GET',
+    url: '/',
+    headers: ['Host', 'test'],
+    body: Buffer.alloc(0),
+    fresh,
+  };
+}
+
+function newConnections(): Connections {
+  return new Connections(new SystemClock());
+}
+
+async function bodyAndWholeness(address: string): Promise<[string, boolean]> {
+  const signal = new Cancellation();
+  const connections = newConnections();
+  const received = await connections.send(outgoingTo(address), signal);
+  const body = await readWhole(received.message, 1_000, 5_000, signal);
+  return [body.toString(), await received.isWhole()];
+}
+
+test('an answer without a length that ends with its connection is whole', async t => {
+  const address = await serverOf(t, socket => socket.end(`${HEAD}\r\nwhole`));
+  t.deepEqual(await bodyAndWholeness(address), ['whole', true]);
+});
+
+test('an answer without a length whose connection is reset at once is not whole', async t => {
+  const address = await serverOf(t, socket => {
+    socket.write(`${HEAD}\r\npart`, () => socket.resetAndDestroy());
+  });
+  const outcome = await bodyAndWholeness(address).catch((error: unknown) => {
+    t.true(error instanceof WireError);
+    return ['part', false];
+  });
+  t.deepEqual(outcome, ['part', false]);
+});
+
+test('a kept connection that receives something unasked is not used again', async t => {
+  let connections = 0;
+  const address = await serverOf(t, socket => {
+    const first = !seen.has(socket);
+    seen.add(socket);
+    if (first) connections++;
+    socket.write(`${HEAD}content-length: 2\r\n\r\nok`);
+    setImmediate(() => socket.write(`${HEAD}content-length: 2\r\n\r\nno`));
+  });
+  const seen = new Set<Socket>();
+  const pool = newConnections();
+  const signal = new Cancellation();
+  for (let round = 0; round < 3; round++) {
+    const {message} = await pool.send(outgoingTo(address, false), signal);
+    const body = await readWhole(message, 1_000, 5_000, signal);
+    t.is(body.toString(), 'ok');
+    await new Promise(resolve => setTimeout(resolve, 20));
+  }
+  t.is(connections, 3);
+});
+
+test('a kept connection is used again', async t => {
+  const seen = new Set<Socket>();
+  const address = await serverOf(t, socket => {
+    seen.add(socket);
+    socket.write(`${HEAD}content-length: 2\r\n\r\nok`);
+  });
+  const pool = newConnections();
+  const signal = new Cancellation();
+  for (let round = 0; round < 3; round++) {
+    const {message} = await pool.send(outgoingTo(address, false), signal);
+    await readWhole(message, 1_000, 5_000, signal);
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  t.is(seen.size, 1);
+});
+
+test('a refused connection is a failure to connect, and nothing was sent', async t => {
+  const server = createServer();
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  const sending = newConnections().send(
+    outgoingTo(`127.0.0.1:${port}`),
+    new Cancellation(),
+  );
+  const error = await t.throwsAsync(sending, {instanceOf: WireError});
+  t.is(error.stage, 'connect');
+});
+
+test('a connection that is closed without an answer proves nothing', async t => {
+  const address = await serverOf(t, socket => socket.destroy());
+  const sending = newConnections().send(
+    outgoingTo(address),
+    new Cancellation(),
+  );
+  const error = await t.throwsAsync(sending, {instanceOf: WireError});
+  t.is(error.stage, 'write');
+});
