Let hosts tell each other their load, and share limits by their number

Change: gossip over framed TCP: pulses with positions in the store, use of endpoints and work of callers; records that the store does not give to a host come from another one. Limits are shared among all hosts heard in 20 s.

--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -25,6 +25,7 @@
 import {
   afterPrompt,
   busyEngines,
+  fadedWork,
   largeEngines,
   NO_WORK,
   type PromptWork,
@@ -57,6 +58,23 @@
   release(): void;
 }
 
+/** What a host has at one endpoint. */
+export interface EndpointUse {
+  readonly id: string;
+  readonly requests: number;
+  /** Milliseconds of reading that wait there. */
+  readonly reading: number;
+}
+
+/** Milliseconds of engine time that callers have asked of a service of late. */
+export interface ServiceWork {
+  readonly service: string;
+  readonly large: number;
+  readonly small: number;
+}
+
+type OthersWork = Omit<ServiceWork, 'service'>;
+
 /** What a host knows when it looks for an endpoint. */
 export interface Surroundings {
   readonly host: string;
@@ -72,7 +90,10 @@
   private hosts: readonly string[];
   private readonly loads = new Map<string, EndpointLoad>();
   private readonly coldSends = new Map<string, ColdSends>();
+  /** Work that callers of this host ask for, by service. */
   private readonly work = new Map<string, PromptWork>();
+  /** The same of the other hosts. */
+  private othersWork: ReadonlyMap<string, OthersWork> = new Map();
 
   constructor(private readonly surroundings: Surroundings) {
     super();
@@ -138,8 +159,48 @@
 
   /** Engines of the service that requests of all hosts keep busy. */
   busy(service: string): number {
-    const work = this.work.get(service) ?? NO_WORK;
-    return busyEngines(work, this.now()) * this.hosts.length;
+    return busyEngines(this.workOf(service));
+  }
+
+  /** What this host has at each endpoint, for the others. */
+  uses(): EndpointUse[] {
+    const uses: EndpointUse[] = [];
+    for (const [id, {own, ownReading}] of this.loads) {
+      if (own === 0) continue;
+      uses.push({id, requests: own, reading: Math.round(ownReading)});
+    }
+    return uses;
+  }
+
+  /** The work that callers of this host ask for, for the others. */
+  ownWork(): ServiceWork[] {
+    const now = this.now();
+    return [...this.work].map(([service, before]) => {
+      const {large, small} = fadedWork(before, now);
+      return {service, large: Math.round(large), small: Math.round(small)};
+    });
+  }
+
+  /** Takes over what the other hosts have told. */
+  setOthers(uses: readonly EndpointUse[], work: readonly ServiceWork[]): void {
+    const now = this.now();
+    const sums = new Map<string, {requests: number; reading: number}>();
+    for (const {id, requests, reading} of uses) {
+      const sum = sums.get(id) ?? {requests: 0, reading: 0};
+      sum.requests += requests;
+      sum.reading += reading;
+      sums.set(id, sum);
+    }
+    for (const id of this.directory.keys()) {
+      const sum = sums.get(id) ?? {requests: 0, reading: 0};
+      this.update(id, {kind: 'told', ...sum, now});
+    }
+    const others = new Map<string, OthersWork>();
+    for (const {service, large, small} of work) {
+      const sum = others.get(service) ?? {large: 0, small: 0};
+      others.set(service, {large: sum.large + large, small: sum.small + small});
+    }
+    this.othersWork = others;
   }
 
   /**
@@ -177,7 +238,7 @@
     now: number,
   ): Choice | undefined {
     const ids = candidates.map(({id}) => id);
-    const readers = largeEngines(ids, this.work.get(service) ?? NO_WORK);
+    const readers = largeEngines(ids, this.workOf(service));
     const large = isLarge(prompt);
     const own = candidates.filter(
       ({id, slots, load}) =>
@@ -237,6 +298,18 @@
     return mayAdd(this.coldSends.get(entry.id) ?? [], share, now);
   }
 
+  /** The work that callers of all hosts ask for. */
+  private workOf(service: string): PromptWork {
+    const now = this.now();
+    const own = fadedWork(this.work.get(service) ?? NO_WORK, now);
+    const others = this.othersWork.get(service) ?? {large: 0, small: 0};
+    return {
+      large: own.large + others.large,
+      small: own.small + others.small,
+      at: now,
+    };
+  }
+
   private load(id: string): EndpointLoad {
     return this.loads.get(id) ?? IDLE_LOAD;
   }
--- a/source/balance/choose.ts
+++ b/source/balance/choose.ts
@@ -5,7 +5,7 @@
  * home is the first in rank, and a late home spills to the next. For a plain
  * service it is the share of its places that are taken.
  */
-import {expectedRequests, type EndpointLoad} from './load.js';
+import {expectedReading, expectedRequests, type EndpointLoad} from './load.js';
 import {pull} from './rank.js';
 import {
   isLarge,
@@ -80,7 +80,7 @@
     const beside = expectedRequests(candidate.load, now);
     const cost =
       standing(candidate, now) +
-      candidate.load.ownReading +
+      expectedReading(candidate.load, now) +
       reading +
       rank * RANK_COST_MILLISECONDS +
       beside * BESIDE_COST_MILLISECONDS;
--- a/source/balance/index.ts
+++ b/source/balance/index.ts
@@ -2,7 +2,9 @@
 export {
   EndpointBook,
   type Demand,
+  type EndpointUse,
   type Place,
+  type ServiceWork,
   type Surroundings,
 } from './book.js';
 export {
@@ -21,6 +23,7 @@
 export {coldShare, mayAdd, withSend, type ColdSends} from './cold.js';
 export {
   afterLoad,
+  expectedReading,
   expectedRequests,
   IDLE_LOAD,
   isAvoided,
--- a/source/balance/load.ts
+++ b/source/balance/load.ts
@@ -17,9 +17,11 @@
   readonly own: number;
   /** Milliseconds of reading that requests of this host wait for there. */
   readonly ownReading: number;
-  /** Requests of other hosts, when an answer last told. */
+  /** Requests of other hosts, when an answer or a host last told. */
   readonly others: number;
-  /** Monotonic milliseconds at which an answer last told. */
+  /** Milliseconds of reading that those wait for. */
+  readonly othersReading: number;
+  /** Monotonic milliseconds at which an answer or a host last told. */
   readonly toldAt: number;
   /** Mean milliseconds to the head of an answer; 0 before the first. */
   readonly latency: number;
@@ -34,6 +36,12 @@
   | {readonly kind: 'sent'; readonly reading: number}
   | {readonly kind: 'read'; readonly reading: number}
   | {readonly kind: 'ended'}
+  | {
+      readonly kind: 'told';
+      readonly requests: number;
+      readonly reading: number;
+      readonly now: number;
+    }
   | {
       readonly kind: 'answered';
       readonly latency: number;
@@ -55,6 +63,7 @@
   own: 0,
   ownReading: 0,
   others: 0,
+  othersReading: 0,
   toldAt: -Infinity,
   latency: 0,
   failures: 0,
@@ -86,6 +95,13 @@
       };
     case 'ended':
       return {...before, own: Math.max(before.own - 1, 0)};
+    case 'told':
+      return {
+        ...before,
+        others: event.requests,
+        othersReading: event.reading,
+        toldAt: event.now,
+      };
     case 'answered':
       return afterAnswer(before, event);
     case 'failed':
@@ -98,8 +114,21 @@
   {own, others, toldAt}: EndpointLoad,
   now: number,
 ): number {
-  if (others === 0) return own;
-  return own + others * 0.5 ** ((now - toldAt) / TOLD_HALF_LIFE_MILLISECONDS);
+  return own + (others === 0 ? 0 : others * kept(toldAt, now));
+}
+
+/** Milliseconds of reading that are believed to wait at an endpoint. */
+export function expectedReading(
+  {ownReading, othersReading, toldAt}: EndpointLoad,
+  now: number,
+): number {
+  if (othersReading === 0) return ownReading;
+  return ownReading + othersReading * kept(toldAt, now);
+}
+
+/** How much of what was told still counts. */
+function kept(toldAt: number, now: number): number {
+  return 0.5 ** ((now - toldAt) / TOLD_HALF_LIFE_MILLISECONDS);
 }
 
 /** Whether an endpoint is given a rest after failures. */
--- a/source/balance/split.ts
+++ b/source/balance/split.ts
@@ -57,11 +57,12 @@
   return new Set(ranked.slice(0, count));
 }
 
+/** The work as it has faded by now. */
+export function fadedWork(before: PromptWork, now: number): PromptWork {
+  return afterPrompt(before, false, 0, now);
+}
+
 /** Engines that the work keeps busy, on the mean. */
-export function busyEngines(
-  {large, small, at}: PromptWork,
-  now: number,
-): number {
-  const kept = 0.5 ** ((now - at) / WORK_HALF_LIFE_MILLISECONDS);
-  return ((large + small) * kept * Math.LN2) / WORK_HALF_LIFE_MILLISECONDS;
+export function busyEngines({large, small}: PromptWork): number {
+  return ((large + small) * Math.LN2) / WORK_HALF_LIFE_MILLISECONDS;
 }
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -8,6 +8,7 @@
 import type {Clock} from '../clock/index.js';
 import {DutyDesk, Orders, Usage} from '../duty/index.js';
 import {Connections, Forwarder} from '../forward/index.js';
+import {GossipDesk} from '../gossip/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Random} from '../random/index.js';
@@ -47,6 +48,7 @@
   private readonly forwarder: Forwarder;
   private readonly usage: Usage | undefined;
   private readonly duties: DutyDesk | undefined;
+  private readonly gossip: GossipDesk | undefined;
   private readonly callers: Server;
   private readonly readiness: Server;
   private state = hostChart.initial;
@@ -82,6 +84,7 @@
     });
     this.usage = this.createUsage();
     this.duties = this.createDuties();
+    this.gossip = this.createGossip();
     this.callers = this.createCallerPort();
     this.readiness = createReadinessPort({
       isReady: () => this.state === 'serving',
@@ -97,6 +100,7 @@
     this.knowledge.start();
     this.usage?.start();
     this.duties?.start();
+    await this.gossip?.start();
     clock.every(POKE_MILLISECONDS, () => {
       if (this.admission.waiting > 0) this.admission.poke();
     });
@@ -106,6 +110,7 @@
   async drain(): Promise<void> {
     if (!hostChart.allows(this.state, 'drain')) return;
     this.move('drain');
+    this.gossip?.tell();
     const {settings, clock} = this.parts;
     const killed = settings.graceMilliseconds - END_MARGIN_MILLISECONDS;
     const tooLate = this.wait(killed);
@@ -118,6 +123,7 @@
     stopClosing();
     await Promise.race([this.handOver(), tooLate]);
     this.knowledge.stop();
+    this.gossip?.stop();
     this.move('stop');
   }
 
@@ -171,6 +177,39 @@
     });
   }
 
+  private createGossip(): GossipDesk | undefined {
+    const {settings, clock, logger, metrics} = this.parts;
+    const {name, zone, hosts: address, seeds} = settings;
+    if (address === undefined) return undefined;
+    const started = clock.now().getTime();
+    return new GossipDesk({
+      self: {name, started, address, zone},
+      seeds,
+      clock,
+      logger,
+      metrics,
+      state: () => ({
+        leaving: this.state === 'draining',
+        positions: this.knowledge.positions,
+        uses: this.book.uses(),
+        work: this.book.ownWork(),
+      }),
+      records: (topic, position) => this.knowledge.records(topic, position),
+      received: (topic, page) => this.knowledge.take(topic, page),
+      changed: () => this.adoptPulses(),
+    });
+  }
+
+  private adoptPulses(): void {
+    if (!this.gossip) return;
+    const pulses = this.gossip.reached.flatMap(({pulse}) => pulse ?? []);
+    this.book.setHosts(this.gossip.sharers);
+    this.book.setOthers(
+      pulses.flatMap(({uses}) => uses),
+      pulses.flatMap(({work}) => work),
+    );
+  }
+
   private createCallerPort(): Server {
     const server = createServer(
       {connectionsCheckingInterval: HEADER_CHECK_MILLISECONDS},
--- a/source/edge/knowledge.ts
+++ b/source/edge/knowledge.ts
@@ -11,11 +11,16 @@
   type EntryChange,
   type KnownEndpoint,
 } from '../directory/index.js';
+import type {TopicPosition} from '../gossip/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Random} from '../random/index.js';
 import {RoutingTable} from '../routing/index.js';
-import {KeyedFollower, type KeyedRecord} from '../store/index.js';
+import {
+  KeyedFollower,
+  type KeyedRecord,
+  type PassedOn,
+} from '../store/index.js';
 import type {PlatformParts} from './platform.js';
 
 const LAPSE_CHECK_MILLISECONDS = 250;
@@ -75,6 +80,35 @@
     this.stopTimer();
   }
 
+  /** How far the host knows each topic. */
+  get positions(): TopicPosition[] {
+    return this.followers.map(({topic, position}) => ({topic, position}));
+  }
+
+  /** The records of a topic from an offset, for another host. */
+  records(topic: string, position: number): PassedOn {
+    return (
+      this.follower(topic)?.from(position) ?? {
+        records: [],
+        end: 0,
+        whole: false,
+      }
+    );
+  }
+
+  /** Takes over records that another host has passed on. */
+  take(topic: string, page: PassedOn): void {
+    this.follower(topic)?.take(page);
+  }
+
+  private get followers(): readonly KeyedFollower[] {
+    return [this.operator, this.endpoints];
+  }
+
+  private follower(topic: string): KeyedFollower | undefined {
+    return this.followers.find(follower => follower.topic === topic);
+  }
+
   /** Whether the host knows enough to serve. */
   get complete(): boolean {
     return this.table !== undefined && this.endpoints.complete;
--- /dev/null
+++ b/source/gossip/index.ts
@@ -0,0 +1,18 @@
+/** The door of the gossip folder. */
+export {GossipDesk, type GossipOptions, type OwnState} from './gossip.js';
+export {
+  afterHearsay,
+  afterPulse,
+  afterSilence,
+  inReach,
+  sharers,
+  type Member,
+  type Members,
+} from './members.js';
+export {
+  gossipSchema,
+  type Gossip,
+  type HostAddress,
+  type Pulse,
+  type TopicPosition,
+} from './message.js';
--- a/source/store/follower.ts
+++ b/source/store/follower.ts
@@ -7,7 +7,14 @@
 import type {Cancel, Clock} from '../clock/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Random} from '../random/index.js';
-import {afterFollow, afterReload, UNREAD, type KeyedState} from './keyed.js';
+import {
+  afterFollow,
+  afterReload,
+  recordsFrom,
+  UNREAD,
+  type KeyedState,
+  type PassedOn,
+} from './keyed.js';
 import {StoreError, type KeyedRecord, type RecordStore} from './store.js';
 
 /** Milliseconds for which a read waits at the store. */
@@ -40,6 +47,10 @@
 
   constructor(private readonly options: FollowerOptions) {}
 
+  get topic(): string {
+    return this.options.topic;
+  }
+
   /** Whether the topic has been read once. */
   get complete(): boolean {
     return this.read;
@@ -50,6 +61,17 @@
     return this.state.next ?? 0;
   }
 
+  /** The records that are known from an offset. */
+  from(position: number): PassedOn {
+    return recordsFrom(this.state, position);
+  }
+
+  /** Takes over records that another host has passed on. */
+  take(page: PassedOn): void {
+    const after = page.whole ? afterReload : afterFollow;
+    this.adopt(after(this.state, page));
+  }
+
   /** Follows the topic until the follower is stopped. */
   async run(): Promise<void> {
     while (!this.stopped) {
--- a/source/store/index.ts
+++ b/source/store/index.ts
@@ -13,8 +13,10 @@
 export {
   afterFollow,
   afterReload,
+  recordsFrom,
   UNREAD,
   type KeyedState,
   type KeyedUpdate,
+  type PassedOn,
 } from './keyed.js';
 export {KeyedFollower, type FollowerOptions} from './follower.js';
--- a/source/store/keyed.ts
+++ b/source/store/keyed.ts
@@ -10,6 +10,14 @@
   readonly records: ReadonlyMap<string, KeyedRecord>;
   /** The offset to follow from; undefined before the first reading. */
   readonly next: number | undefined;
+  /** Removals before this offset may have gone unseen. */
+  readonly completeFrom: number;
+}
+
+/** Records that one host passes on to another. */
+export interface PassedOn extends KeyedPage {
+  /** Whether these are all records that there are. */
+  readonly whole: boolean;
 }
 
 /** A state after a page, with the records that changed it. */
@@ -19,7 +27,11 @@
 }
 
 /** The state of a host that has read nothing. */
-export const UNREAD: KeyedState = {records: new Map(), next: undefined};
+export const UNREAD: KeyedState = {
+  records: new Map(),
+  next: undefined,
+  completeFrom: 0,
+};
 
 /**
  * The state after a run of records.
@@ -32,7 +44,7 @@
   const records = new Map(before.records);
   const changes = page.records.filter(record => adopt(records, record));
   const next = Math.max(before.next ?? 0, page.end);
-  return {state: {records, next}, changes};
+  return {state: {...before, records, next}, changes};
 }
 
 /**
@@ -51,10 +63,27 @@
     if (!missing || offset >= page.end) continue;
     removed.push({key, value: undefined, offset: page.end - 1});
   }
-  return afterFollow(before, {
-    records: [...page.records, ...removed],
-    end: page.end,
-  });
+  const {end} = page;
+  const records = [...page.records, ...removed];
+  const {state, changes} = afterFollow(before, {records, end});
+  const completeFrom = Math.max(before.completeFrom, end);
+  return {state: {...state, completeFrom}, changes};
+}
+
+/**
+ * The records that a host knows from an offset, for another host. Where it may
+ * have missed removals since then, it passes on all that there is.
+ */
+export function recordsFrom(
+  {records, next, completeFrom}: KeyedState,
+  position: number,
+): PassedOn {
+  const whole = position < completeFrom;
+  const kept = [...records.values()].filter(({offset, value}) =>
+    whole ? value !== undefined : offset >= position,
+  );
+  kept.sort((one, other) => one.offset - other.offset);
+  return {records: kept, end: next ?? 0, whole};
 }
 
 function adopt(
