Send prompts where their shared parts are known to be kept

Change: hosts tell which engine has read which part; an engine's count changes only when the share of work has clearly moved.

--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -13,6 +13,7 @@
   type Choice,
 } from './choose.js';
 import {coldShare, mayAdd, withSend, type ColdSends} from './cold.js';
+import {KeptParts} from './kept.js';
 import {
   afterLoad,
   expectedRequests,
@@ -26,11 +27,12 @@
   afterPrompt,
   busyEngines,
   fadedWork,
+  largeCount,
   largeEngines,
   NO_WORK,
   type PromptWork,
 } from './split.js';
-import {engineTime, isLarge, type Prompt} from './work.js';
+import {engineTime, isLarge, sharedParts, type Prompt} from './work.js';
 
 /** Requests that a plain service’s endpoint is given for each of its places. */
 const PLAIN_FILL = 1.5;
@@ -92,6 +94,8 @@
   private readonly coldSends = new Map<string, ColdSends>();
   /** Work that callers of this host ask for, by service. */
   private readonly work = new Map<string, PromptWork>();
+  private readonly largeCounts = new Map<string, number>();
+  readonly kept = new KeptParts();
   /** The same of the other hosts. */
   private othersWork: ReadonlyMap<string, OthersWork> = new Map();
 
@@ -123,6 +127,7 @@
       if (next?.knownAt === known.knownAt) continue;
       this.loads.delete(id);
       this.coldSends.delete(id);
+      this.kept.forget(id);
     }
     this.directory = directory;
   }
@@ -222,13 +227,16 @@
       near: entry.zone === this.surroundings.zone,
       cold: now < coldUntil,
       failed: failedAt.has(entry.id),
+      kept: prompt ? this.kept.tokens(sharedParts(prompt), entry.id, now) : 0,
       load: this.load(entry.id),
     }));
     const choice = prompt
       ? this.chooseFor(prompt, service, candidates, now)
       : chooseLeastBusy(candidates, now);
     const endpoint = choice && this.directory.get(choice.id);
-    return endpoint && this.placeAt(endpoint, choice, now);
+    if (!endpoint) return undefined;
+    if (prompt) this.kept.read(sharedParts(prompt), choice.id, now);
+    return this.placeAt(endpoint, choice, now);
   }
 
   private chooseFor(
@@ -238,7 +246,10 @@
     now: number,
   ): Choice | undefined {
     const ids = candidates.map(({id}) => id);
-    const readers = largeEngines(ids, this.workOf(service));
+    const standing = this.largeCounts.get(service) ?? 0;
+    const count = largeCount(ids.length, this.workOf(service), standing);
+    this.largeCounts.set(service, count);
+    const readers = largeEngines(ids, count);
     const large = isLarge(prompt);
     const own = candidates.filter(
       ({id, slots, load}) =>
--- a/source/balance/choose.ts
+++ b/source/balance/choose.ts
@@ -1,19 +1,13 @@
 /**
  * Which endpoint gets a request: that at which its first event is expected
  * soonest. For a model engine this is the reading that waits there and that of
- * the prompt itself, which is shorter where its shared parts are kept; their
- * home is the first in rank, and a late home spills to the next. For a plain
- * service it is the share of its places that are taken.
+ * the prompt itself, which is shorter where its shared parts are kept. Parts
+ * that nobody keeps go by rank, so that all hosts bring them to the same
+ * engine. For a plain service it is the share of its places that are taken.
  */
 import {expectedReading, expectedRequests, type EndpointLoad} from './load.js';
 import {pull} from './rank.js';
-import {
-  isLarge,
-  readingTime,
-  sharedPart,
-  sharedTokens,
-  type Prompt,
-} from './work.js';
+import {isLarge, readingTime, sharedPart, type Prompt} from './work.js';
 
 /** An endpoint that may get the request. */
 export interface Candidate {
@@ -25,6 +19,8 @@
   readonly cold: boolean;
   /** Whether the request has failed there before. */
   readonly failed: boolean;
+  /** Tokens of the prompt that it is believed to keep. */
+  readonly kept: number;
   readonly load: EndpointLoad;
 }
 
@@ -71,12 +67,10 @@
   now: number,
 ): Choice | undefined {
   const shared = isLarge(prompt) ? sharedPart(prompt) : undefined;
-  const own = prompt.tokens - (shared ? sharedTokens(prompt) : 0);
   const ranks = shared ? ranked(candidates, shared.id) : undefined;
   return best(candidates, candidate => {
     const rank = ranks?.get(candidate.id) ?? 0;
-    const read = rank === 0 ? own : prompt.tokens;
-    const reading = readingTime(read);
+    const reading = readingTime(prompt.tokens - candidate.kept);
     const beside = expectedRequests(candidate.load, now);
     const cost =
       standing(candidate, now) +
--- a/source/balance/index.ts
+++ b/source/balance/index.ts
@@ -21,6 +21,7 @@
   type Choice,
 } from './choose.js';
 export {coldShare, mayAdd, withSend, type ColdSends} from './cold.js';
+export {KeptParts, type KeptPart} from './kept.js';
 export {
   afterLoad,
   expectedReading,
@@ -38,6 +39,7 @@
   isLarge,
   readingTime,
   sharedPart,
+  sharedParts,
   sharedTokens,
   type Prompt,
   type PromptPart,
--- a/source/balance/split.ts
+++ b/source/balance/split.ts
@@ -37,22 +37,38 @@
   };
 }
 
+/** How far the share may be from the present count before that changes. */
+const COUNT_SLACK = 0.7;
+
 /**
- * The ids of the engines that read large prompts; the others run small ones.
- * Where there is but one engine it does both.
+ * How many engines read large prompts; the others run small ones. Where there
+ * is but one engine it does both. The count that stands changes only when the
+ * share of the work has clearly moved, since an engine that changes sides
+ * leaves behind the parts that it keeps.
  *
  * ```ts
- * const readers = largeEngines(ids, work);
+ * const count = largeCount(6, work, 4);
  * ```
  */
+export function largeCount(
+  engines: number,
+  {large, small}: PromptWork,
+  standing: number,
+): number {
+  if (large === 0) return 0;
+  if (small === 0 || engines < 2) return engines;
+  const share = (engines * large) / (large + small);
+  const kept = Math.abs(share - standing) < COUNT_SLACK;
+  const count = kept ? standing : Math.round(share);
+  return Math.min(Math.max(count, 1), engines - 1);
+}
+
+/** The engines that read large prompts: the first in rank. */
 export function largeEngines(
   ids: readonly string[],
-  {large, small}: PromptWork,
+  count: number,
 ): ReadonlySet<string> {
-  if (large === 0) return new Set();
-  if (small === 0 || ids.length < 2) return new Set(ids);
-  const share = Math.round((ids.length * large) / (large + small));
-  const count = Math.min(Math.max(share, 1), ids.length - 1);
+  if (count === 0) return new Set();
   const ranked = [...ids].sort((a, b) => pull(KEY, b) - pull(KEY, a));
   return new Set(ranked.slice(0, count));
 }
--- a/source/balance/work.ts
+++ b/source/balance/work.ts
@@ -43,9 +43,14 @@
   return parts.length > 1 ? parts[parts.length - 2] : undefined;
 }
 
+/** The parts that other requests share. */
+export function sharedParts({parts}: Prompt): readonly PromptPart[] {
+  return parts.slice(0, -1);
+}
+
 /** Tokens of the parts that other requests share. */
-export function sharedTokens({parts}: Prompt): number {
-  return parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
+export function sharedTokens(prompt: Prompt): number {
+  return sharedParts(prompt).reduce((sum, {tokens}) => sum + tokens, 0);
 }
 
 /**
--- a/source/capacity/plan.ts
+++ b/source/capacity/plan.ts
@@ -39,7 +39,7 @@
 /** Endpoints for each that is busy on the mean, since arrivals are uneven. */
 const HEADROOM = 2.5;
 /** Of these, lasting ones, which carry on when cheap ones are taken away. */
-const LASTING_HEADROOM = 1;
+const LASTING_HEADROOM = 0.6;
 /** Share of the lasting endpoints found that is kept beside cheap ones. */
 const FOUND_SHARE = 1 / 3;
 /** Cheap endpoints of a zone at the least. */
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -8,7 +8,7 @@
 import type {Clock} from '../clock/index.js';
 import {DutyDesk, Orders, Usage} from '../duty/index.js';
 import {Connections, Forwarder} from '../forward/index.js';
-import {GossipDesk} from '../gossip/index.js';
+import {GossipDesk, type Pulse} from '../gossip/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Random} from '../random/index.js';
@@ -188,20 +188,22 @@
       clock,
       logger,
       metrics,
-      state: () => ({
+      state: period => ({
         leaving: this.state === 'draining',
         positions: this.knowledge.positions,
         uses: this.book.uses(),
         work: this.book.ownWork(),
+        kept: this.book.kept.since(clock.monotonic() - period),
       }),
       records: (topic, position) => this.knowledge.records(topic, position),
       received: (topic, page) => this.knowledge.take(topic, page),
-      changed: () => this.adoptPulses(),
+      changed: pulse => this.adoptPulse(pulse),
     });
   }
 
-  private adoptPulses(): void {
+  private adoptPulse({kept}: Pulse): void {
     if (!this.gossip) return;
+    this.book.kept.told(kept, this.parts.clock.monotonic());
     const pulses = this.gossip.reached.flatMap(({pulse}) => pulse ?? []);
     this.book.setHosts(this.gossip.sharers);
     this.book.setOthers(
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -312,7 +312,7 @@
     choice: {id: string; cost: number; reading: number},
     zone: string,
   ): void {
-    this.parts.logger.debug('request-sent', {
+    this.parts.logger.info('request-sent', {
       request: course.arrival.id,
       endpoint: choice.id,
       zone,
--- a/source/gossip/gossip.ts
+++ b/source/gossip/gossip.ts
@@ -6,7 +6,7 @@
  */
 import {createServer, type Server, type Socket} from 'node:net';
 
-import type {EndpointUse, ServiceWork} from '../balance/index.js';
+import type {EndpointUse, KeptPart, ServiceWork} from '../balance/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
@@ -39,6 +39,8 @@
 const HOSTS_EVERY = 5;
 /** Periods without an echo after which a connection is made anew. */
 const ECHO_PERIODS = 5;
+/** Periods for which news is told again, since pulses may be lost. */
+const NEWS_PERIODS = 2.5;
 /** Milliseconds for which another host may be ahead before it is asked. */
 const BEHIND_MILLISECONDS = 250;
 const SEED_MILLISECONDS = 1_000;
@@ -49,6 +51,7 @@
   readonly positions: readonly TopicPosition[];
   readonly uses: readonly EndpointUse[];
   readonly work: readonly ServiceWork[];
+  readonly kept: readonly KeptPart[];
 }
 
 /** What gossip is made from. */
@@ -59,13 +62,14 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  readonly state: () => OwnState;
+  /** What to tell; of news, those of the last `period` milliseconds. */
+  readonly state: (period: number) => OwnState;
   /** The records of a topic from an offset. */
   readonly records: (topic: string, position: number) => PassedOn;
   /** Called with records that another host has passed on. */
   readonly received: (topic: string, page: PassedOn) => void;
-  /** Called when the pulses have told something new. */
-  readonly changed: () => void;
+  /** Called with each pulse that has come. */
+  readonly changed: (pulse: Pulse) => void;
 }
 
 interface Correspondence {
@@ -176,7 +180,8 @@
 
   private pulse(sequence: number, heard: number): Pulse {
     const {self, state} = this.options;
-    const {leaving, positions, uses, work} = state();
+    const news = this.period * NEWS_PERIODS;
+    const {leaving, positions, uses, work, kept} = state(news);
     const named = sequence % HOSTS_EVERY === 1;
     return {
       kind: 'pulse',
@@ -188,6 +193,7 @@
       positions: [...positions],
       uses: [...uses],
       work: [...work],
+      kept: [...kept],
       hosts: named ? this.reached.map(({host}) => host) : [],
     };
   }
@@ -253,7 +259,7 @@
       letter.echoed = pulse.heard;
       letter.echoedAt = now;
     }
-    changed();
+    changed(pulse);
   }
 
   private takeWanted({from, topic, position}: Wanted): void {
@@ -275,7 +281,7 @@
   /** Asks another host for records that the store has not given to this one. */
   private askWhereBehind(now: number): void {
     const {state, self, logger} = this.options;
-    for (const {topic, position} of state().positions) {
+    for (const {topic, position} of state(0).positions) {
       const ahead = this.reached.find(
         ({pulse}) => positionOf(pulse, topic) > position,
       );
