Let engines for large and small prompts help each other out

Ruled out: shared parts (the waits were reading of others' prompts), engines missing (five stood, three of them idle).

Change: an engine of the other side may be chosen at a cost, and not where more than 200 ms of reading would stand beside running answers; patience grows with the expected wait.

--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -227,6 +227,7 @@
       near: entry.zone === this.surroundings.zone,
       cold: now < coldUntil,
       failed: failedAt.has(entry.id),
+      beside: false,
       kept: prompt ? this.kept.tokens(sharedParts(prompt), entry.id, now) : 0,
       load: this.load(entry.id),
     }));
@@ -251,11 +252,11 @@
     this.largeCounts.set(service, count);
     const readers = largeEngines(ids, count);
     const large = isLarge(prompt);
-    const own = candidates.filter(
-      ({id, slots, load}) =>
-        readers.has(id) === large && expectedRequests(load, now) < slots,
-    );
-    return chooseEngine(own.length > 0 ? own : candidates, prompt, now);
+    const sided = candidates.map(candidate => ({
+      ...candidate,
+      beside: readers.has(candidate.id) !== large,
+    }));
+    return chooseEngine(sided, prompt, now);
   }
 
   private placeAt(endpoint: KnownEndpoint, choice: Choice, now: number): Place {
--- a/source/balance/choose.ts
+++ b/source/balance/choose.ts
@@ -3,7 +3,8 @@
  * soonest. For a model engine this is the reading that waits there and that of
  * the prompt itself, which is shorter where its shared parts are kept. Parts
  * that nobody keeps go by rank, so that all hosts bring them to the same
- * engine. For a plain service it is the share of its places that are taken.
+ * engine. Engines for large and for small prompts help each other out where
+ * that is worth the harm. For a plain service it is the share of its places that are taken.
  */
 import {expectedReading, expectedRequests, type EndpointLoad} from './load.js';
 import {pull} from './rank.js';
@@ -19,6 +20,8 @@
   readonly cold: boolean;
   /** Whether the request has failed there before. */
   readonly failed: boolean;
+  /** Whether it is meant for prompts of the other size. */
+  readonly beside: boolean;
   /** Tokens of the prompt that it is believed to keep. */
   readonly kept: number;
   readonly load: EndpointLoad;
@@ -38,8 +41,14 @@
 const FAR_COST_MILLISECONDS = 4;
 /** Cost of an endpoint at which no slot is free. */
 const FULL_COST_MILLISECONDS = 1_000;
-/** Cost of each request that runs beside, in milliseconds. */
-const BESIDE_COST_MILLISECONDS = 1.5;
+/** Cost of each request that runs there, in milliseconds. */
+const RUNNING_COST_MILLISECONDS = 1.5;
+/** Cost of an engine that is meant for prompts of the other size. */
+const MIXING_COST_MILLISECONDS = 200;
+/** Milliseconds of reading beside running answers that their callers bear. */
+const MIXING_READING_MOST = 200;
+/** Cost of reading more than that. */
+const OVERLOADING_COST_MILLISECONDS = 3_000;
 /** Cost of each further rank, so that spilled prompts meet at one engine. */
 const RANK_COST_MILLISECONDS = 8;
 
@@ -71,17 +80,29 @@
   return best(candidates, candidate => {
     const rank = ranks?.get(candidate.id) ?? 0;
     const reading = readingTime(prompt.tokens - candidate.kept);
-    const beside = expectedRequests(candidate.load, now);
+    const running = expectedRequests(candidate.load, now);
+    const waiting = expectedReading(candidate.load, now);
     const cost =
       standing(candidate, now) +
-      expectedReading(candidate.load, now) +
+      waiting +
       reading +
       rank * RANK_COST_MILLISECONDS +
-      beside * BESIDE_COST_MILLISECONDS;
+      running * RUNNING_COST_MILLISECONDS +
+      (candidate.beside ? mixing(waiting + reading) : 0);
     return {cost, reading};
   });
 }
 
+/**
+ * What it costs to read a large prompt beside running answers, or to run a
+ * small one beside reading. One prompt now and then delays the answers by less
+ * than their callers notice; one after the other does not.
+ */
+function mixing(reading: number): number {
+  if (reading > MIXING_READING_MOST) return OVERLOADING_COST_MILLISECONDS;
+  return MIXING_COST_MILLISECONDS;
+}
+
 function standing(candidate: Candidate, now: number): number {
   let cost = 0;
   if (candidate.cold) cost += COLD_COST_MILLISECONDS;
--- a/source/balance/work.ts
+++ b/source/balance/work.ts
@@ -24,7 +24,9 @@
 /** Prompt tokens that an engine reads in a millisecond. */
 const READ_TOKENS_PER_MILLISECOND = 50;
 /** Milliseconds of an engine that one token of an answer takes up. */
-const OUTPUT_MILLISECONDS_PER_TOKEN = 0.25;
+const OUTPUT_MILLISECONDS_PER_TOKEN = 0.18;
+/** Share of the shared parts that has to be read all the same, on the mean. */
+const MISSED_SHARE = 0.3;
 /** Prompts above this many tokens hold up the answers that run beside them. */
 const LARGE_PROMPT_TOKENS = 2_500;
 
@@ -54,14 +56,16 @@
 }
 
 /**
- * Milliseconds that a request takes up of an engine that keeps its shared
- * parts.
+ * Milliseconds that a request takes up of an engine, on the mean.
  *
  * ```ts
  * const work = engineTime(prompt);
  * ```
  */
 export function engineTime(prompt: Prompt): number {
-  const own = prompt.tokens - sharedTokens(prompt);
-  return readingTime(own) + prompt.output * OUTPUT_MILLISECONDS_PER_TOKEN;
+  const spared = sharedTokens(prompt) * (1 - MISSED_SHARE);
+  return (
+    readingTime(prompt.tokens - spared) +
+    prompt.output * OUTPUT_MILLISECONDS_PER_TOKEN
+  );
 }
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -35,6 +35,8 @@
 const WAITING_SHARE = 0.6;
 /** Times its target after which a request that may be repeated is sent anew. */
 const PATIENCE_TARGETS = 2;
+/** Times its expected wait that is added to that. */
+const PATIENCE_EXPECTED = 2;
 /** Sends that one request may make, those that did not run among them. */
 const SENDS_MOST = 4;
 /** Least share of a service's starts that each route gets while it waits. */
@@ -192,7 +194,7 @@
     if (!place) throw new AttemptFailure('connect', 'no endpoint', true);
     course.sends++;
     this.noteSend(course, place.choice, place.endpoint.entry.zone);
-    const patience = this.patienceOf(course);
+    const patience = this.patienceOf(course, place.choice.cost);
     const attempt = new Attempt({course, place, stop, patience}, this.parts);
     const sentAt = clock.monotonic();
     try {
@@ -210,11 +212,12 @@
   }
 
   /** How long to wait for a sign of life before another endpoint may try. */
-  private patienceOf(course: Course): number | undefined {
+  private patienceOf(course: Course, expected: number): number | undefined {
     const {route, runs} = course;
     if (!route.repeatable && !route.resumable) return undefined;
     if (runs + 1 >= route.attempts) return undefined;
-    return this.mayRepeat(course) ? route.target * PATIENCE_TARGETS : undefined;
+    if (!this.mayRepeat(course)) return undefined;
+    return route.target * PATIENCE_TARGETS + expected * PATIENCE_EXPECTED;
   }
 
   /** Lets the request go on, or throws the Refusal that ends it. */
