Probe endpoints that cannot be reached, and tell the others of them

Change: a connection that is not made in 250 ms, or a 421, puts an endpoint aside; it is asked for its health until it answers; hosts tell each other which they cannot reach; an endpoint whose answers fail costs more. A repeat after a connection that was never made is no arrival, so it does not count.

--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -56,6 +56,8 @@
   answered(latency: number, named: NamedLoad | undefined): void;
   /** The endpoint has failed the request. */
   failed(): void;
+  /** The endpoint does not accept connections, or another has its address. */
+  unreachable(): void;
   /** The request has left the endpoint; a second call does nothing. */
   release(): void;
 }
@@ -94,6 +96,8 @@
   private readonly coldSends = new Map<string, ColdSends>();
   /** Work that callers of this host ask for, by service. */
   private readonly work = new Map<string, PromptWork>();
+  /** How many other hosts cannot reach an endpoint. */
+  private doubts: ReadonlyMap<string, number> = new Map();
   private readonly largeCounts = new Map<string, number>();
   readonly kept = new KeptParts();
   /** The same of the other hosts. */
@@ -177,6 +181,30 @@
     return uses;
   }
 
+  /** The endpoints that this host cannot reach. */
+  unreachable(): KnownEndpoint[] {
+    return [...this.directory.values()].filter(
+      ({entry}) => this.load(entry.id).unreachable,
+    );
+  }
+
+  /** Notes that an endpoint has answered when it was asked how it is. */
+  reached(id: string): void {
+    this.update(id, {kind: 'reached'});
+  }
+
+  /** The service of an endpoint. */
+  serviceOf({entry}: KnownEndpoint): Service | undefined {
+    return this.services.get(entry.service);
+  }
+
+  /** Takes over which endpoints the other hosts cannot reach. */
+  setDoubts(ids: readonly string[]): void {
+    const doubts = new Map<string, number>();
+    for (const id of ids) doubts.set(id, (doubts.get(id) ?? 0) + 1);
+    this.doubts = doubts;
+  }
+
   /** The work that callers of this host ask for, for the others. */
   ownWork(): ServiceWork[] {
     const now = this.now();
@@ -228,6 +256,7 @@
       cold: now < coldUntil,
       failed: failedAt.has(entry.id),
       beside: false,
+      doubts: this.doubts.get(entry.id) ?? 0,
       kept: prompt ? this.kept.tokens(sharedParts(prompt), entry.id, now) : 0,
       load: this.load(entry.id),
     }));
@@ -280,6 +309,8 @@
         this.update(id, {kind: 'answered', latency, named, now: this.now()});
       },
       failed: () => this.update(id, {kind: 'failed', now: this.now()}),
+      unreachable: () =>
+        this.update(id, {kind: 'unreachable', now: this.now()}),
       release: () => {
         if (!held) return;
         held = false;
--- a/source/balance/choose.ts
+++ b/source/balance/choose.ts
@@ -22,6 +22,8 @@
   readonly failed: boolean;
   /** Whether it is meant for prompts of the other size. */
   readonly beside: boolean;
+  /** How many other hosts cannot reach it. */
+  readonly doubts: number;
   /** Tokens of the prompt that it is believed to keep. */
   readonly kept: number;
   readonly load: EndpointLoad;
@@ -39,6 +41,10 @@
 const COLD_COST_MILLISECONDS = 400;
 const FAILED_COST_MILLISECONDS = 5_000;
 const FAR_COST_MILLISECONDS = 4;
+/** Cost of an endpoint for each other host that cannot reach it. */
+const DOUBT_COST_MILLISECONDS = 150;
+/** Cost of an endpoint all of whose answers fail. */
+const FAILING_COST_MILLISECONDS = 1_500;
 /** Cost of an endpoint at which no slot is free. */
 const FULL_COST_MILLISECONDS = 1_000;
 /** Cost of each request that runs there, in milliseconds. */
@@ -108,6 +114,8 @@
   if (candidate.cold) cost += COLD_COST_MILLISECONDS;
   if (candidate.failed) cost += FAILED_COST_MILLISECONDS;
   if (!candidate.near) cost += FAR_COST_MILLISECONDS;
+  cost += candidate.doubts * DOUBT_COST_MILLISECONDS;
+  cost += candidate.load.failing * FAILING_COST_MILLISECONDS;
   const expected = expectedRequests(candidate.load, now);
   if (expected >= candidate.slots) cost += FULL_COST_MILLISECONDS;
   return cost;
--- a/source/balance/load.ts
+++ b/source/balance/load.ts
@@ -27,8 +27,12 @@
   readonly latency: number;
   /** Failures since the last good answer. */
   readonly failures: number;
+  /** Share of its answers that failed, of late. */
+  readonly failing: number;
   /** Monotonic milliseconds until which it gets no requests after failures. */
   readonly avoidedUntil: number;
+  /** Whether it is avoided because it could not be reached at all. */
+  readonly unreachable: boolean;
 }
 
 /** What can happen at an endpoint. */
@@ -48,13 +52,19 @@
       readonly now: number;
       readonly named: NamedLoad | undefined;
     }
-  | {readonly kind: 'failed'; readonly now: number};
+  | {readonly kind: 'failed'; readonly now: number}
+  /** It does not accept connections, or another has its address. */
+  | {readonly kind: 'unreachable'; readonly now: number}
+  /** It has answered when it was asked how it is. */
+  | {readonly kind: 'reached'};
 
 /** Failures in a row after which an endpoint is avoided. */
 const FAILURES_BEFORE_AVOIDED = 2;
 const AVOIDED_MILLISECONDS = 500;
 const AVOIDED_MILLISECONDS_MOST = 8_000;
+const UNREACHABLE_MILLISECONDS = 8_000;
 const LATENCY_WEIGHT = 0.2;
+const FAILING_WEIGHT = 0.15;
 /** Milliseconds after which half of what an answer told counts no more. */
 const TOLD_HALF_LIFE_MILLISECONDS = 1_000;
 
@@ -67,9 +77,14 @@
   toldAt: -Infinity,
   latency: 0,
   failures: 0,
+  failing: 0,
   avoidedUntil: -Infinity,
+  unreachable: false,
 };
 
+/** An endpoint that has proved that it works. */
+const SOUND = {failures: 0, avoidedUntil: -Infinity, unreachable: false};
+
 /**
  * The load after an event.
  *
@@ -106,6 +121,15 @@
       return afterAnswer(before, event);
     case 'failed':
       return afterFailure(before, event.now);
+    case 'unreachable':
+      return {
+        ...before,
+        failures: before.failures + 1,
+        avoidedUntil: event.now + UNREACHABLE_MILLISECONDS,
+        unreachable: true,
+      };
+    case 'reached':
+      return before.unreachable ? {...before, ...SOUND} : before;
   }
 }
 
@@ -144,8 +168,8 @@
   const answered = {
     ...before,
     latency: before.latency + weight * (latency - before.latency),
-    failures: 0,
-    avoidedUntil: -Infinity,
+    failing: before.failing * (1 - FAILING_WEIGHT),
+    ...SOUND,
   };
   if (!named) return answered;
   const others = Math.max(named.running + named.waiting - before.own, 0);
@@ -154,11 +178,13 @@
 
 function afterFailure(before: EndpointLoad, now: number): EndpointLoad {
   const failures = before.failures + 1;
+  const failing = before.failing + FAILING_WEIGHT * (1 - before.failing);
   const beyond = failures - FAILURES_BEFORE_AVOIDED;
-  if (beyond < 0) return {...before, failures};
+  if (beyond < 0) return {...before, failures, failing};
   const rest = Math.min(
     AVOIDED_MILLISECONDS * 2 ** beyond,
     AVOIDED_MILLISECONDS_MOST,
   );
-  return {...before, failures, avoidedUntil: now + rest};
+  const avoidedUntil = Math.max(before.avoidedUntil, now + rest);
+  return {...before, failures, failing, avoidedUntil};
 }
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -15,6 +15,7 @@
 import {listen} from '../wire/index.js';
 import {Knowledge} from './knowledge.js';
 import type {PlatformParts} from './platform.js';
+import {Prober} from './prober.js';
 import {createReadinessPort} from './readiness.js';
 import type {EdgeSettings} from './settings.js';
 
@@ -46,6 +47,7 @@
   private readonly book: EndpointBook;
   private readonly admission: Admission;
   private readonly forwarder: Forwarder;
+  private readonly prober: Prober;
   private readonly usage: Usage | undefined;
   private readonly duties: DutyDesk | undefined;
   private readonly gossip: GossipDesk | undefined;
@@ -62,9 +64,13 @@
       room: this.book,
       places: WAITING_MOST,
     });
+    const {protocol} = platform;
+    const connections = new Connections(clock);
+    const {book} = this;
+    this.prober = new Prober({book, connections, protocol, clock, logger});
     this.forwarder = new Forwarder({
-      protocol: platform.protocol,
-      connections: new Connections(clock),
+      protocol,
+      connections,
       admission: this.admission,
       book: this.book,
       clock,
@@ -98,6 +104,7 @@
     await listen(this.callers, settings.callers);
     this.move('listen');
     this.knowledge.start();
+    this.prober.start();
     this.usage?.start();
     this.duties?.start();
     await this.gossip?.start();
@@ -123,6 +130,7 @@
     stopClosing();
     await Promise.race([this.handOver(), tooLate]);
     this.knowledge.stop();
+    this.prober.stop();
     this.gossip?.stop();
     this.move('stop');
   }
@@ -193,6 +201,7 @@
         positions: this.knowledge.positions,
         uses: this.book.uses(),
         work: this.book.ownWork(),
+        unreachable: this.book.unreachable().map(({entry}) => entry.id),
         kept: this.book.kept.since(clock.monotonic() - period),
       }),
       records: (topic, position) => this.knowledge.records(topic, position),
@@ -206,6 +215,7 @@
     this.book.kept.told(kept, this.parts.clock.monotonic());
     const pulses = this.gossip.reached.flatMap(({pulse}) => pulse ?? []);
     this.book.setHosts(this.gossip.sharers);
+    this.book.setDoubts(pulses.flatMap(({unreachable}) => unreachable));
     this.book.setOthers(
       pulses.flatMap(({uses}) => uses),
       pulses.flatMap(({work}) => work),
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -127,6 +127,7 @@
     const head = parts.protocol.answerHead(message);
     const latency = parts.clock.monotonic() - this.sentAt;
     if (head.notRun) {
+      if (head.misdirected) place.unreachable();
       message.resume();
       throw new AttemptFailure('status', `status ${head.status}`, true);
     }
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -14,7 +14,7 @@
 import {partsOf} from '../wire/index.js';
 
 /** Milliseconds within which an endpoint must accept a connection. */
-const CONNECT_MILLISECONDS = 700;
+const CONNECT_MILLISECONDS = 250;
 /** Milliseconds for which an idle connection is kept. */
 const IDLE_MILLISECONDS = 4_000;
 
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -202,7 +202,8 @@
     } catch (error) {
       if (error instanceof AttemptFailure && !stop.aborted) {
         failedAt.add(place.endpoint.entry.id);
-        if (!error.notRun || error.stage === 'connect') place.failed();
+        if (error.stage === 'connect') place.unreachable();
+        else if (!error.notRun) place.failed();
         this.noteFailure(course, place.endpoint.entry.id, error, sentAt);
       }
       throw error;
@@ -234,7 +235,7 @@
       resumable: route.resumable,
       attempts: proven ? course.sends : course.runs,
       attemptsMost: proven ? SENDS_MOST : route.attempts,
-      budget: this.mayRepeat(course),
+      budget: stage === 'connect' || this.mayRepeat(course),
     });
     if (decision.kind === 'refuse') {
       if (failure.answer && !course.answer.begun) {
@@ -243,7 +244,7 @@
       }
       throw new Refusal(decision.code, decision.outcome, failure.message);
     }
-    this.count(course, 'repeat');
+    if (stage !== 'connect') this.count(course, 'repeat');
     metrics.count('retry', {reason: decision.reason, route: route.name});
   }
 
--- a/source/forward/protocol.ts
+++ b/source/forward/protocol.ts
@@ -49,6 +49,10 @@
   readonly sealed: boolean;
   /** The endpoint's word that it did not run the request. */
   readonly notRun: boolean;
+  /** Whether another endpoint has the address of the one that was meant. */
+  readonly misdirected: boolean;
+  /** The endpoint that answers, by its own word. */
+  readonly endpoint: string | undefined;
   readonly load: NamedLoad | undefined;
 }
 
--- a/source/gossip/gossip.ts
+++ b/source/gossip/gossip.ts
@@ -51,6 +51,7 @@
   readonly positions: readonly TopicPosition[];
   readonly uses: readonly EndpointUse[];
   readonly work: readonly ServiceWork[];
+  readonly unreachable: readonly string[];
   readonly kept: readonly KeptPart[];
 }
 
@@ -181,7 +182,7 @@
   private pulse(sequence: number, heard: number): Pulse {
     const {self, state} = this.options;
     const news = this.period * NEWS_PERIODS;
-    const {leaving, positions, uses, work, kept} = state(news);
+    const {leaving, positions, uses, work, kept, unreachable} = state(news);
     const named = sequence % HOSTS_EVERY === 1;
     return {
       kind: 'pulse',
@@ -193,6 +194,7 @@
       positions: [...positions],
       uses: [...uses],
       work: [...work],
+      unreachable: [...unreachable],
       kept: [...kept],
       hosts: named ? this.reached.map(({host}) => host) : [],
     };
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -47,6 +47,8 @@
   positions: z.array(topicPositionSchema),
   uses: z.array(endpointUseSchema),
   work: z.array(serviceWorkSchema),
+  /** Endpoints that it cannot reach. */
+  unreachable: z.array(z.string()),
   /** Parts of prompts that engines have read for it of late. */
   kept: z.array(z.object({part: z.string(), endpoint: z.string()})),
   /** Other hosts that it knows; sent now and then. */
