--- a/source/duty/desk.ts
+++ b/source/duty/desk.ts
@@ -20,7 +20,7 @@
 const TOPIC = 'duties';
 const JOIN_MILLISECONDS = 1_000;
 const JOIN_BOUND_MILLISECONDS = 900;
-const TIME_TO_LIVE_MILLISECONDS = 3_500;
+const TIME_TO_LIVE_MILLISECONDS = 3_000;
 /** Longest time that a call may be on its way. */
 const FLIGHT_MILLISECONDS = 600;
 
--- a/source/duty/term.ts
+++ b/source/duty/term.ts
@@ -30,6 +30,8 @@
   readonly from: number;
   /** Monotonic milliseconds until which it may act. */
   readonly until: number;
+  /** Monotonic milliseconds at which the store was last asked. */
+  readonly askedAt: number;
 }
 
 /** The term of a host that has not joined. */
@@ -38,6 +40,7 @@
   fence: 0,
   from: Infinity,
   until: -Infinity,
+  askedAt: -Infinity,
 };
 
 /** An answer of the store to a member. */
@@ -64,9 +67,14 @@
   if (generation < before.generation) return before;
   if (!partitions.includes(DUTY_PARTITION)) return {...NO_TERM, generation};
   const until = askedAt + timeToLive - flight;
-  const held = before.fence > 0 && askedAt < before.until + flight;
-  if (held) return {...before, generation, until};
-  return {generation, fence: generation, from: now + lease + flight, until};
+  const wait = lease + flight;
+  const unchanged = generation === before.generation;
+  // Another host that held the duties for less than this has not acted, since
+  // its time was up before its wait was over.
+  const harmless = wait + flight - timeToLive;
+  const held = unchanged || askedAt - before.askedAt <= harmless;
+  if (before.fence > 0 && held) return {...before, generation, until, askedAt};
+  return {generation, fence: generation, from: now + wait, until, askedAt};
 }
 
 /** The term of a host that has given its partitions back. */
--- a/source/store/keyed.ts
+++ b/source/store/keyed.ts
@@ -42,7 +42,10 @@
  */
 export function afterFollow(before: KeyedState, page: KeyedPage): KeyedUpdate {
   const records = new Map(before.records);
-  const changes = page.records.filter(record => adopt(records, record));
+  const {completeFrom} = before;
+  const changes = page.records.filter(record =>
+    adopt(records, record, completeFrom),
+  );
   const next = Math.max(before.next ?? 0, page.end);
   return {state: {...before, records, next}, changes};
 }
@@ -86,12 +89,17 @@
   return {records: kept, end: next ?? 0, whole};
 }
 
+/**
+ * Takes over a record that is newer than what is known of its key. A key that
+ * was missing when all were known has been removed since the record.
+ */
 function adopt(
   records: Map<string, KeyedRecord>,
   record: KeyedRecord,
+  completeFrom: number,
 ): boolean {
-  const known = records.get(record.key);
-  if (known && known.offset >= record.offset) return false;
+  const known = records.get(record.key)?.offset ?? completeFrom - 1;
+  if (record.offset <= known) return false;
   records.set(record.key, record);
   return true;
 }
--- /dev/null
+++ b/test/directory.test.ts
@@ -0,0 +1,77 @@
+/** Which endpoints a host may use when entries are removed, lapse and return. */
+import test from 'ava';
+
+import {
+  afterEntries,
+  afterLapses,
+  type Directory,
+  type EndpointEntry,
+} from '../source/directory/index.js';
+
+const CALM = {now: 100_000, lostAt: -Infinity};
+
+function entry(id: string, change: Partial<EndpointEntry> = {}): EndpointEntry {
+  return {
+    id,
+    service: 'drafting',
+    address: '10.0.0.1:80',
+    zone: 'palermo',
+    slots: 64,
+    leaving: false,
+    coldFor: 0,
+    born: 1,
+    reclaimable: false,
+    ...change,
+  };
+}
+
+function directoryOf(...ids: string[]): Directory {
+  const changes = ids.map(id => ({id, entry: entry(id)}));
+  return afterEntries(new Map(), changes, {now: 0, lostAt: -Infinity});
+}
+
+test('an entry that is removed while the store is well is gone at once', t => {
+  const before = directoryOf('a', 'b', 'c', 'd', 'e', 'f', 'g');
+  const after = afterEntries(before, [{id: 'a', entry: undefined}], CALM);
+  t.false(after.has('a'));
+  t.is(after.size, 6);
+});
+
+test('entries that are missing after an outage are waited for, then gone', t => {
+  const before = directoryOf('a', 'b', 'c', 'd', 'e', 'f', 'g');
+  const health = {now: 100_000, lostAt: 99_000};
+  const lapsed = afterEntries(before, [{id: 'a', entry: undefined}], health);
+  t.true(lapsed.has('a'));
+  t.true(afterLapses(lapsed, 102_000).has('a'));
+  t.false(afterLapses(lapsed, 102_500).has('a'));
+});
+
+test('a lapsed entry that is entered again stays', t => {
+  const before = directoryOf('a', 'b');
+  const health = {now: 100_000, lostAt: 99_000};
+  const lapsed = afterEntries(before, [{id: 'a', entry: undefined}], health);
+  const again = afterEntries(lapsed, [{id: 'a', entry: entry('a')}], CALM);
+  t.true(afterLapses(again, 200_000).has('a'));
+});
+
+test('when most entries go at once they have lapsed, though no outage was seen', t => {
+  const before = directoryOf('a', 'b', 'c', 'd');
+  const removals = ['a', 'b', 'c'].map(id => ({id, entry: undefined}));
+  t.is(afterEntries(before, removals, CALM).size, 4);
+});
+
+test('the same id with another start is another endpoint', t => {
+  const before = directoryOf('a');
+  const reborn = {id: 'a', entry: entry('a', {born: 2, coldFor: 3_000})};
+  const after = afterEntries(before, [reborn], CALM).get('a');
+  t.is(after?.knownAt, 100_000);
+  t.is(after?.coldUntil, 103_000);
+  const same = {id: 'a', entry: entry('a', {leaving: true})};
+  t.is(afterEntries(before, [same], CALM).get('a')?.knownAt, 0);
+});
+
+test('an entry that says nothing usable names no endpoint, and the others hold', t => {
+  const before = directoryOf('a', 'b', 'c', 'd', 'e', 'f', 'g');
+  const after = afterEntries(before, [{id: 'b', entry: undefined}], CALM);
+  t.deepEqual([...after.keys()], ['a', 'c', 'd', 'e', 'f', 'g']);
+});
