--- a/source/capacity/plan.ts
+++ b/source/capacity/plan.ts
@@ -42,6 +42,8 @@
 const LASTING_HEADROOM = 0.6;
 /** Share of the lasting endpoints found that is kept beside cheap ones. */
 const FOUND_SHARE = 1 / 3;
+/** Share of a zone's endpoints that lasting ones may take up beside cheap ones. */
+const LASTING_MOST_SHARE = 0.5;
 /** Cheap endpoints of a zone at the least. */
 const CHEAP_LEAST = 3;
 /** Busy endpoints under which nobody is served yet. */
@@ -66,11 +68,12 @@
   const steady = Math.max(Math.ceil(busy * LASTING_HEADROOM), kept);
   const shares = spread(steady, range, supplies);
   const cheap = cheapInZone(situation, supplies, needed);
+  const lastingMost = Math.floor(range.most * LASTING_MOST_SHARE);
   const missing = Math.max(needed - present(supplies), 0);
   const standIns = spread(missing, range, supplies);
   return supplies.map(supply => {
     const {zone, dry} = supply;
-    const steadyHere = shares.get(zone) ?? 0;
+    const steadyHere = Math.min(shares.get(zone) ?? 0, lastingMost);
     const reclaimable = Math.min(cheap, range.most - steadyHere);
     const least = Math.max(range.least - reclaimable, 0);
     const replaced = supply.reclaimable >= reclaimable || busy < IDLE_BUSY;
