Obey SIGHUP, and look for a lost store quickly until it is back

LOST: SIGHUP, which nobody handled, ended the process. DRAIN: a read that was sent in an outage was given up 3.2 s later, so a host learned of a leave 2.2 s after it was acknowledged.

Change: SIGHUP reads the settings anew; while the store is away reads do not wait and are given up after 0.6 s. Where endpoints are alike they now get a request in turn (found by test/edge: one endpoint got all of a light load).

--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -98,6 +98,8 @@
   private readonly work = new Map<string, PromptWork>();
   /** How many other hosts cannot reach an endpoint. */
   private doubts: ReadonlyMap<string, number> = new Map();
+  /** Requests so far; where endpoints are alike they get one in turn. */
+  private turn = 0;
   private readonly largeCounts = new Map<string, number>();
   readonly kept = new KeptParts();
   /** The same of the other hosts. */
@@ -248,7 +250,7 @@
     const now = this.now();
     const usable = this.usable(service, now);
     const fresh = usable.filter(({entry}) => !failedAt.has(entry.id));
-    const known = fresh.length > 0 ? fresh : usable;
+    const known = rotated(fresh.length > 0 ? fresh : usable, this.turn++);
     const candidates = known.map(({entry, coldUntil}) => ({
       id: entry.id,
       slots: entry.slots,
@@ -366,3 +368,8 @@
     return this.surroundings.clock.monotonic();
   }
 }
+
+function rotated<T>(items: readonly T[], turn: number): T[] {
+  const start = items.length > 0 ? turn % items.length : 0;
+  return [...items.slice(start), ...items.slice(0, start)];
+}
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -113,6 +113,11 @@
     });
   }
 
+  /** Takes over settings that may change while the host runs. */
+  reload({repeats}: EdgeSettings): void {
+    this.forwarder.repeatBound = repeats;
+  }
+
   /** Leaves without cutting a request; resolves when all have ended. */
   async drain(): Promise<void> {
     if (!hostChart.allows(this.state, 'drain')) return;
--- a/source/edge/main.ts
+++ b/source/edge/main.ts
@@ -30,7 +30,13 @@
       const {settings, parts: platform} = openPlatform(process.env);
       const logLevel = LEVELS.find(level => level === args['log-level']);
       const {statsd} = args;
-      await runEdge({settings, platform, logLevel: logLevel ?? 'info', statsd});
+      await runEdge({
+        settings,
+        readAgain: () => openPlatform(process.env).settings,
+        platform,
+        logLevel: logLevel ?? 'info',
+        statsd,
+      });
     } catch (error) {
       if (!(error instanceof ArbutusslipError)) throw error;
       process.stderr.write(`arbutusslip-edge: ${error.message}\n`);
--- a/source/edge/run.ts
+++ b/source/edge/run.ts
@@ -1,5 +1,6 @@
 /** The course of a host process: its parts, and its end on a signal. */
 import {SystemClock} from '../clock/index.js';
+import {SettingsError} from '../errors/index.js';
 import {BoundedSink, createLogger} from '../logging/index.js';
 import {Metrics} from '../metrics/index.js';
 import {seededRandom} from '../random/index.js';
@@ -12,6 +13,8 @@
 /** What differs between hosts. */
 export interface EdgeOptions {
   readonly settings: EdgeSettings;
+  /** Reads the settings anew. Throws a SettingsError. */
+  readonly readAgain: () => EdgeSettings;
   readonly platform: PlatformParts;
   readonly logLevel: 'debug' | 'info' | 'warn';
   /** Address of a StatsD server; none where it is absent. */
@@ -39,6 +42,16 @@
       process.exit(0);
     });
   };
+  const reload = () => {
+    try {
+      host.reload(options.readAgain());
+      logger.info('reload', {outcome: 'taken'});
+    } catch (error) {
+      if (!(error instanceof SettingsError)) throw error;
+      logger.error('reload', {outcome: 'refused', detail: error.message});
+    }
+  };
+  process.on('SIGHUP', reload);
   process.on('SIGTERM', leave);
   process.on('SIGINT', leave);
 }
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -64,11 +64,15 @@
 export class Forwarder {
   /** Set once a configuration is known. */
   table: RoutingTable | undefined;
+  /** The bound on repeats that is in force. */
+  repeatBound: RepeatBound;
   private readonly repeats = new Map<string, RepeatCount>();
   private readonly courses = new Set<Course>();
   private emptied: () => void = () => {};
 
-  constructor(private readonly parts: ForwarderParts) {}
+  constructor(private readonly parts: ForwarderParts) {
+    this.repeatBound = parts.repeatBound;
+  }
 
   /** Requests under way. */
   get size(): number {
@@ -298,14 +302,16 @@
   }
 
   private mayRepeat({service}: Course): boolean {
-    const {book, clock, repeatBound} = this.parts;
+    const {repeatBound} = this;
+    const {book, clock} = this.parts;
     const count = this.repeats.get(service) ?? NO_REPEATS;
     const now = clock.monotonic();
     return mayRepeat(count, repeatBound, book.hostCount, now);
   }
 
   private count({service}: Course, what: 'request' | 'repeat'): void {
-    const {clock, repeatBound} = this.parts;
+    const {repeatBound} = this;
+    const {clock} = this.parts;
     const before = this.repeats.get(service) ?? NO_REPEATS;
     const after = counted(before, what, repeatBound, clock.monotonic());
     this.repeats.set(service, after);
--- a/source/store/follower.ts
+++ b/source/store/follower.ts
@@ -20,9 +20,11 @@
 /** Milliseconds for which a read waits at the store. */
 const WAIT_MILLISECONDS = 2_000;
 /** Milliseconds beyond its wait after which a read counts as lost. */
-const ANSWER_MILLISECONDS = 1_200;
+const ANSWER_MILLISECONDS = 1_000;
+/** The same while the store is away, when reads do not wait. */
+const PROBE_MILLISECONDS = 600;
 const FIRST_PAUSE_MILLISECONDS = 100;
-const LONGEST_PAUSE_MILLISECONDS = 1_000;
+const LONGEST_PAUSE_MILLISECONDS = 600;
 
 /** What a follower is made from. */
 export interface FollowerOptions {
@@ -100,8 +102,11 @@
       this.adopt(afterReload(this.state, page));
       return;
     }
-    const waiting = {from: next, wait: WAIT_MILLISECONDS};
-    const page = await store.followKeyed(topic, waiting, bound + waiting.wait);
+    const away = this.failures > 0;
+    const wait = away ? 0 : WAIT_MILLISECONDS;
+    const longest = away ? PROBE_MILLISECONDS : wait + bound;
+    const waiting = {from: next, wait};
+    const page = await store.followKeyed(topic, waiting, longest);
     this.adopt(afterFollow(this.state, page));
   }
 
--- /dev/null
+++ b/test/support/edgeprocess.ts
@@ -0,0 +1,254 @@
+/** Host processes on a stand-in of the users' platform, as scenarios need them. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {createServer, request, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import type {ExecutionContext} from 'ava';
+
+import {freeAddress} from '../../tools/ports.js';
+import {Site} from '../../standins/site.js';
+
+const PROGRAM = 'dist/arbutusslip-edge.js';
+const POLL_MILLISECONDS = 20;
+
+/** A line of a host's log. */
+export interface Line {
+  readonly event: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** One host process. */
+export interface HostProcess {
+  readonly name: string;
+  readonly callers: string;
+  readonly readiness: string;
+  /** Path of the settings file. */
+  readonly settings: string;
+  readonly child: ChildProcess;
+  readonly lines: Line[];
+  /** Resolves with the exit code. */
+  readonly ended: Promise<number | null>;
+}
+
+/** A platform with endpoints and hosts. */
+export class EdgeFleet {
+  readonly site = new Site();
+  readonly hosts: HostProcess[] = [];
+  /** Requests that endpoints got, by endpoint. */
+  readonly seen = new Map<string, number>();
+  private readonly servers: Server[] = [];
+  private readonly seeds: string[] = [];
+  private version = 0;
+
+  static async start(t: ExecutionContext): Promise<EdgeFleet> {
+    const fleet = new EdgeFleet();
+    t.teardown(() => fleet.stop());
+    await fleet.site.start();
+    return fleet;
+  }
+
+  /** Starts an endpoint and enters it in the store. */
+  async endpoint(id: string): Promise<void> {
+    const server = createServer((message, response) => {
+      message.resume();
+      message.on('end', () => {
+        this.seen.set(id, (this.seen.get(id) ?? 0) + 1);
+        response.writeHead(200, {
+          'x-attempt-id': String(message.headers['x-attempt-id']),
+          'x-response-seal': 'seal',
+        });
+        response.end(id);
+      });
+    });
+    this.servers.push(server);
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const {port} = server.address() as AddressInfo;
+    this.enter(id, `127.0.0.1:${port}`, 'ready');
+  }
+
+  /** Enters what an endpoint says of itself. */
+  enter(id: string, address: string, state: string): void {
+    this.site.put('keyed.servers', id, {
+      service: 'register',
+      address,
+      zone: 'palermo',
+      version: 'v1',
+      slots: 6,
+      state,
+      coldLeftMs: 0,
+      sequence: 1,
+      born: 1_000,
+    });
+  }
+
+  /** Publishes a configuration with these keys of the one team. */
+  configure(keys: readonly string[]): void {
+    this.version += 3;
+    this.site.put('keyed.op', 'config', {
+      version: this.version,
+      routes: [
+        {
+          name: 'read',
+          host: 'register.example',
+          pathPrefix: '/read/',
+          kind: 'idempotent',
+          timeoutMs: 2_000,
+          sloMs: 500,
+          priority: 1,
+          service: 'register',
+          maxAttempts: 2,
+          public: false,
+          sticky: false,
+          resumable: false,
+        },
+      ],
+      services: [
+        {
+          name: 'register',
+          healthPath: '/health',
+          maxConns: 96,
+          protocol: 'h1',
+          tls: false,
+          coldS: 0,
+          coldPerS: 0,
+        },
+      ],
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 4_194_304,
+        headerTimeoutMs: 3_000,
+        idleTimeoutMs: 15_000,
+      },
+      tenants: [{name: 'guides', apiKeys: keys, priority: 1}],
+    });
+  }
+
+  /** Starts a host; its settings file may be given instead. */
+  async host(name: string, file?: string): Promise<HostProcess> {
+    const [callers, readiness, control] = await Promise.all(
+      [0, 1, 2].map(() => freeAddress()),
+    );
+    if (!callers || !readiness || !control) throw new Error('no free ports');
+    const folder = mkdtempSync(join(tmpdir(), 'arbutusslip-'));
+    const path = join(folder, 'settings.json');
+    const settings = this.settingsOf(name, callers, readiness, control);
+    writeFileSync(path, file ?? JSON.stringify(settings));
+    this.seeds.push(control);
+    const child = spawn(process.execPath, [PROGRAM], {
+      env: {PATH: process.env['PATH'], ARBUTUSSLIP_BOOT: path},
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const lines: Line[] = [];
+    let rest = '';
+    child.stdout?.on('data', (part: Buffer) => {
+      const texts = (rest + part.toString()).split('\n');
+      rest = texts.pop() ?? '';
+      for (const text of texts) lines.push(JSON.parse(text) as Line);
+    });
+    const ended = new Promise<number | null>(resolve => {
+      child.once('exit', code => resolve(code));
+    });
+    const host = {
+      name,
+      callers,
+      readiness,
+      settings: path,
+      child,
+      lines,
+      ended,
+    };
+    this.hosts.push(host);
+    return host;
+  }
+
+  /** Resolves when a host says that it is ready. */
+  async ready(host: HostProcess): Promise<void> {
+    await until(async () => (await statusOf(host.readiness, '/')) === 200);
+  }
+
+  /** The status and body of a read through a host. */
+  read(host: HostProcess, key: string): Promise<[number, string]> {
+    return new Promise(resolve => {
+      const sent = request(
+        `http://${host.callers}/read/1`,
+        {
+          agent: false,
+          headers: {
+            host: 'register.example',
+            authorization: `Bearer ${key}`,
+            'x-attempt-id': 'reader',
+            'x-deadline-ms': '2000',
+          },
+        },
+        message => {
+          let text = '';
+          message.on('data', (part: Buffer) => (text += part.toString()));
+          message.on('end', () => resolve([message.statusCode ?? 0, text]));
+        },
+      );
+      sent.on('error', () => resolve([0, '']));
+      sent.end();
+    });
+  }
+
+  private settingsOf(
+    name: string,
+    front: string,
+    readiness: string,
+    control: string,
+  ): object {
+    return {
+      nodeId: name,
+      zone: 'palermo',
+      listen: {front, readiness, control},
+      seedNodes: this.seeds.slice(0, 3),
+      limits: {memoryMb: 200},
+      bounds: {
+        graceS: 8,
+        retryRatio: 0.2,
+        retryWindowS: 10,
+        retrySlack: 52,
+        leaseMs: 1_000,
+        usageWindowS: 1,
+        usageLateS: 10,
+      },
+      platform: {address: this.site.address},
+      cloudApi: {address: this.site.address, duties: ['usage_report']},
+      unknown: {field: 'is passed over'},
+    };
+  }
+
+  private stop(): void {
+    for (const {child} of this.hosts) child.kill('SIGKILL');
+    for (const server of this.servers) {
+      server.closeAllConnections();
+      server.close();
+    }
+    this.site.stop();
+  }
+}
+
+/** Resolves when something holds. */
+export async function until(
+  holds: () => boolean | Promise<boolean>,
+): Promise<void> {
+  while (!(await holds())) {
+    await new Promise(resolve => setTimeout(resolve, POLL_MILLISECONDS));
+  }
+}
+
+function statusOf(address: string, path: string): Promise<number> {
+  return new Promise(resolve => {
+    const sent = request(`http://${address}${path}`, message => {
+      message.resume();
+      resolve(message.statusCode ?? 0);
+    });
+    sent.on('error', () => resolve(0));
+    sent.end();
+  });
+}
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -4,6 +4,7 @@
 const programs = {
   arbutusslipd: 'source/daemon/main.ts',
   arbutusslip: 'source/command/main.ts',
+  'arbutusslip-edge': 'source/edge/main.ts',
   quickstart: 'tools/quickstart.ts',
   control: 'tools/control.ts',
   measure: 'tools/measure.ts',
