--- a/source/duty/usage.ts
+++ b/source/duty/usage.ts
@@ -42,6 +42,8 @@
 const RETRY_MILLISECONDS = 500;
 /** Windows that are still reported by a new holder. */
 const WINDOWS_REPORTED = 4;
+/** Windows before the present one that may not be in the store yet. */
+const WINDOWS_OPEN = 1;
 /** Windows whose figures a host keeps. */
 const WINDOWS_KEPT = 20;
 
@@ -63,6 +65,8 @@
 /** This host's counts, and the windows as the store has them. */
 export class Usage {
   private readonly sheets: UsageSheets;
+  /** Counts of other hosts, by host. */
+  private readonly entrusted = new Map<string, readonly Sheet[]>();
   private ledger: UsageLedger = emptyLedger();
   private next: number | undefined;
   private stopTimer: Cancel = () => {};
@@ -76,6 +80,28 @@
     this.sheets.add(this.windowAt(0), {team, requests: 1, tokens: 0});
   }
 
+  /** This host's counts that may not be in the store yet. */
+  open(): Sheet[] {
+    const oldest = this.windowAt(0) - WINDOWS_OPEN;
+    return this.sheets.copies(true).filter(({window}) => window >= oldest);
+  }
+
+  /** Keeps the counts of another host, in case it dies with them. */
+  keep(host: string, sheets: readonly Sheet[]): void {
+    this.entrusted.set(host, sheets);
+  }
+
+  /** Appends what a host that was lost had entrusted to this one. */
+  async appendFor(host: string): Promise<void> {
+    const sheets = this.entrusted.get(host);
+    this.entrusted.delete(host);
+    if (!sheets || sheets.length === 0) return;
+    const {logger} = this.options;
+    const windows = sheets.map(({window}) => window).join();
+    logger.info('usage-appended-for', {host, windows});
+    await this.appendSheets(sheets);
+  }
+
   /** Begins to append this host's counts after each window. */
   start(): void {
     const {window, clock, random} = this.options;
@@ -118,32 +144,35 @@
     this.sheets.forgetBefore(this.windowAt(0) - WINDOWS_KEPT);
     const sheets = this.sheets.copies(false);
     if (sheets.length === 0) return;
-    const {store, logger, clock} = this.options;
-    try {
-      const record = recordOf({kind: 'usage-sheets', sheets});
-      await store.append(TOPIC, [record], CALL_MILLISECONDS);
-    } catch (error) {
-      if (!(error instanceof StoreError)) throw error;
-      const windows = sheets.map(({window}) => window).join();
-      logger.warn('usage-not-appended', {windows, detail: error.message});
-      clock.after(RETRY_MILLISECONDS, () => void this.appendAgain(sheets));
-    }
+    if (await this.appendSheets(sheets)) return;
+    const windows = new Set(sheets.map(({window}) => window));
+    this.appendLater(windows);
   }
 
-  /** Appends sheets whose first append may have been lost, as whole ones. */
-  private async appendAgain(lost: readonly Sheet[]): Promise<void> {
-    const windows = new Set(lost.map(({window}) => window));
-    const whole = this.sheets.copies(true);
-    const sheets = whole.filter(({window}) => windows.has(window));
-    if (sheets.length === 0) return;
-    const {store, logger, clock} = this.options;
+  /** Appends sheets whose append may have been lost, as whole ones. */
+  private appendLater(windows: ReadonlySet<number>): void {
+    this.options.clock.after(RETRY_MILLISECONDS, () => {
+      const whole = this.sheets.copies(true);
+      const sheets = whole.filter(({window}) => windows.has(window));
+      if (sheets.length === 0) return;
+      void this.appendSheets(sheets).then(done => {
+        if (!done) this.appendLater(windows);
+      });
+    });
+  }
+
+  /** Appends sheets; answers whether the store has said that it has them. */
+  private async appendSheets(sheets: readonly Sheet[]): Promise<boolean> {
+    const {store, logger} = this.options;
     try {
-      const record = recordOf({kind: 'usage-sheets', sheets});
+      const record = recordOf({kind: 'usage-sheets', sheets: [...sheets]});
       await store.append(TOPIC, [record], CALL_MILLISECONDS);
+      return true;
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
-      logger.warn('usage-not-appended', {detail: error.message});
-      clock.after(RETRY_MILLISECONDS, () => void this.appendAgain(lost));
+      const windows = sheets.map(({window}) => window).join();
+      logger.warn('usage-not-appended', {windows, detail: error.message});
+      return false;
     }
   }
 
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -8,7 +8,7 @@
 import type {Clock} from '../clock/index.js';
 import {DutyDesk, Orders, Usage} from '../duty/index.js';
 import {Connections, Forwarder} from '../forward/index.js';
-import {GossipDesk, type Pulse} from '../gossip/index.js';
+import {GossipDesk, startOf, type Pulse} from '../gossip/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Random} from '../random/index.js';
@@ -16,7 +16,7 @@
 import {Knowledge} from './knowledge.js';
 import type {PlatformParts} from './platform.js';
 import {Prober} from './prober.js';
-import {createReadinessPort} from './readiness.js';
+import {createMetricsPort, createReadinessPort} from './readiness.js';
 import type {EdgeSettings} from './settings.js';
 
 /** Requests that may wait in the host. */
@@ -53,6 +53,7 @@
   private readonly gossip: GossipDesk | undefined;
   private readonly callers: Server;
   private readonly readiness: Server;
+  private readonly metricsPort: Server;
   private state = hostChart.initial;
 
   constructor(private readonly parts: EdgeHostParts) {
@@ -92,9 +93,8 @@
     this.duties = this.createDuties();
     this.gossip = this.createGossip();
     this.callers = this.createCallerPort();
-    this.readiness = createReadinessPort({
-      isReady: () => this.state === 'serving',
-    });
+    this.readiness = createReadinessPort(() => this.state === 'serving');
+    this.metricsPort = createMetricsPort(metrics);
   }
 
   /** Opens the ports and follows the store. Throws a SettingsError. */
@@ -102,6 +102,9 @@
     const {settings, clock} = this.parts;
     await listen(this.readiness, settings.readiness);
     await listen(this.callers, settings.callers);
+    if (settings.metrics !== undefined) {
+      await listen(this.metricsPort, settings.metrics);
+    }
     this.move('listen');
     this.knowledge.start();
     this.prober.start();
@@ -209,14 +212,17 @@
         unreachable: this.book.unreachable().map(({entry}) => entry.id),
         kept: this.book.kept.since(clock.monotonic() - period),
       }),
+      sheets: () => this.usage?.open() ?? [],
       records: (topic, position) => this.knowledge.records(topic, position),
       received: (topic, page) => this.knowledge.take(topic, page),
       changed: pulse => this.adoptPulse(pulse),
+      lost: lost => void this.usage?.appendFor(startOf(lost)),
     });
   }
 
-  private adoptPulse({kept}: Pulse): void {
+  private adoptPulse({kept, from, sheets}: Pulse): void {
     if (!this.gossip) return;
+    if (sheets.length > 0) this.usage?.keep(startOf(from), sheets);
     this.book.kept.told(kept, this.parts.clock.monotonic());
     const pulses = this.gossip.reached.flatMap(({pulse}) => pulse ?? []);
     this.book.setHosts(this.gossip.sharers);
--- a/source/edge/main.ts
+++ b/source/edge/main.ts
@@ -2,10 +2,11 @@
 import {defineCommand, runMain} from 'citty';
 
 import {openPlatform} from '../../platform/index.js';
-import {ArbutusslipError} from '../errors/index.js';
+import {ArbutusslipError, SettingsError} from '../errors/index.js';
 import {runEdge} from './run.js';
 
 const EXIT_SETTINGS = 2;
+const PORTS = 65_536;
 const LEVELS = ['debug', 'info', 'warn'] as const;
 
 const edge = defineCommand({
@@ -20,6 +21,10 @@
       default: 'info',
       description: 'Least level of log lines.',
     },
+    'metrics-port': {
+      type: 'string',
+      description: 'Port on which the metrics are shown; none by default.',
+    },
     statsd: {
       type: 'string',
       description: 'Address of a StatsD server; none by default.',
@@ -27,12 +32,13 @@
   },
   async run({args}) {
     try {
-      const {settings, parts: platform} = openPlatform(process.env);
+      const port = portOf(args['metrics-port']);
+      const {settings, parts: platform} = openPlatform(process.env, port);
       const logLevel = LEVELS.find(level => level === args['log-level']);
       const {statsd} = args;
       await runEdge({
         settings,
-        readAgain: () => openPlatform(process.env).settings,
+        readAgain: () => openPlatform(process.env, port).settings,
         platform,
         logLevel: logLevel ?? 'info',
         statsd,
@@ -45,4 +51,12 @@
   },
 });
 
+/** The port in a flag. Throws a SettingsError. */
+function portOf(text: string | undefined): number | undefined {
+  if (text === undefined) return undefined;
+  const port = Number(text);
+  if (Number.isInteger(port) && port > 0 && port < PORTS) return port;
+  throw new SettingsError('--metrics-port', 'is not a port');
+}
+
 await runMain(edge);
--- a/source/edge/settings.ts
+++ b/source/edge/settings.ts
@@ -10,6 +10,10 @@
     .string()
     .optional()
     .describe('Address to listen on for other hosts.'),
+  metrics: z
+    .string()
+    .optional()
+    .describe('Address on which the metrics are shown.'),
   seeds: z
     .array(z.string())
     .describe('Addresses of hosts that may be asked for the others.'),
--- a/source/gossip/gossip.ts
+++ b/source/gossip/gossip.ts
@@ -6,11 +6,17 @@
  */
 import {createServer, type Server, type Socket} from 'node:net';
 
-import type {EndpointUse, KeptPart, ServiceWork} from '../balance/index.js';
+import {
+  pull,
+  type EndpointUse,
+  type KeptPart,
+  type ServiceWork,
+} from '../balance/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import {FrameReader} from '../peers/index.js';
+import type {Sheet} from '../platform/index.js';
 import type {PassedOn} from '../store/index.js';
 import {listen} from '../wire/index.js';
 import {
@@ -24,6 +30,7 @@
 } from './members.js';
 import {
   gossipSchema,
+  startOf,
   type Gossip,
   type HostAddress,
   type Pulse,
@@ -65,12 +72,16 @@
   readonly metrics: Metrics;
   /** What to tell; of news, those of the last `period` milliseconds. */
   readonly state: (period: number) => OwnState;
+  /** This host's usage that may not be in the store yet. */
+  readonly sheets: () => readonly Sheet[];
   /** The records of a topic from an offset. */
   readonly records: (topic: string, position: number) => PassedOn;
   /** Called with records that another host has passed on. */
   readonly received: (topic: string, page: PassedOn) => void;
   /** Called with each pulse that has come. */
   readonly changed: (pulse: Pulse) => void;
+  /** Called when a host has fallen silent or has started anew. */
+  readonly lost: (host: HostAddress) => void;
 }
 
 interface Correspondence {
@@ -90,6 +101,8 @@
   private readonly behindSince = new Map<string, number>();
   private readonly seeds: readonly Outbox[];
   private seededAt = -Infinity;
+  /** The hosts that were in reach at the last beat. */
+  private present: readonly Member[] = [];
   private stopTimer: Cancel = () => {};
 
   constructor(private readonly options: GossipOptions) {
@@ -126,7 +139,8 @@
 
   /** Tells all others at once, as when this host leaves. */
   tell(): void {
-    for (const name of this.members.keys()) this.pulseTo(name);
+    const own = this.ownState();
+    for (const name of this.members.keys()) this.pulseTo(name, own);
   }
 
   private get period(): number {
@@ -137,6 +151,7 @@
   private beat(): void {
     const {clock} = this.options;
     const now = clock.monotonic();
+    this.noteLost(now);
     this.members = afterSilence(this.members, now);
     for (const name of this.letters.keys()) {
       if (!this.members.has(name)) this.close(name);
@@ -147,12 +162,37 @@
     this.stopTimer = clock.after(this.period, () => this.beat());
   }
 
+  private noteLost(now: number): void {
+    const reached = inReach(this.members, now);
+    const starts = new Set(reached.map(({host}) => startOf(host)));
+    for (const {host} of this.present) {
+      if (starts.has(startOf(host))) continue;
+      this.options.logger.info('host-lost', {name: host.name});
+      this.options.lost(host);
+    }
+    this.present = reached;
+  }
+
+  /** The host that keeps this one's usage: near, and the same until it goes. */
+  private keeper(): string | undefined {
+    const {self} = this.options;
+    const near = this.present.filter(({host}) => host.zone === self.zone);
+    const names = (near.length > 0 ? near : this.present).map(
+      ({host}) => host.name,
+    );
+    return names.sort((a, b) => pull(self.name, b) - pull(self.name, a))[0];
+  }
+
   private close(name: string): void {
     this.letters.get(name)?.outbox.renew();
     this.letters.delete(name);
   }
 
-  private pulseTo(name: string): void {
+  private ownState(): OwnState {
+    return this.options.state(this.period * NEWS_PERIODS);
+  }
+
+  private pulseTo(name: string, own: OwnState): void {
     const member = this.members.get(name);
     if (!member) return;
     const letter = this.letterTo(member);
@@ -164,7 +204,9 @@
       this.options.metrics.count('gossip-renewed');
     }
     const heard = member.pulse?.sequence ?? 0;
-    letter.outbox.send(this.pulse(letter.sequence, heard));
+    const pulse = this.pulse(own, letter.sequence, heard);
+    const sheets = name === this.keeper() ? this.options.sheets() : [];
+    letter.outbox.send({...pulse, sheets: [...sheets]});
   }
 
   private letterTo({host}: Member): Correspondence {
@@ -179,10 +221,9 @@
     return letter;
   }
 
-  private pulse(sequence: number, heard: number): Pulse {
-    const {self, state} = this.options;
-    const news = this.period * NEWS_PERIODS;
-    const {leaving, positions, uses, work, kept, unreachable} = state(news);
+  private pulse(own: OwnState, sequence: number, heard: number): Pulse {
+    const {self} = this.options;
+    const {leaving, positions, uses, work, kept, unreachable} = own;
     const named = sequence % HOSTS_EVERY === 1;
     return {
       kind: 'pulse',
@@ -196,6 +237,7 @@
       work: [...work],
       unreachable: [...unreachable],
       kept: [...kept],
+      sheets: [],
       hosts: named ? this.reached.map(({host}) => host) : [],
     };
   }
@@ -206,7 +248,8 @@
     this.seededAt = now;
     const known = new Set(this.reached.map(({host}) => host.address));
     for (const outbox of this.seeds) {
-      if (!known.has(outbox.address)) outbox.send(this.pulse(1, 0));
+      if (!known.has(outbox.address))
+        outbox.send(this.pulse(this.ownState(), 1, 0));
       else outbox.renew();
     }
   }
@@ -254,7 +297,7 @@
     this.members = afterHearsay(this.members, pulse.hosts, self.name, now);
     if (before?.host.started !== started || !before.pulse) {
       logger.info('host-found', {name, zone, hosts: this.members.size + 1});
-      this.pulseTo(name);
+      this.pulseTo(name, this.ownState());
     }
     const letter = this.letters.get(name);
     if (letter && pulse.heard > letter.echoed) {
--- a/source/gossip/index.ts
+++ b/source/gossip/index.ts
@@ -11,6 +11,7 @@
 } from './members.js';
 export {
   gossipSchema,
+  startOf,
   type Gossip,
   type HostAddress,
   type Pulse,
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -4,6 +4,8 @@
  */
 import {z} from 'zod';
 
+import {sheetSchema} from '../platform/index.js';
+
 /** Where a host can be reached, and which start of it that is. */
 export const hostAddressSchema = z.object({
   name: z.string(),
@@ -14,6 +16,11 @@
 });
 export type HostAddress = z.infer<typeof hostAddressSchema>;
 
+/** A text that stands for one start of a host. */
+export function startOf({name, started}: HostAddress): string {
+  return `${name} ${started}`;
+}
+
 /** What a host has at one endpoint. */
 const endpointUseSchema = z.object({
   id: z.string(),
@@ -51,6 +58,8 @@
   unreachable: z.array(z.string()),
   /** Parts of prompts that engines have read for it of late. */
   kept: z.array(z.object({part: z.string(), endpoint: z.string()})),
+  /** Its usage that is not in the store yet, for the one host that keeps it. */
+  sheets: z.array(sheetSchema),
   /** Other hosts that it knows; sent now and then. */
   hosts: z.array(hostAddressSchema),
 });
--- a/source/metrics/index.ts
+++ b/source/metrics/index.ts
@@ -5,3 +5,4 @@
   type MetricsSnapshot,
   type Tags,
 } from './metrics.js';
+export {expositionOf} from './exposition.js';
--- a/test/edge.test.ts
+++ b/test/edge.test.ts
@@ -151,6 +151,35 @@
   t.is(new Set(reports().map(({holder}) => holder)).size, 1);
 });
 
+test('what a host had counted is reported though it was killed', async t => {
+  const fleet = await EdgeFleet.start(t);
+  await fleet.endpoint('register-1');
+  fleet.configure(['key']);
+  const first = await fleet.host('host-1');
+  await fleet.ready(first);
+  const second = await fleet.host('host-2');
+  await fleet.ready(second);
+  await until(() => hasLine(second, 'host-found'));
+  let served = 0;
+  for (let round = 0; round < 30; round++) {
+    if ((await fleet.read(second, 'key'))[0] === 200) served++;
+  }
+  // Some pulses pass, in which the counts reach the other host.
+  await new Promise(resolve => setTimeout(resolve, 1_500));
+  second.child.kill('SIGKILL');
+  const reported = () => {
+    const counts = new Map<unknown, number>();
+    for (const {path, body} of fleet.site.duties) {
+      if (path !== '/usage') continue;
+      const teams = body['counts'] as Record<string, number>;
+      counts.set(body['windowId'], teams['guides'] ?? 0);
+    }
+    return [...counts.values()].reduce((sum, count) => sum + count, 0);
+  };
+  await until(() => reported() >= served);
+  t.is(reported(), served);
+});
+
 test('a host that is told to stop says so, ends its work and exits with 0', async t => {
   const fleet = await EdgeFleet.start(t);
   await fleet.endpoint('register-1');
