Let a usage window wait for the sheets of hosts that are known to live

Change: a window waits, within its time, for every host that is known to have been there; a host appends a sheet though it has counted nothing.

--- a/source/duty/usage.ts
+++ b/source/duty/usage.ts
@@ -9,6 +9,7 @@
 import {z} from 'zod';
 
 import type {Cancel, Clock} from '../clock/index.js';
+import {startOf, type HostAddress} from '../gossip/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import {
@@ -37,8 +38,10 @@
 const APPEND_MILLISECONDS = 200;
 /** Longest further wait, which spreads the hosts' appends. */
 const APPEND_SPREAD_MILLISECONDS = 600;
-/** Milliseconds after its end at which a window is frozen. */
+/** Milliseconds after its end from which a window may be frozen. */
 const FREEZE_MILLISECONDS = 2_500;
+/** Windows for which one waits for the sheets of hosts that are out of reach. */
+const PATIENCE_WINDOWS = 1;
 const RETRY_MILLISECONDS = 500;
 /** Windows that are still reported by a new holder. */
 const WINDOWS_REPORTED = 4;
@@ -51,7 +54,10 @@
 
 /** What usage is made from. */
 export interface UsageOptions {
+  /** Names this start of the host among the others. */
   readonly incarnation: string;
+  /** The hosts whose counts are to be waited for. */
+  readonly hosts: () => readonly HostAddress[];
   /** Length of a window in milliseconds. */
   readonly window: number;
   readonly store: RecordStore;
@@ -105,6 +111,7 @@
   /** Begins to append this host's counts after each window. */
   start(): void {
     const {window, clock, random} = this.options;
+    this.sheets.begin(this.windowAt(0));
     const left = window - (clock.now().getTime() % window);
     const spread = random.next() * APPEND_SPREAD_MILLISECONDS;
     const wait = left + APPEND_MILLISECONDS + spread;
@@ -134,6 +141,14 @@
     await this.reportAll(holder);
   }
 
+  /** The starts of hosts whose sheets of a window are still to come. */
+  private expected(window: number): ReadonlySet<string> {
+    const {hosts, window: length} = this.options;
+    const end = (window + 1) * length;
+    const there = hosts().filter(({started}) => started < end);
+    return new Set(there.map(startOf));
+  }
+
   private windowAt(ago: number): number {
     const {clock, window} = this.options;
     return Math.floor((clock.now().getTime() - ago) / window);
@@ -215,8 +230,8 @@
         holder: name,
         fence,
         present: this.windowAt(FREEZE_MILLISECONDS),
-        patience: 0,
-        alive: new Set(),
+        patience: PATIENCE_WINDOWS,
+        expects: window => this.expected(window),
       });
       if (!record || !mayAct()) return;
       const at = this.next ?? 0;
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -1,5 +1,4 @@
 /** One host on a platform: its parts, and its life from start to drain. */
-import {randomUUID} from 'node:crypto';
 import {createServer, type Server} from 'node:http';
 
 import {Admission} from '../admission/index.js';
@@ -8,7 +7,12 @@
 import type {Clock} from '../clock/index.js';
 import {DutyDesk, Orders, Usage} from '../duty/index.js';
 import {Connections, Forwarder} from '../forward/index.js';
-import {GossipDesk, startOf, type Pulse} from '../gossip/index.js';
+import {
+  GossipDesk,
+  startOf,
+  type HostAddress,
+  type Pulse,
+} from '../gossip/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Random} from '../random/index.js';
@@ -42,7 +46,8 @@
 
 /** One host of the system. */
 export class EdgeHost {
-  private readonly incarnation = randomUUID();
+  /** Names this start of the host. */
+  private readonly address: HostAddress;
   private readonly knowledge: Knowledge;
   private readonly book: EndpointBook;
   private readonly admission: Admission;
@@ -59,6 +64,8 @@
   constructor(private readonly parts: EdgeHostParts) {
     const {settings, platform, clock, logger, metrics, random} = parts;
     const {name: host, zone} = settings;
+    const started = clock.now().getTime();
+    this.address = {name: host, started, address: settings.hosts ?? '', zone};
     this.book = new EndpointBook({host, zone, clock});
     this.admission = new Admission({
       clock,
@@ -151,7 +158,8 @@
     const {settings, platform, clock, logger, metrics, random} = this.parts;
     if (!platform.duties) return undefined;
     return new Usage({
-      incarnation: this.incarnation,
+      incarnation: startOf(this.address),
+      hosts: () => this.gossip?.others ?? [],
       window: settings.usage.windowMilliseconds,
       store: platform.store,
       calls: platform.duties,
@@ -179,7 +187,7 @@
     });
     return new DutyDesk({
       name: settings.name,
-      member: `${settings.name} ${this.incarnation}`,
+      member: startOf(this.address),
       lease: settings.leaseMilliseconds,
       store: platform.store,
       clock,
@@ -195,12 +203,10 @@
 
   private createGossip(): GossipDesk | undefined {
     const {settings, clock, logger, metrics} = this.parts;
-    const {name, zone, hosts: address, seeds} = settings;
-    if (address === undefined) return undefined;
-    const started = clock.now().getTime();
+    if (settings.hosts === undefined) return undefined;
     return new GossipDesk({
-      self: {name, started, address, zone},
-      seeds,
+      self: this.address,
+      seeds: settings.seeds,
       clock,
       logger,
       metrics,
--- a/source/fleet/usage.ts
+++ b/source/fleet/usage.ts
@@ -112,7 +112,7 @@
       fence: leases.fence(this.lease),
       present: this.present(),
       patience: PATIENCE_WINDOWS,
-      alive: alive(),
+      expects: alive,
     });
     if (record) await platform.append([record]);
   }
--- a/source/gossip/gossip.ts
+++ b/source/gossip/gossip.ts
@@ -25,6 +25,7 @@
   afterSilence,
   inReach,
   sharers,
+  staying,
   type Member,
   type Members,
 } from './members.js';
@@ -137,6 +138,11 @@
     return sharers(this.members, this.options.self.name);
   }
 
+  /** The other hosts that live, as far as is known. */
+  get others(): HostAddress[] {
+    return staying(this.members);
+  }
+
   /** Tells all others at once, as when this host leaves. */
   tell(): void {
     const own = this.ownState();
--- a/source/gossip/index.ts
+++ b/source/gossip/index.ts
@@ -6,6 +6,7 @@
   afterSilence,
   inReach,
   sharers,
+  staying,
   type Member,
   type Members,
 } from './members.js';
--- a/source/gossip/members.ts
+++ b/source/gossip/members.ts
@@ -83,8 +83,12 @@
  * ```
  */
 export function sharers(members: Members, self: string): string[] {
-  const others = [...members.values()].filter(
-    ({pulse}) => pulse !== undefined && !pulse.leaving,
-  );
-  return [self, ...others.map(({host}) => host.name)].sort();
+  return [self, ...staying(members).map(({name}) => name)].sort();
+}
+
+/** The hosts that live, as far as is known, and have not said that they leave. */
+export function staying(members: Members): HostAddress[] {
+  return [...members.values()]
+    .filter(({pulse}) => pulse !== undefined && !pulse.leaving)
+    .map(({host}) => host);
 }
--- a/source/usage/clerk.ts
+++ b/source/usage/clerk.ts
@@ -17,7 +17,7 @@
   /** Windows that pass before one may be frozen without a sealed sheet. */
   readonly patience: number;
   /** Incarnations that may still add to a window. */
-  readonly alive: ReadonlySet<string>;
+  readonly expects: (window: number) => ReadonlySet<string>;
 }
 
 /**
@@ -52,7 +52,7 @@
   for (const {incarnation, sealed: done} of copies) {
     if (done) sealed.add(incarnation);
   }
-  for (const incarnation of clerk.alive) {
+  for (const incarnation of clerk.expects(window)) {
     if (!sealed.has(incarnation) && !isOverdue(window, clerk)) return false;
   }
   const unsealed = copies.some(({sealed: done}) => !done);
--- a/source/usage/sheets.ts
+++ b/source/usage/sheets.ts
@@ -67,6 +67,11 @@
     own.sequence++;
   }
 
+  /** Begins a window, so that it has a sheet though nothing is counted. */
+  begin(window: number): void {
+    this.ownSheet(window);
+  }
+
   /** Closes this host's figures for all windows before `window`. */
   sealBefore(window: number): void {
     for (const [past, own] of this.own) {
--- a/test/usage.test.ts
+++ b/test/usage.test.ts
@@ -110,7 +110,7 @@
       fence: standing.fence,
       present: this.present,
       patience: PATIENCE,
-      alive: new Set(this.hosts.map(({incarnation}) => incarnation)),
+      expects: () => new Set(this.hosts.map(({incarnation}) => incarnation)),
     });
     if (!record) return;
     if (this.faults.reportsUnfrozen) this.reports.push(record);
