--- a/eslint.config.js
+++ b/eslint.config.js
@@ -37,6 +37,27 @@
       ],
     },
   },
+  {
+    files: ['source/**'],
+    ignores: ['source/edge/main.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              regex: '^\\.\\./\\.\\./platform/',
+              message: 'Only the start file knows the users’ platform.',
+            },
+            {
+              regex: '^\\.\\./(?:[a-z]+/)+(?!index\\.js$)[a-z]+\\.js$',
+              message: 'Import a folder through its index.ts only.',
+            },
+          ],
+        },
+      ],
+    },
+  },
   {
     files: ['test/**', 'tools/**', 'standins/**'],
     rules: {'no-restricted-imports': 'off'},
