Try the other endpoints of a zone out of reach later

Ruled out: the hosts' word to each other, which comes 200 ms later.

Change: an endpoint costs more for each neighbour that this host cannot reach. The log says broken-off where the caller had part of the answer.

--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -250,6 +250,7 @@
     const now = this.now();
     const usable = this.usable(service, now);
     const fresh = usable.filter(({entry}) => !failedAt.has(entry.id));
+    const troubled = this.troubledZones();
     const known = rotated(fresh.length > 0 ? fresh : usable, this.turn++);
     const candidates = known.map(({entry, coldUntil}) => ({
       id: entry.id,
@@ -258,7 +259,8 @@
       cold: now < coldUntil,
       failed: failedAt.has(entry.id),
       beside: false,
-      doubts: this.doubts.get(entry.id) ?? 0,
+      doubts:
+        (this.doubts.get(entry.id) ?? 0) + (troubled.get(entry.zone) ?? 0),
       kept: prompt ? this.kept.tokens(sharedParts(prompt), entry.id, now) : 0,
       load: this.load(entry.id),
     }));
@@ -322,6 +324,18 @@
     };
   }
 
+  /**
+   * How many endpoints of each zone this host cannot reach. Where one cannot be
+   * reached the way to its zone may be cut, so the others are tried later.
+   */
+  private troubledZones(): ReadonlyMap<string, number> {
+    const zones = new Map<string, number>();
+    for (const {entry} of this.unreachable()) {
+      zones.set(entry.zone, (zones.get(entry.zone) ?? 0) + 1);
+    }
+    return zones;
+  }
+
   /** The endpoints of a service that may get a request now. */
   private usable(service: string, now: number): KnownEndpoint[] {
     const open = [...this.directory.values()].filter(
--- a/source/balance/choose.ts
+++ b/source/balance/choose.ts
@@ -22,7 +22,7 @@
   readonly failed: boolean;
   /** Whether it is meant for prompts of the other size. */
   readonly beside: boolean;
-  /** How many other hosts cannot reach it. */
+  /** Hosts that cannot reach it, and its neighbours out of reach from here. */
   readonly doubts: number;
   /** Tokens of the prompt that it is believed to keep. */
   readonly kept: number;
@@ -41,7 +41,7 @@
 const COLD_COST_MILLISECONDS = 400;
 const FAILED_COST_MILLISECONDS = 5_000;
 const FAR_COST_MILLISECONDS = 4;
-/** Cost of an endpoint for each other host that cannot reach it. */
+/** Cost of an endpoint for each doubt whether it can be reached. */
 const DOUBT_COST_MILLISECONDS = 150;
 /** Cost of an endpoint all of whose answers fail. */
 const FAILING_COST_MILLISECONDS = 1_500;
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -273,10 +273,11 @@
     const {mayHaveRun, timeLeft} = course;
     const givenUp = {refusal, mayHaveRun, timeLeft};
     const status = statusOf(givenUp);
+    const outcome = course.answer.begun ? 'broken-off' : 'refused';
     course.answer.refuse(refusal, status, retryAfterOf(givenUp, random));
     const {code} = refusal;
     metrics.count('refusal', {reason: code, route: course.route.name});
-    this.note(course, 'refused', `${status} ${code} ${refusal.message}`);
+    this.note(course, outcome, `${status} ${code} ${refusal.message}`);
   }
 
   private ticketOf(course: Course): Ticket {
@@ -367,7 +368,7 @@
       service,
       version: this.table?.version ?? 0,
       sends: course.sends,
-      first: Math.round(course.firstAt - course.arrived),
+      first: Math.round(Math.max(course.firstAt - course.arrived, 0)),
       total: Math.round(total),
       events: course.delivered,
     });
