--- /dev/null
+++ b/test/protocol.test.ts
@@ -0,0 +1,161 @@
+/** How the users' platform is read: heads, records and settings, odd ones too. */
+import type {IncomingMessage} from 'node:http';
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import test from 'ava';
+
+import {openPlatform} from '../platform/index.js';
+import {PlatformProtocol} from '../platform/protocol.js';
+import {PlatformReader} from '../platform/reader.js';
+import {SettingsError} from '../source/errors/index.js';
+
+const protocol = new PlatformProtocol();
+const reader = new PlatformReader();
+
+function messageOf(
+  raw: readonly string[],
+  url = '/drafts/1?x=y',
+): IncomingMessage {
+  const headers: Record<string, string> = {};
+  for (let index = 0; index < raw.length; index += 2) {
+    headers[(raw[index] ?? '').toLowerCase()] = raw[index + 1] ?? '';
+  }
+  const message = {
+    headers,
+    rawHeaders: raw,
+    url,
+    method: 'POST',
+    statusCode: 200,
+  };
+  return message as unknown as IncomingMessage;
+}
+
+test('a request’s prompt, time and key are read', t => {
+  const arrival = protocol.arrival(
+    messageOf([
+      'Host',
+      'Phrases.Example:8080',
+      'X-Attempt-Id',
+      'a1',
+      'X-Model',
+      'm',
+      'X-Token-Counts',
+      '1460,80',
+      'X-Length-Hint',
+      '30',
+      'X-Prefix-Hash',
+      '5c1e07a2:800,91bd3f06:410,e4402b7d:250',
+      'X-Deadline-Ms',
+      '4000',
+      'Authorization',
+      'Bearer secret',
+      'Connection',
+      'close, X-Hop',
+      'X-Hop',
+      'gone',
+      'X-Twice',
+      'one',
+      'X-Twice',
+      'two',
+    ]),
+  );
+  t.is(arrival.host, 'phrases.example');
+  t.is(arrival.path, '/drafts/1');
+  t.is(arrival.bearer, 'secret');
+  t.is(arrival.patience, 4_000);
+  t.is(arrival.prompt?.tokens, 1_460);
+  t.is(arrival.prompt?.output, 30);
+  t.deepEqual(
+    arrival.prompt?.parts.map(({tokens}) => tokens),
+    [800, 410, 250],
+  );
+  const names = arrival.headers.filter((_, index) => index % 2 === 0);
+  t.false(names.includes('Authorization'));
+  t.false(names.includes('X-Hop'));
+  t.false(names.includes('Connection'));
+  t.is(names.filter(name => name === 'X-Twice').length, 2);
+});
+
+test('odd headers of a prompt mean that there is none', t => {
+  for (const counts of ['', 'many', '10', '-4,5']) {
+    const raw = ['X-Model', 'm', 'X-Token-Counts', counts];
+    t.is(protocol.arrival(messageOf(raw)).prompt, undefined, counts);
+  }
+});
+
+test('an answer’s head tells its request, its load and whether it ran', t => {
+  const head = protocol.answerHead(
+    messageOf([
+      'X-Attempt-Id',
+      'a1',
+      'X-Response-Seal',
+      's',
+      'X-Server-Load',
+      '3,1,8',
+    ]),
+  );
+  t.deepEqual(head.load, {running: 3, waiting: 1, slots: 8});
+  t.true(head.sealed);
+  t.false(head.notRun);
+  const shed = protocol.answerHead(messageOf(['X-Not-Executed', '1']));
+  t.true(shed.notRun);
+  t.false(shed.sealed);
+});
+
+test('records of the operator and of endpoints are read, and odd ones are named', t => {
+  const out = reader.operator({
+    key: 'evacuate/palermo',
+    value: Buffer.from('{}'),
+    offset: 1,
+  });
+  t.deepEqual(out, {kind: 'zone', zone: 'palermo', out: true});
+  const back = reader.operator({
+    key: 'evacuate/palermo',
+    value: undefined,
+    offset: 2,
+  });
+  t.deepEqual(back, {kind: 'zone', zone: 'palermo', out: false});
+  const odd = Buffer.from('{"version":');
+  t.is(
+    reader.operator({key: 'config', value: odd, offset: 3}).kind,
+    'malformed',
+  );
+  t.is(reader.operator({key: 'other', value: odd, offset: 4}).kind, 'unknown');
+  const entry = reader.endpoint({
+    key: 'i-1',
+    value: Buffer.from(
+      JSON.stringify({
+        service: 's',
+        address: '10.0.0.1:80',
+        zone: 'z',
+        slots: 8,
+        state: 'draining',
+        coldLeftMs: 400,
+        born: 12,
+        spot: true,
+        later: 'field',
+      }),
+    ),
+    offset: 5,
+  });
+  t.like(entry, {
+    kind: 'entry',
+    entry: {leaving: true, coldFor: 400, born: 12, reclaimable: true},
+  });
+  for (const text of ['', '[]', '{"state":"asleep"}']) {
+    const value = Buffer.from(text || ' ');
+    t.is(reader.endpoint({key: 'i-2', value, offset: 6}).kind, 'malformed');
+  }
+});
+
+test('settings that are wrong are named by their field', t => {
+  const path = join(mkdtempSync(join(tmpdir(), 'arbutusslip-')), 'file.json');
+  t.throws(() => openPlatform({}), {instanceOf: SettingsError});
+  writeFileSync(path, '{"nodeId": "one", "zone": "z"}');
+  t.throws(() => openPlatform({ARBUTUSSLIP_BOOT: path}), {
+    instanceOf: SettingsError,
+    message: /listen/,
+  });
+});
--- /dev/null
+++ b/test/sink.test.ts
@@ -0,0 +1,32 @@
+/** Log lines within bounds: what is above them is counted, failures are kept. */
+import {closeSync, mkdtempSync, openSync, readFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import test from 'ava';
+
+import {ManualClock} from '../source/clock/index.js';
+import {BoundedSink} from '../source/logging/index.js';
+import {until} from './support/edgeprocess.js';
+
+const RATE = 150;
+
+test('a flood of news is cut and counted, and does not displace failures', async t => {
+  const path = join(mkdtempSync(join(tmpdir(), 'arbutusslip-')), 'log');
+  const file = openSync(path, 'w');
+  const clock = new ManualClock();
+  const sink = new BoundedSink(file, clock);
+  for (let line = 0; line < 400; line++) sink.take('info', `news ${line}\n`);
+  for (let line = 0; line < 20; line++) sink.take('warn', `failure ${line}\n`);
+  clock.advance(1_000);
+  sink.take('info', 'later\n');
+  clock.advance(200);
+  const text = () => readFileSync(path, 'utf8');
+  await until(() => text().includes('later'));
+  const lines = text().split('\n');
+  t.is(lines.filter(line => line.startsWith('news')).length, RATE);
+  t.is(lines.filter(line => line.startsWith('failure')).length, 20);
+  const dropped = lines.find(line => line.includes('lines-dropped')) ?? '';
+  t.like(JSON.parse(dropped), {fields: {news: 400 - RATE, failures: 0}});
+  closeSync(file);
+});
