Send to endpoints whose entries have lapsed only as a last resort

Engines that never report draining had their entries removed; the hosts had noticed a failed call less than 2.5 s before, took the removal for a lapse and went on sending for 2.5 s, over the 2 s allowed.

Ruled out: a late reading (the removal was seen within 0.1 s of the leave).

Change: a lapsed endpoint gets a request only where no other is there, and is gone after 1.5 s.

--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -341,10 +341,13 @@
     const open = [...this.directory.values()].filter(
       known => known.entry.service === service && this.isOpen(known, now),
     );
-    const sound = open.filter(
+    // One whose entry has lapsed may have left, so it is a last resort.
+    const entered = open.filter(({lapsesAt}) => lapsesAt === undefined);
+    const standing = entered.length > 0 ? entered : open;
+    const sound = standing.filter(
       ({entry}) => !isAvoided(this.load(entry.id), now),
     );
-    return sound.length > 0 ? sound : open;
+    return sound.length > 0 ? sound : standing;
   }
 
   private isOpen({entry, coldUntil}: KnownEndpoint, now: number): boolean {
--- a/source/directory/directory.ts
+++ b/source/directory/directory.ts
@@ -6,8 +6,10 @@
  */
 import type {EndpointEntry} from './entry.js';
 
-/** Milliseconds after an outage for which a lapsed entry is waited for. */
-export const LAPSE_MILLISECONDS = 2_500;
+/** Milliseconds after an outage in which entries may lapse. */
+const OUTAGE_MILLISECONDS = 2_500;
+/** Milliseconds for which a lapsed entry is waited for; it may mean a leave. */
+const LAPSE_MILLISECONDS = 1_500;
 /** Share of a service's entries that go at once only when they lapse. */
 const LAPSE_SHARE = 0.5;
 const LAPSE_ENTRIES_LEAST = 3;
@@ -97,7 +99,7 @@
   changes: readonly EntryChange[],
   {now, lostAt}: StoreHealth,
 ): boolean {
-  if (now - lostAt < LAPSE_MILLISECONDS) return true;
+  if (now - lostAt < OUTAGE_MILLISECONDS) return true;
   const removed = changes.filter(
     ({id, entry}) =>
       entry === undefined && before.get(id)?.entry.leaving === false,
--- a/test/reach.test.ts
+++ b/test/reach.test.ts
@@ -66,6 +66,22 @@
   t.is(book.take(DEMAND)?.endpoint.entry.id, 'near');
 });
 
+test('an endpoint whose entry has lapsed gets nothing while others are there', t => {
+  const book = bookOf(new ManualClock());
+  const lapsed = (id: string, zone: string): [string, KnownEndpoint] => {
+    const [, known] = endpoint(id, zone);
+    return [id, {...known, lapsesAt: 1_500}];
+  };
+  book.setDirectory(
+    new Map([lapsed('near', 'palermo'), endpoint('far-1', 'catania')]),
+  );
+  for (let round = 0; round < 20; round++) {
+    t.is(book.take(DEMAND)?.endpoint.entry.id, 'far-1');
+  }
+  book.setDirectory(new Map([lapsed('near', 'palermo')]));
+  t.is(book.take(DEMAND)?.endpoint.entry.id, 'near');
+});
+
 test('an endpoint that other hosts cannot reach comes later', t => {
   const book = bookOf(new ManualClock());
   book.setDoubts(['near', 'near']);
