--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -53,7 +53,7 @@
   readonly endpoint: KnownEndpoint;
   readonly choice: Choice;
   /** The head of an answer has come. */
-  answered(latency: number, named: NamedLoad | undefined): void;
+  answered(named: NamedLoad | undefined): void;
   /** The endpoint has failed the request. */
   failed(): void;
   /** The endpoint does not accept connections, or another has its address. */
@@ -155,11 +155,6 @@
     return slots / Math.max(this.hosts.length, 1);
   }
 
-  /** Whether any endpoint of the service may be used at all. */
-  isServed(service: string): boolean {
-    return this.usable(service, this.now()).length > 0;
-  }
-
   /** Notes a request as it arrives, for the division of the engines. */
   arrived(service: string, prompt: Prompt): void {
     const before = this.work.get(service) ?? NO_WORK;
@@ -308,9 +303,9 @@
     return {
       endpoint,
       choice,
-      answered: (latency, named) => {
+      answered: named => {
         read();
-        this.update(id, {kind: 'answered', latency, named, now: this.now()});
+        this.update(id, {kind: 'answered', named, now: this.now()});
       },
       failed: () => this.update(id, {kind: 'failed', now: this.now()}),
       unreachable: () =>
--- a/source/balance/load.ts
+++ b/source/balance/load.ts
@@ -23,8 +23,6 @@
   readonly othersReading: number;
   /** Monotonic milliseconds at which an answer or a host last told. */
   readonly toldAt: number;
-  /** Mean milliseconds to the head of an answer; 0 before the first. */
-  readonly latency: number;
   /** Failures since the last good answer. */
   readonly failures: number;
   /** Share of its answers that failed, of late. */
@@ -48,7 +46,6 @@
     }
   | {
       readonly kind: 'answered';
-      readonly latency: number;
       readonly now: number;
       readonly named: NamedLoad | undefined;
     }
@@ -63,7 +60,6 @@
 const AVOIDED_MILLISECONDS = 500;
 const AVOIDED_MILLISECONDS_MOST = 8_000;
 const UNREACHABLE_MILLISECONDS = 8_000;
-const LATENCY_WEIGHT = 0.2;
 const FAILING_WEIGHT = 0.15;
 /** Milliseconds after which half of what an answer told counts no more. */
 const TOLD_HALF_LIFE_MILLISECONDS = 1_000;
@@ -75,7 +71,6 @@
   others: 0,
   othersReading: 0,
   toldAt: -Infinity,
-  latency: 0,
   failures: 0,
   failing: 0,
   avoidedUntil: -Infinity,
@@ -162,12 +157,10 @@
 
 function afterAnswer(
   before: EndpointLoad,
-  {latency, now, named}: Extract<LoadEvent, {kind: 'answered'}>,
+  {now, named}: Extract<LoadEvent, {kind: 'answered'}>,
 ): EndpointLoad {
-  const weight = before.latency === 0 ? 1 : LATENCY_WEIGHT;
   const answered = {
     ...before,
-    latency: before.latency + weight * (latency - before.latency),
     failing: before.failing * (1 - FAILING_WEIGHT),
     ...SOUND,
   };
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -63,7 +63,6 @@
 
 /** One attempt. */
 export class Attempt {
-  private readonly sentAt: number;
   /** Aborted when the request is over or the endpoint is silent for too long. */
   private readonly halt = new Cancellation();
   private stopPatience: Cancel = () => {};
@@ -71,9 +70,7 @@
   constructor(
     private readonly order: AttemptOrder,
     private readonly parts: AttemptParts,
-  ) {
-    this.sentAt = parts.clock.monotonic();
-  }
+  ) {}
 
   /** Runs to the end of the answer. Throws an AttemptFailure. */
   async run(): Promise<void> {
@@ -125,7 +122,6 @@
     const {parts} = this;
     const {course, place} = this.order;
     const head = parts.protocol.answerHead(message);
-    const latency = parts.clock.monotonic() - this.sentAt;
     if (head.notRun) {
       if (head.misdirected) place.unreachable();
       message.resume();
@@ -135,7 +131,7 @@
       message.destroy();
       throw new AttemptFailure('malformed', 'not an answer to this', false);
     }
-    place.answered(latency, head.load);
+    place.answered(head.load);
     if (course.team) parts.began(course.team.name);
     if (course.route.streaming && head.status < SUCCESS_STATUS) {
       await this.relayStream(received, head);
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -135,15 +135,6 @@
     });
   }
 
-  /** Closes the idle connections to an address. */
-  forget(address: string): void {
-    const free = this.agents.get(address)?.freeSockets ?? {};
-    this.agents.delete(address);
-    for (const sockets of Object.values(free)) {
-      for (const socket of sockets ?? []) socket.destroy();
-    }
-  }
-
   private agent(address: string): KeepingAgent {
     const present = this.agents.get(address);
     if (present) return present;
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -74,11 +74,6 @@
     this.repeatBound = parts.repeatBound;
   }
 
-  /** Requests under way. */
-  get size(): number {
-    return this.courses.size;
-  }
-
   /** Resolves when no request is under way. */
   whenEmpty(): Promise<void> {
     if (this.courses.size === 0) return Promise.resolve();
--- a/test/engines.test.ts
+++ b/test/engines.test.ts
@@ -165,7 +165,7 @@
   if (beside > 290) outcome.stalled += engine.running;
   const wait = engine.busyUntil - now;
   clock.after(wait, () => {
-    place.answered(wait, undefined);
+    place.answered(undefined);
     (large ? outcome.large : outcome.small).push(wait);
     if (!large) engine.running++;
   });
