--- a/source/fleet/watch.ts
+++ b/source/fleet/watch.ts
@@ -23,6 +23,9 @@
 
 type State = LoadReport['state'];
 
+/** How careful a state makes the hosts; news of a lesser one must be newer. */
+const GUARD: Readonly<Record<State, number>> = {warm: 0, cold: 1, leaving: 2};
+
 interface Load {
   /** Requests that it said it runs. */
   readonly running: number;
@@ -133,7 +136,7 @@
   /**
    * Takes over a state that was seen at `seenAt` at the earliest; answers
    * whether it counts. Reports overtake each other, so one that may be older
-   * than the leave does not undo it.
+   * than a leave or a turn to cold does not undo it.
    */
   private note(
     endpoint: string,
@@ -142,8 +145,8 @@
     load?: Load,
   ): boolean {
     const before = this.sightings.get(endpoint);
-    const left = before?.state === 'leaving' && state !== 'leaving';
-    if (left && seenAt < before.since) return false;
+    const undone = before && GUARD[state] < GUARD[before.state];
+    if (undone && seenAt < before.since) return false;
     const same = before?.state === state;
     const since = same ? before.since : this.options.clock.monotonic();
     const latest = load ?? before ?? NO_LOAD;
--- a/test/watch.test.ts
+++ b/test/watch.test.ts
@@ -1,7 +1,7 @@
 /**
  * What a host believes of an endpoint when reports arrive out of order: an
- * older report, its own or another host's, never makes a leaving endpoint warm
- * again (invariant 13).
+ * older report, its own or another host's, never makes a leaving or a cold
+ * endpoint warm again (invariant 13).
  */
 import test from 'ava';
 
@@ -112,6 +112,36 @@
   t.is(watch.sighting('drafting-1')?.state, 'leaving');
 });
 
+test('a report that was asked for before it turned cold does not make it warm', async t => {
+  const {clock, adapter, watch} = world();
+  watch.poll();
+  clock.advance(20);
+  watch.noteAnswer('drafting-1', 'cold');
+  clock.advance(20);
+  adapter.pending[0]?.(WARM);
+  await settle();
+  t.is(watch.sighting('drafting-1')?.state, 'cold');
+});
+
+test('what another host saw before it turned cold does not make it warm', t => {
+  const {clock, watch} = world();
+  const told = {kind: 'endpoint-state', endpoint: 'drafting-1'} as const;
+  watch.noteMessage({...told, state: 'cold'});
+  clock.advance(2_900);
+  watch.noteMessage({...told, state: 'warm'});
+  t.is(watch.sighting('drafting-1')?.state, 'cold');
+});
+
+test('a cold endpoint is warm for those that ask after it has warmed up', async t => {
+  const {clock, adapter, watch} = world();
+  watch.noteAnswer('drafting-1', 'cold');
+  clock.advance(20);
+  watch.poll();
+  adapter.pending[0]?.(WARM);
+  await settle();
+  t.is(watch.sighting('drafting-1')?.state, 'warm');
+});
+
 test('an endpoint that has come back is warm for those that ask and those that are told', async t => {
   const {clock, adapter, watch} = world();
   const told = {kind: 'endpoint-state', endpoint: 'drafting-1'} as const;
