Let a cold endpoint of a small bound be sent to by somebody

Cause: three hosts share a cold endpoint's bound in whole requests; under three requests a second each share was none, so the endpoint got nothing while it was cold (and a service whose endpoints are all cold served nobody). Now as many hosts share as the bound has whole requests, one at the least.

--- a/source/balance/cold.ts
+++ b/source/balance/cold.ts
@@ -25,9 +25,10 @@
   host: string,
   hosts: readonly string[],
 ): number {
-  const senders = Math.min(hosts.length, SENDERS_MOST);
+  const whole = Math.max(Math.floor(rate), 1);
+  const senders = Math.min(hosts.length, SENDERS_MOST, whole);
   if (rankOf(endpoint, host, hosts) >= senders) return 0;
-  return Math.floor(rate / senders);
+  return Math.floor(whole / senders);
 }
 
 /** Whether one more may be sent now. */
