Keep what was found until callers are known, and a host to its share of the engines

Ruled out: the division of the engines (first events 43 and 135 ms at the median once there were enough). Change: until callers have been there for 10 s as many stay as were found, cheap ones in their place; a host has at most 1.5 times its share of an engine service's places, its share being that of its callers' work; three doubts count at most. Tests: test/plan.test.ts and test/limits.test.ts.

--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -23,6 +23,7 @@
   type LoadEvent,
   type NamedLoad,
 } from './load.js';
+import {ownPlaces} from './share.js';
 import {
   afterPrompt,
   busyEngines,
@@ -30,6 +31,7 @@
   largeCount,
   largeEngines,
   NO_WORK,
+  totalWork,
   type PromptWork,
 } from './split.js';
 import {engineTime, isLarge, sharedParts, type Prompt} from './work.js';
@@ -140,10 +142,13 @@
 
   override hasRoom(lane: Lane): boolean {
     const now = this.now();
-    const fill = this.services.get(lane.pool)?.engine
+    const usable = this.usable(lane.pool, now);
+    const engine = this.services.get(lane.pool)?.engine;
+    const fill = engine
       ? (TIER_FILL[lane.tier] ?? LOWEST_TIER_FILL)
       : PLAIN_FILL;
-    return this.usable(lane.pool, now).some(
+    if (engine && !this.hasShare(lane.pool, usable, fill)) return false;
+    return usable.some(
       ({entry}) =>
         expectedRequests(this.load(entry.id), now) < entry.slots * fill,
     );
@@ -355,15 +360,36 @@
     return mayAdd(this.coldSends.get(entry.id) ?? [], share, now);
   }
 
+  /** Whether this host has less at the engines than its share of them. */
+  private hasShare(
+    service: string,
+    engines: readonly KnownEndpoint[],
+    fill: number,
+  ): boolean {
+    let held = 0;
+    let slots = 0;
+    for (const {entry} of engines) {
+      held += this.load(entry.id).own;
+      slots += entry.slots;
+    }
+    const own = totalWork(this.ownWorkOf(service));
+    const all = totalWork(this.workOf(service));
+    const most = ownPlaces({slots, hosts: this.hosts.length, own, all});
+    return held < most * fill;
+  }
+
+  private ownWorkOf(service: string): PromptWork {
+    return fadedWork(this.work.get(service) ?? NO_WORK, this.now());
+  }
+
   /** The work that callers of all hosts ask for. */
   private workOf(service: string): PromptWork {
-    const now = this.now();
-    const own = fadedWork(this.work.get(service) ?? NO_WORK, now);
+    const own = this.ownWorkOf(service);
     const others = this.othersWork.get(service) ?? {large: 0, small: 0};
     return {
+      ...own,
       large: own.large + others.large,
       small: own.small + others.small,
-      at: now,
     };
   }
 
--- a/source/balance/choose.ts
+++ b/source/balance/choose.ts
@@ -45,6 +45,8 @@
 const DOUBT_COST_MILLISECONDS = 150;
 /** Cost of an endpoint all of whose answers fail. */
 const FAILING_COST_MILLISECONDS = 1_500;
+/** Doubts that count; in a large fleet some hosts are always mistaken. */
+const DOUBTS_MOST = 3;
 /** Cost of an endpoint at which no slot is free. */
 const FULL_COST_MILLISECONDS = 1_000;
 /** Cost of each request that runs there, in milliseconds. */
@@ -114,7 +116,7 @@
   if (candidate.cold) cost += COLD_COST_MILLISECONDS;
   if (candidate.failed) cost += FAILED_COST_MILLISECONDS;
   if (!candidate.near) cost += FAR_COST_MILLISECONDS;
-  cost += candidate.doubts * DOUBT_COST_MILLISECONDS;
+  cost += Math.min(candidate.doubts, DOUBTS_MOST) * DOUBT_COST_MILLISECONDS;
   cost += candidate.load.failing * FAILING_COST_MILLISECONDS;
   const expected = expectedRequests(candidate.load, now);
   if (expected >= candidate.slots) cost += FULL_COST_MILLISECONDS;
--- a/source/balance/index.ts
+++ b/source/balance/index.ts
@@ -33,6 +33,7 @@
   type NamedLoad,
 } from './load.js';
 export {pull, rankOf} from './rank.js';
+export {ownPlaces, type ShareBasis} from './share.js';
 export {afterPrompt, largeEngines, NO_WORK, type PromptWork} from './split.js';
 export {
   engineTime,
--- a/source/balance/split.ts
+++ b/source/balance/split.ts
@@ -78,7 +78,12 @@
   return afterPrompt(before, false, 0, now);
 }
 
+/** The work of both kinds. */
+export function totalWork({large, small}: PromptWork): number {
+  return large + small;
+}
+
 /** Engines that the work keeps busy, on the mean. */
-export function busyEngines({large, small}: PromptWork): number {
-  return ((large + small) * Math.LN2) / WORK_HALF_LIFE_MILLISECONDS;
+export function busyEngines(work: PromptWork): number {
+  return (totalWork(work) * Math.LN2) / WORK_HALF_LIFE_MILLISECONDS;
 }
--- a/source/capacity/plan.ts
+++ b/source/capacity/plan.ts
@@ -3,7 +3,8 @@
  * callers bring. Cheap endpoints may be taken away from a whole zone at once,
  * so there are enough of them that the other zones carry the load while one is
  * without; lasting ones stand in where cheap ones cannot be had. Answers the
- * load of bursts while zones lose their cheap endpoints.
+ * load of bursts while zones lose their cheap endpoints, and the first callers
+ * of a large deployment, for whom as many stay as were found.
  */
 import type {Range} from '../routing/index.js';
 
@@ -27,6 +28,8 @@
   readonly busy: number;
   /** Lasting endpoints that stood before the first order. */
   readonly found: number;
+  /** Whether callers have been there for long enough to tell what they need. */
+  readonly known: boolean;
 }
 
 /** How many of each kind a zone is to have. */
@@ -67,7 +70,8 @@
   const kept = Math.ceil(found * FOUND_SHARE);
   const steady = Math.max(Math.ceil(busy * LASTING_HEADROOM), kept);
   const shares = spread(steady, range, supplies);
-  const cheap = cheapInZone(situation, supplies, needed);
+  const expected = situation.known ? 0 : found - steady;
+  const cheap = cheapInZone(range, supplies, needed, expected);
   const lastingMost = Math.floor(range.most * LASTING_MOST_SHARE);
   const missing = Math.max(needed - present(supplies), 0);
   const standIns = spread(missing, range, supplies);
@@ -76,7 +80,8 @@
     const steadyHere = Math.min(shares.get(zone) ?? 0, lastingMost);
     const reclaimable = Math.min(cheap, range.most - steadyHere);
     const least = Math.max(range.least - reclaimable, 0);
-    const replaced = supply.reclaimable >= reclaimable || busy < IDLE_BUSY;
+    const idle = situation.known && busy < IDLE_BUSY;
+    const replaced = supply.reclaimable >= reclaimable || idle;
     const wanted = Math.max(steadyHere, least);
     const kept = replaced ? wanted : Math.max(wanted, supply.lasting);
     const lasting = kept + (dry ? (standIns.get(zone) ?? 0) : 0);
@@ -99,13 +104,15 @@
 
 /** Cheap endpoints of each zone, so that one zone can lose its own. */
 function cheapInZone(
-  {range}: Situation,
+  range: Range,
   supplies: readonly ZoneSupply[],
   needed: number,
+  expected: number,
 ): number {
   const wet = supplies.filter(({dry}) => !dry).length;
   const each = Math.ceil(needed / Math.max(wet - 1, 1));
-  return Math.min(Math.max(each, CHEAP_LEAST), range.most);
+  const first = Math.ceil(expected / Math.max(wet, 1));
+  return Math.min(Math.max(each, first, CHEAP_LEAST), range.most);
 }
 
 /** Deals a count out to the zones in turn, the least priced first. */
--- a/source/duty/orders.ts
+++ b/source/duty/orders.ts
@@ -15,6 +15,10 @@
 const DRY_MILLISECONDS = 3_000;
 /** Milliseconds for which a larger plan stands after the need for it is over. */
 const KEEP_MILLISECONDS = 30_000;
+/** Milliseconds of callers after which their work tells what they need. */
+const KNOWN_MILLISECONDS = 10_000;
+/** Busy endpoints from which on callers are there. */
+const CALLERS_BUSY = 0.05;
 
 /** What a host knows that decides about orders. */
 export interface OrderView {
@@ -45,6 +49,8 @@
   private readonly dryUntil = new Map<string, number>();
   private readonly peaks = new Map<string, Standing>();
   private readonly found = new Map<string, number>();
+  /** Monotonic milliseconds of the first callers, by service. */
+  private readonly calledAt = new Map<string, number>();
   /** Zones in which a service was ever seen; it may have lost all there. */
   private readonly zones = new Map<string, ReadonlySet<string>>();
 
@@ -72,7 +78,8 @@
     const lasting = supplies.reduce((sum, zone) => sum + zone.lasting, 0);
     const found = this.found.get(name) ?? lasting;
     this.found.set(name, found);
-    for (const plan of planZones({range, supplies, busy, found})) {
+    const known = this.isKnown(name, busy);
+    for (const plan of planZones({range, supplies, busy, found, known})) {
       const supply = supplies.find(({zone}) => zone === plan.zone);
       if (supply) await this.orderZone(name, plan, supply, holder);
     }
@@ -130,6 +137,15 @@
     return [...zones].sort();
   }
 
+  /** Whether callers have been there for long enough to tell what they need. */
+  private isKnown(service: string, busy: number): boolean {
+    const now = this.options.clock.monotonic();
+    const calledAt = this.calledAt.get(service);
+    if (calledAt !== undefined) return now - calledAt >= KNOWN_MILLISECONDS;
+    if (busy >= CALLERS_BUSY) this.calledAt.set(service, now);
+    return false;
+  }
+
   /** The most that was busy lately, so that a lull gives nothing away. */
   private peak(service: string, busy: number): number {
     const now = this.options.clock.monotonic();
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -12,6 +12,7 @@
   mayAdd,
   mayRepeat,
   NO_REPEATS,
+  ownPlaces,
   withSend,
   type ColdSends,
   type RepeatCount,
@@ -125,3 +126,27 @@
   });
   holds(t, property, 60);
 });
+
+test('hosts that know nothing of each other do not fill the queues of the engines', t => {
+  const works = fc.array(fc.integer({min: 0, max: 500}), {
+    minLength: 1,
+    maxLength: 90,
+  });
+  const property = fc.property(works, list => {
+    const all = list.reduce((sum, own) => sum + own, 0);
+    const hosts = list.length;
+    const slots = hosts * 11;
+    const filled = list.reduce(
+      (sum, own) => sum + ownPlaces({slots, hosts, own, all}),
+      0,
+    );
+    return filled <= slots * 2.25 + 4 * hosts;
+  });
+  holds(t, property, 500);
+});
+
+test('a host alone may fill all places, and one with most of the callers most', t => {
+  t.is(ownPlaces({slots: 64, hosts: 1, own: 0, all: 0}), 64);
+  t.is(ownPlaces({slots: 64, hosts: 4, own: 90, all: 100}), 64);
+  t.true(ownPlaces({slots: 672, hosts: 61, own: 1, all: 61}) < 20);
+});
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -24,10 +24,10 @@
 function situation(change: Partial<Situation> = {}): Situation {
   const zones = ['palermo', 'catania', 'siracusa'];
   const supplies = zones.map(zone => supply(zone));
-  return {range: RANGE, supplies, busy: 0, found: 6, ...change};
+  return {range: RANGE, supplies, busy: 0, found: 6, known: true, ...change};
 }
 
-test('before the first caller, cheap endpoints take the place of most lasting ones', t => {
+test('while no caller is there, cheap endpoints take the place of most lasting ones', t => {
   const plans = planZones(situation());
   t.deepEqual(
     plans.map(({zone, lasting, reclaimable}) => [zone, lasting, reclaimable]),
@@ -39,6 +39,23 @@
   );
 });
 
+test('until callers are known, as many endpoints stay as were found', t => {
+  const range = {...RANGE, most: 94};
+  for (const busy of [0, 0.3, 4]) {
+    const plans = planZones(situation({range, found: 140, known: false, busy}));
+    const total = plans.reduce(
+      (sum, {lasting, reclaimable}) => sum + lasting + reclaimable,
+      0,
+    );
+    t.true(total >= 140);
+  }
+});
+
+test('the first callers find the lasting ones until cheap ones are there', t => {
+  const plans = planZones(situation({known: false}));
+  t.true(plans.every(({lasting}) => lasting === 2));
+});
+
 test('under load, lasting endpoints stay until the cheap ones are there', t => {
   const before = planZones(situation({busy: 1.5}));
   t.true(before.every(({lasting}) => lasting === 2));
