Keep requests in the regions that their route and their team name

Now a request's homes, of its route and its team together, bind at every choice of an endpoint, and it waits for its homes in a lane of its own; the zones' regions come from the settings.

--- a/source/admission/ticket.ts
+++ b/source/admission/ticket.ts
@@ -15,6 +15,8 @@
   readonly cheapShare: number;
   /** Whether its requests may be run again. */
   readonly repeatable: boolean;
+  /** Regions in which its requests may run; undefined for all. */
+  readonly homes?: readonly string[] | undefined;
 }
 
 /** One request that waits. */
@@ -34,7 +36,9 @@
 
 /** The name of a lane, equal for lanes that can share a line. */
 export function laneKey(lane: Lane): string {
-  return `${lane.pool} ${lane.className} ${lane.repeatable ? 'any' : 'firm'}`;
+  const {pool, className, repeatable, homes} = lane;
+  const where = homes ? ` ${homes.join(' ')}` : '';
+  return `${pool} ${className} ${repeatable ? 'any' : 'firm'}${where}`;
 }
 
 /** Says whether a lane’s next ticket could start now. */
--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -5,7 +5,7 @@
 import {Room, type Lane} from '../admission/index.js';
 import type {Clock} from '../clock/index.js';
 import type {Directory, KnownEndpoint} from '../directory/index.js';
-import type {Service} from '../routing/index.js';
+import {isHome, type Homes, type Service} from '../routing/index.js';
 import {
   chooseEngine,
   chooseLeastBusy,
@@ -48,6 +48,8 @@
   readonly prompt: Prompt | undefined;
   /** Endpoints at which it has failed. */
   readonly failedAt: ReadonlySet<string>;
+  /** Regions that it must not leave. */
+  readonly homes?: Homes;
 }
 
 /** A request’s place at an endpoint. */
@@ -86,6 +88,8 @@
   readonly host: string;
   readonly zone: string;
   readonly clock: Clock;
+  /** The region of each availability zone. */
+  readonly regions: Readonly<Partial<Record<string, string>>>;
 }
 
 /** The endpoints of a host. */
@@ -142,7 +146,7 @@
 
   override hasRoom(lane: Lane): boolean {
     const now = this.now();
-    const usable = this.usable(lane.pool, now);
+    const usable = this.usable(lane.pool, now, lane.homes);
     const engine = this.services.get(lane.pool)?.engine;
     const fill = engine
       ? (TIER_FILL[lane.tier] ?? LOWEST_TIER_FILL)
@@ -246,9 +250,9 @@
    * try { await send(place.endpoint); } finally { place?.release(); }
    * ```
    */
-  take({service, prompt, failedAt}: Demand): Place | undefined {
+  take({service, prompt, failedAt, homes}: Demand): Place | undefined {
     const now = this.now();
-    const usable = this.usable(service, now);
+    const usable = this.usable(service, now, homes);
     const fresh = usable.filter(({entry}) => !failedAt.has(entry.id));
     const troubled = this.troubledZones();
     const known = rotated(fresh.length > 0 ? fresh : usable, this.turn++);
@@ -337,9 +341,13 @@
   }
 
   /** The endpoints of a service that may get a request now. */
-  private usable(service: string, now: number): KnownEndpoint[] {
+  private usable(service: string, now: number, homes?: Homes): KnownEndpoint[] {
+    const {regions} = this.surroundings;
     const open = [...this.directory.values()].filter(
-      known => known.entry.service === service && this.isOpen(known, now),
+      known =>
+        known.entry.service === service &&
+        isHome(homes, regions[known.entry.zone]) &&
+        this.isOpen(known, now),
     );
     // One whose entry has lapsed may have left, so it is a last resort.
     const entered = open.filter(({lapsesAt}) => lapsesAt === undefined);
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -66,7 +66,8 @@
     const {name: host, zone} = settings;
     const started = clock.now().getTime();
     this.address = {name: host, started, address: settings.hosts ?? '', zone};
-    this.book = new EndpointBook({host, zone, clock});
+    const {regions} = settings;
+    this.book = new EndpointBook({host, zone, clock, regions});
     this.admission = new Admission({
       clock,
       room: this.book,
--- a/source/edge/settings.ts
+++ b/source/edge/settings.ts
@@ -4,6 +4,9 @@
 export const edgeSettingsSchema = z.object({
   name: z.string().describe('Name of the host, unique in the fleet.'),
   zone: z.string().describe('Availability zone of the host.'),
+  regions: z
+    .record(z.string(), z.string())
+    .describe('The region of each availability zone.'),
   callers: z.string().describe('Address to listen on for callers.'),
   readiness: z.string().describe('Address to answer the balancer’s probes on.'),
   hosts: z
--- a/source/forward/course.ts
+++ b/source/forward/course.ts
@@ -2,7 +2,7 @@
 import {Cancellation} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import {Refusal} from '../errors/index.js';
-import type {Route, Team} from '../routing/index.js';
+import {homesOf, type Homes, type Route, type Team} from '../routing/index.js';
 import type {CallerAnswer} from './answer.js';
 import type {Arrival} from './protocol.js';
 
@@ -81,6 +81,11 @@
     });
   }
 
+  /** Regions that the request must not leave. */
+  get homes(): Homes {
+    return homesOf(this.route, this.team);
+  }
+
   /** 0 is served first. */
   get tier(): number {
     return this.team?.tier ?? this.route.tier;
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -187,9 +187,9 @@
 
   private async inPlace(course: Course, stop: Cancellation): Promise<void> {
     const {book, clock} = this.parts;
-    const {service, arrival, failedAt} = course;
+    const {service, arrival, failedAt, homes} = course;
     const {prompt} = arrival;
-    const place = book.take({service, prompt, failedAt});
+    const place = book.take({service, prompt, failedAt, homes});
     if (!place) throw new AttemptFailure('connect', 'no endpoint', true);
     course.sends++;
     this.noteSend(course, place.choice, place.endpoint.entry.zone);
@@ -276,7 +276,7 @@
   }
 
   private ticketOf(course: Course): Ticket {
-    const {route, arrival, team, timeLeft} = course;
+    const {route, arrival, team, timeLeft, homes} = course;
     const {prompt} = arrival;
     const spent = this.parts.clock.monotonic() - course.arrived;
     return {
@@ -287,6 +287,7 @@
         floorShare: FLOOR_SHARE,
         cheapShare: 0,
         repeatable: false,
+        homes,
       },
       team: team?.name ?? '',
       weight: 1,
--- a/source/routing/index.ts
+++ b/source/routing/index.ts
@@ -1,4 +1,5 @@
 /** The door of the routing folder. */
+export {homesOf, isHome, type Homes} from './homes.js';
 export {
   RoutingTable,
   routingSchema,
--- a/source/routing/table.ts
+++ b/source/routing/table.ts
@@ -36,6 +36,8 @@
   /** Endpoints to which a request may be sent. */
   attempts: z.number().int(),
   shares: z.array(shareSchema).min(1),
+  /** Regions that its requests must not leave; none where they may. */
+  homes: z.array(z.string()),
 });
 export type Route = z.infer<typeof routeSchema>;
 
@@ -78,6 +80,8 @@
   keys: z.array(z.string()),
   /** Takes the place of the route's tier. */
   tier: z.number().int().optional(),
+  /** Regions that its requests must not leave; none where they may. */
+  homes: z.array(z.string()),
 });
 export type Team = z.infer<typeof teamSchema>;
 
--- a/test/edge.test.ts
+++ b/test/edge.test.ts
@@ -61,6 +61,22 @@
   t.is(fleet.seen.get('register-1'), before);
 });
 
+test('no request leaves the regions of its team, and it waits rather than go elsewhere', async t => {
+  const fleet = await EdgeFleet.start(t);
+  await fleet.endpoint('register-1');
+  fleet.configure(['key'], ['malta']);
+  const host = await fleet.host('host-1');
+  await fleet.ready(host);
+  await reads(fleet, host, 'key', 503);
+  fleet.configure(['key'], ['sicilia']);
+  await reads(fleet, host, 'key', 200);
+  const before = fleet.seen.get('register-1');
+  fleet.configure(['key'], ['malta']);
+  await reads(fleet, host, 'key', 503);
+  t.is((await fleet.read(host, 'key'))[0], 503);
+  t.true((fleet.seen.get('register-1') ?? 0) >= (before ?? 0));
+});
+
 test('entries that cannot be read name nothing, and the others hold', async t => {
   const fleet = await EdgeFleet.start(t);
   fleet.site.put('keyed.servers', 'broken', '{"service":');
--- a/test/engines.test.ts
+++ b/test/engines.test.ts
@@ -104,6 +104,7 @@
       host: `host-${index}`,
       zone: 'palermo',
       clock,
+      regions: {},
     });
     book.setServices(new Map([[SERVICE.name, SERVICE]]));
     book.setDirectory(directory);
--- a/test/reach.test.ts
+++ b/test/reach.test.ts
@@ -32,7 +32,12 @@
 }
 
 function bookOf(clock: ManualClock): EndpointBook {
-  const book = new EndpointBook({host: 'host-1', zone: 'palermo', clock});
+  const book = new EndpointBook({
+    host: 'host-1',
+    zone: 'palermo',
+    clock,
+    regions: {},
+  });
   book.setServices(
     new Map([[SERVICE, {name: SERVICE, healthPath: '/health', coldRate: 0}]]),
   );
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -86,8 +86,8 @@
     });
   }
 
-  /** Publishes a configuration with these keys of the one team. */
-  configure(keys: readonly string[]): void {
+  /** Publishes a configuration with these keys of the one team, and its homes. */
+  configure(keys: readonly string[], homes: readonly string[] = []): void {
     this.version += 3;
     this.site.put('keyed.op', 'config', {
       version: this.version,
@@ -124,7 +124,9 @@
         headerTimeoutMs: 3_000,
         idleTimeoutMs: 15_000,
       },
-      tenants: [{name: 'guides', apiKeys: keys, priority: 1}],
+      tenants: [
+        {name: 'guides', apiKeys: keys, priority: 1, allowedRegions: homes},
+      ],
     });
   }
 
@@ -205,6 +207,7 @@
     return {
       nodeId: name,
       zone: 'palermo',
+      zones: {palermo: 'sicilia'},
       listen: {front, readiness, control},
       seedNodes: this.seeds.slice(0, 3),
       limits: {memoryMb: 200},
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -89,6 +89,7 @@
   timeout: 5_000,
   attempts: 1,
   shares: [{service: SERVICE, weight: 1}],
+  homes: [],
 };
 
 /** A forwarder with its endpoints. */
@@ -174,7 +175,12 @@
     behaviours: readonly Behaviour[],
   ): Promise<void> {
     const clock = new SystemClock();
-    const book = new EndpointBook({host: 'host-1', zone: 'palermo', clock});
+    const book = new EndpointBook({
+      host: 'host-1',
+      zone: 'palermo',
+      clock,
+      regions: {},
+    });
     const admission = new Admission({clock, room: book, places: 100});
     const directory = new Map<string, KnownEndpoint>();
     for (const [index, behaviour] of behaviours.entries()) {
@@ -277,6 +283,6 @@
       headerMilliseconds: 3_000,
       idleMilliseconds: 15_000,
     },
-    teams: [{name: 'editors', keys: [KEY]}],
+    teams: [{name: 'editors', keys: [KEY], homes: []}],
   };
 }
