Let a few hosts of a large fleet follow the store and feed the others

Ruled out: fewer records (the entries change, they do not beat), a longer read (the bounds of 2 s). Change: beyond 12 hosts two of each zone follow the store, feed their zone and each other, and say how old the store's answer is that they rest on; a host that has not been fed for a second, or by an answer older than 3.2 s, follows itself. Twelve hosts stand for the duties. A pulse names 12 hosts at the most. The time of an answer's token follows from the engine's slots, and work since the first request is taken for what comes always. Fleets of up to 12 hosts follow as before.

--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -27,10 +27,10 @@
 import {
   afterPrompt,
   busyEngines,
-  fadedWork,
   largeCount,
   largeEngines,
   NO_WORK,
+  steadyWork,
   totalWork,
   type PromptWork,
 } from './split.js';
@@ -38,6 +38,8 @@
 
 /** Requests that a plain service’s endpoint is given for each of its places. */
 const PLAIN_FILL = 1.5;
+/** Slots of an engine whose service does not say. */
+const PLAIN_SLOTS = 64;
 /** Part of an engine’s slots that each tier may fill. */
 const TIER_FILL: readonly number[] = [1, 0.92, 0.85];
 const LOWEST_TIER_FILL = 0.8;
@@ -167,7 +169,8 @@
   /** Notes a request as it arrives, for the division of the engines. */
   arrived(service: string, prompt: Prompt): void {
     const before = this.work.get(service) ?? NO_WORK;
-    const time = engineTime(prompt);
+    const slots = this.services.get(service)?.engine?.slots ?? PLAIN_SLOTS;
+    const time = engineTime(prompt, slots);
     const work = afterPrompt(before, isLarge(prompt), time, this.now());
     this.work.set(service, work);
   }
@@ -215,7 +218,7 @@
   ownWork(): ServiceWork[] {
     const now = this.now();
     return [...this.work].map(([service, before]) => {
-      const {large, small} = fadedWork(before, now);
+      const {large, small} = steadyWork(before, now);
       return {service, large: Math.round(large), small: Math.round(small)};
     });
   }
@@ -387,7 +390,7 @@
   }
 
   private ownWorkOf(service: string): PromptWork {
-    return fadedWork(this.work.get(service) ?? NO_WORK, this.now());
+    return steadyWork(this.work.get(service) ?? NO_WORK, this.now());
   }
 
   /** The work that callers of all hosts ask for. */
--- a/source/balance/index.ts
+++ b/source/balance/index.ts
@@ -34,7 +34,14 @@
 } from './load.js';
 export {pull, rankOf} from './rank.js';
 export {ownPlaces, type ShareBasis} from './share.js';
-export {afterPrompt, largeEngines, NO_WORK, type PromptWork} from './split.js';
+export {
+  afterPrompt,
+  busyEngines,
+  largeEngines,
+  NO_WORK,
+  steadyWork,
+  type PromptWork,
+} from './split.js';
 export {
   engineTime,
   isLarge,
--- a/source/balance/split.ts
+++ b/source/balance/split.ts
@@ -13,14 +13,23 @@
   readonly small: number;
   /** Monotonic milliseconds up to which it has faded. */
   readonly at: number;
+  /** Monotonic milliseconds of the first of it. */
+  readonly since: number;
 }
 
 /** Milliseconds after which half of the work counts no more. */
 const WORK_HALF_LIFE_MILLISECONDS = 5_000;
+/** Milliseconds of arrivals that the first estimate of the work rests on. */
+const FIRST_MILLISECONDS = 1_000;
 const KEY = 'large prompts';
 
 /** No work yet. */
-export const NO_WORK: PromptWork = {large: 0, small: 0, at: 0};
+export const NO_WORK: PromptWork = {
+  large: 0,
+  small: 0,
+  at: 0,
+  since: Infinity,
+};
 
 /** The work after a request that asks for `time` milliseconds of an engine. */
 export function afterPrompt(
@@ -29,14 +38,20 @@
   time: number,
   now: number,
 ): PromptWork {
-  const kept = 0.5 ** ((now - before.at) / WORK_HALF_LIFE_MILLISECONDS);
+  const kept = fading(now - before.at);
   return {
     large: before.large * kept + (large ? time : 0),
     small: before.small * kept + (large ? 0 : time),
     at: now,
+    since: Math.min(before.since, now),
   };
 }
 
+/** What is left of work after a time. */
+function fading(duration: number): number {
+  return 0.5 ** (duration / WORK_HALF_LIFE_MILLISECONDS);
+}
+
 /** How far the share may be from the present count before that changes. */
 const COUNT_SLACK = 0.7;
 
@@ -73,9 +88,16 @@
   return new Set(ranked.slice(0, count));
 }
 
-/** The work as it has faded by now. */
-export function fadedWork(before: PromptWork, now: number): PromptWork {
-  return afterPrompt(before, false, 0, now);
+/**
+ * The work as it stands by now. What came since the first request is taken for
+ * what comes always, or a host would long see too little after it has started.
+ */
+export function steadyWork(before: PromptWork, now: number): PromptWork {
+  const faded = afterPrompt(before, false, 0, now);
+  const age = Math.max(now - before.since, FIRST_MILLISECONDS);
+  const seen = 1 - fading(age);
+  const {large, small} = faded;
+  return {...faded, large: large / seen, small: small / seen};
 }
 
 /** The work of both kinds. */
--- a/source/balance/work.ts
+++ b/source/balance/work.ts
@@ -23,8 +23,12 @@
 
 /** Prompt tokens that an engine reads in a millisecond. */
 const READ_TOKENS_PER_MILLISECOND = 50;
-/** Milliseconds of an engine that one token of an answer takes up. */
-const OUTPUT_MILLISECONDS_PER_TOKEN = 0.18;
+/** Milliseconds of an engine's step, which makes a token of each answer. */
+const STEP_MILLISECONDS = 3.1;
+/** Milliseconds by which each answer that runs makes a step longer. */
+const STEP_MILLISECONDS_PER_ANSWER = 0.1;
+/** Share of an engine's slots that are taken where it is well used. */
+const USED_SHARE = 0.6;
 /** Share of the shared parts that has to be read all the same, on the mean. */
 const MISSED_SHARE = 0.3;
 /** Prompts above this many tokens hold up the answers that run beside them. */
@@ -56,16 +60,16 @@
 }
 
 /**
- * Milliseconds that a request takes up of an engine, on the mean.
+ * Milliseconds that a request takes up of an engine with so many slots, on the
+ * mean. The fewer answers share a step, the more of it each takes up.
  *
  * ```ts
- * const work = engineTime(prompt);
+ * const work = engineTime(prompt, 64);
  * ```
  */
-export function engineTime(prompt: Prompt): number {
+export function engineTime(prompt: Prompt, slots: number): number {
+  const answers = Math.max(slots * USED_SHARE, 1);
+  const token = STEP_MILLISECONDS / answers + STEP_MILLISECONDS_PER_ANSWER;
   const spared = sharedTokens(prompt) * (1 - MISSED_SHARE);
-  return (
-    readingTime(prompt.tokens - spared) +
-    prompt.output * OUTPUT_MILLISECONDS_PER_TOKEN
-  );
+  return readingTime(prompt.tokens - spared) + prompt.output * token;
 }
--- a/source/duty/desk.ts
+++ b/source/duty/desk.ts
@@ -39,6 +39,8 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly duties: readonly Duty[];
+  /** Whether this host is among those that stand for the duties. */
+  readonly stands: () => boolean;
   /** Called after each answer of the store and each failure to get one. */
   readonly heard: (answered: boolean) => void;
 }
@@ -90,7 +92,8 @@
   }
 
   private async join(): Promise<void> {
-    if (this.joining || this.left) return;
+    const idle = this.term.fence === 0 && !this.options.stands();
+    if (this.joining || this.left || idle) return;
     this.joining = true;
     const {store, member, clock} = this.options;
     const askedAt = clock.monotonic();
--- a/source/duty/index.ts
+++ b/source/duty/index.ts
@@ -6,6 +6,7 @@
   type Holder,
   type UsageReport,
 } from './calls.js';
+export {standsForDuties} from './stand.js';
 export {DutyDesk, type Duty, type DutyDeskOptions} from './desk.js';
 export {
   afterJoin,
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -5,9 +5,10 @@
 import {EndpointBook} from '../balance/index.js';
 import {hostChart} from '../charts/index.js';
 import type {Clock} from '../clock/index.js';
-import {DutyDesk, Orders, Usage} from '../duty/index.js';
+import {DutyDesk, Orders, standsForDuties, Usage} from '../duty/index.js';
 import {Connections, Forwarder} from '../forward/index.js';
 import {
+  Feeder,
   GossipDesk,
   startOf,
   type HostAddress,
@@ -56,6 +57,7 @@
   private readonly usage: Usage | undefined;
   private readonly duties: DutyDesk | undefined;
   private readonly gossip: GossipDesk | undefined;
+  private readonly feeder: Feeder | undefined;
   private readonly callers: Server;
   private readonly readiness: Server;
   private readonly metricsPort: Server;
@@ -96,10 +98,12 @@
       metrics,
       random,
       changed: () => this.adopt(),
+      fed: () => this.feeder?.fed ?? false,
     });
     this.usage = this.createUsage();
     this.duties = this.createDuties();
     this.gossip = this.createGossip();
+    this.feeder = this.gossip && this.createFeeder(this.gossip);
     this.callers = this.createCallerPort();
     this.readiness = createReadinessPort(() => this.state === 'serving');
     this.metricsPort = createMetricsPort(metrics);
@@ -119,6 +123,7 @@
     this.usage?.start();
     this.duties?.start();
     await this.gossip?.start();
+    this.feeder?.start();
     clock.every(POKE_MILLISECONDS, () => {
       if (this.admission.waiting > 0) this.admission.poke();
     });
@@ -147,6 +152,7 @@
     await Promise.race([this.handOver(), tooLate]);
     this.knowledge.stop();
     this.prober.stop();
+    this.feeder?.stop();
     this.gossip?.stop();
     this.move('stop');
   }
@@ -189,6 +195,8 @@
     return new DutyDesk({
       name: settings.name,
       member: startOf(this.address),
+      stands: () =>
+        standsForDuties(settings.name, this.gossip?.sharers ?? [settings.name]),
       lease: settings.leaseMilliseconds,
       store: platform.store,
       clock,
@@ -222,11 +230,30 @@
       sheets: () => this.usage?.open() ?? [],
       records: (topic, position) => this.knowledge.records(topic, position),
       received: (topic, page) => this.knowledge.take(topic, page),
+      fed: feed => this.feeder?.take(feed),
       changed: pulse => this.adoptPulse(pulse),
       lost: lost => void this.usage?.appendFor(startOf(lost)),
     });
   }
 
+  private createFeeder(gossip: GossipDesk): Feeder {
+    const {knowledge} = this;
+    return new Feeder({
+      self: this.address,
+      clock: this.parts.clock,
+      hosts: () =>
+        gossip.reached
+          .filter(({pulse}) => !pulse?.leaving)
+          .map(({host}) => host),
+      send: (name, message) => gossip.send(name, message),
+      positions: () => knowledge.positions,
+      records: (topic, position) => knowledge.records(topic, position),
+      answeredAt: () => knowledge.answeredAt,
+      lostAt: () => knowledge.lostAt,
+      lost: at => knowledge.noteLost(at),
+    });
+  }
+
   private adoptPulse({kept, from, sheets}: Pulse): void {
     if (!this.gossip) return;
     if (sheets.length > 0) this.usage?.keep(startOf(from), sheets);
@@ -262,6 +289,7 @@
       this.callers.headersTimeout = table.limits.headerMilliseconds;
       this.forwarder.table = table;
     }
+    this.feeder?.changed();
     const ready = this.knowledge.complete;
     if (ready && this.state === 'catching-up') this.move('ready');
     this.admission.poke();
--- a/source/edge/knowledge.ts
+++ b/source/edge/knowledge.ts
@@ -33,6 +33,8 @@
   readonly random: Random;
   /** Called when anything has changed. */
   readonly changed: () => void;
+  /** Whether other hosts follow the store for this one. */
+  readonly fed: () => boolean;
 }
 
 /** What a host believes about its platform. */
@@ -42,16 +44,18 @@
   zonesOut: ReadonlySet<string> = new Set();
   private readonly operator: KeyedFollower;
   private readonly endpoints: KeyedFollower;
-  private lostAt = -Infinity;
+  /** Monotonic milliseconds at which the store was last found away. */
+  lostAt = -Infinity;
   private stopTimer: Cancel = () => {};
 
   constructor(private readonly options: KnowledgeOptions) {
-    const {store, clock, logger, random, reader} = options;
+    const {store, clock, logger, random, reader, fed} = options;
     const common = {
       store,
       clock,
       logger,
       random,
+      fed,
       heard: (answered: boolean) => this.heard(answered),
     };
     this.operator = new KeyedFollower({
@@ -101,6 +105,16 @@
     this.follower(topic)?.take(page);
   }
 
+  /** Monotonic milliseconds up to which the store has answered for all topics. */
+  get answeredAt(): number {
+    return Math.min(...this.followers.map(({answeredAt}) => answeredAt));
+  }
+
+  /** Notes that the store was found away, by this host or by another. */
+  noteLost(at: number): void {
+    this.lostAt = Math.max(this.lostAt, at);
+  }
+
   private get followers(): readonly KeyedFollower[] {
     return [this.operator, this.endpoints];
   }
@@ -118,7 +132,7 @@
   heard(answered: boolean): void {
     const {clock, metrics} = this.options;
     metrics.count('store-call', {answered: String(answered)});
-    if (!answered) this.lostAt = clock.monotonic();
+    if (!answered) this.noteLost(clock.monotonic());
   }
 
   private takeOperator(records: readonly KeyedRecord[]): void {
--- a/source/gossip/gossip.ts
+++ b/source/gossip/gossip.ts
@@ -32,6 +32,7 @@
 import {
   gossipSchema,
   startOf,
+  type Feed,
   type Gossip,
   type HostAddress,
   type Pulse,
@@ -45,6 +46,8 @@
 const PERIOD_MILLISECONDS_PER_HOST = 40;
 /** Pulses between two that name the other hosts. */
 const HOSTS_EVERY = 5;
+/** Hosts that a pulse names at the most. */
+const NAMED_MOST = 12;
 /** Periods without an echo after which a connection is made anew. */
 const ECHO_PERIODS = 5;
 /** Periods for which news is told again, since pulses may be lost. */
@@ -79,6 +82,8 @@
   readonly records: (topic: string, position: number) => PassedOn;
   /** Called with records that another host has passed on. */
   readonly received: (topic: string, page: PassedOn) => void;
+  /** Called with each word of a host that follows the store for others. */
+  readonly fed: (feed: Feed) => void;
   /** Called with each pulse that has come. */
   readonly changed: (pulse: Pulse) => void;
   /** Called when a host has fallen silent or has started anew. */
@@ -143,6 +148,12 @@
     return staying(this.members);
   }
 
+  /** Sends a message to a host, if it is known. */
+  send(name: string, message: Gossip): void {
+    const member = this.members.get(name);
+    if (member) this.letterTo(member).outbox.send(message);
+  }
+
   /** Tells all others at once, as when this host leaves. */
   tell(): void {
     const own = this.ownState();
@@ -244,10 +255,18 @@
       unreachable: [...unreachable],
       kept: [...kept],
       sheets: [],
-      hosts: named ? this.reached.map(({host}) => host) : [],
+      hosts: named ? this.named(sequence) : [],
     };
   }
 
+  /** Some of the hosts in reach, others each time. */
+  private named(sequence: number): HostAddress[] {
+    const hosts = this.reached.map(({host}) => host);
+    if (hosts.length <= NAMED_MOST) return hosts;
+    const start = (sequence * NAMED_MOST) % hosts.length;
+    return [...hosts, ...hosts].slice(start, start + NAMED_MOST);
+  }
+
   /** Seeds are greeted until they are known by name, and when alone. */
   private greetSeeds(now: number): void {
     if (now - this.seededAt < SEED_MILLISECONDS) return;
@@ -289,6 +308,8 @@
         return this.takePulse(message);
       case 'wanted':
         return this.takeWanted(message);
+      case 'feed':
+        return this.options.fed(message);
       case 'records':
         return this.options.received(message.topic, pageOf(message));
     }
--- a/source/gossip/index.ts
+++ b/source/gossip/index.ts
@@ -1,4 +1,6 @@
 /** The door of the gossip folder. */
+export {DIRECT_HOSTS_MOST, feedPlan, isFed, type FeedWords} from './feed.js';
+export {Feeder, type FeederOptions} from './feeder.js';
 export {GossipDesk, type GossipOptions, type OwnState} from './gossip.js';
 export {
   afterHearsay,
@@ -13,6 +15,7 @@
 export {
   gossipSchema,
   startOf,
+  type Feed,
   type Gossip,
   type HostAddress,
   type Pulse,
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -91,8 +91,21 @@
   whole: z.boolean(),
 });
 
+/** The word of a host that follows the store for others. */
+const feedSchema = z.object({
+  kind: z.literal('feed'),
+  from: hostAddressSchema,
+  positions: z.array(topicPositionSchema),
+  /** Milliseconds since the store's answer that it rests on. */
+  age: z.number(),
+  /** Milliseconds since it found the store away; absent for never. */
+  lostAgo: z.number().optional(),
+});
+export type Feed = z.infer<typeof feedSchema>;
+
 export const gossipSchema = z.discriminatedUnion('kind', [
   pulseSchema,
+  feedSchema,
   wantedSchema,
   recordsSchema,
 ]);
--- a/source/store/follower.ts
+++ b/source/store/follower.ts
@@ -23,6 +23,8 @@
 const ANSWER_MILLISECONDS = 1_000;
 /** The same while the store is away, when reads do not wait. */
 const PROBE_MILLISECONDS = 600;
+/** Milliseconds between two looks at whether the host is still fed. */
+const FED_MILLISECONDS = 200;
 const FIRST_PAUSE_MILLISECONDS = 100;
 const LONGEST_PAUSE_MILLISECONDS = 600;
 
@@ -35,6 +37,8 @@
   readonly random: Random;
   /** Called with the records that changed the view, in their order. */
   readonly changed: (records: readonly KeyedRecord[]) => void;
+  /** Whether other hosts follow the topic for this one. */
+  readonly fed: () => boolean;
   /** Called after each answer of the store and each failure to get one. */
   readonly heard: (answered: boolean) => void;
 }
@@ -43,6 +47,8 @@
 export class KeyedFollower {
   private state: KeyedState = UNREAD;
   private read = false;
+  /** Monotonic milliseconds of the store's last answer. */
+  answeredAt = -Infinity;
   private failures = 0;
   private stopped = false;
   private wake: Cancel = () => {};
@@ -78,6 +84,10 @@
   async run(): Promise<void> {
     while (!this.stopped) {
       try {
+        if (this.rests) {
+          await this.pause(FED_MILLISECONDS);
+          continue;
+        }
         await this.step();
         this.recovered();
       } catch (error) {
@@ -93,6 +103,10 @@
     this.wake();
   }
 
+  private get rests(): boolean {
+    return this.state.next !== undefined && this.options.fed();
+  }
+
   private async step(): Promise<void> {
     const {store, topic} = this.options;
     const {next} = this.state;
@@ -122,6 +136,7 @@
       logger.info('store-regained', {topic, failures: this.failures});
     }
     this.failures = 0;
+    this.answeredAt = this.options.clock.monotonic();
     this.options.heard(true);
   }
 
@@ -138,15 +153,14 @@
     }
     this.failures++;
     this.options.heard(false);
-    await this.pause();
-  }
-
-  private pause(): Promise<void> {
-    const {clock, random} = this.options;
     const longest = FIRST_PAUSE_MILLISECONDS * 2 ** (this.failures - 1);
     const pause = Math.min(longest, LONGEST_PAUSE_MILLISECONDS);
+    await this.pause(pause * (0.5 + this.options.random.next() / 2));
+  }
+
+  private pause(duration: number): Promise<void> {
     return new Promise(resolve => {
-      const cancel = clock.after(pause * (0.5 + random.next() / 2), resolve);
+      const cancel = this.options.clock.after(duration, resolve);
       this.wake = () => {
         cancel();
         resolve();
--- a/test/gossip.test.ts
+++ b/test/gossip.test.ts
@@ -137,6 +137,7 @@
     sheets: () => [window],
     records: () => ({records: [known], end: position, whole: true}),
     received: (_, page) => got.push(page),
+    fed: () => {},
     changed: pulse => sheets.push(...pulse.sheets.map(each => each.window)),
     lost: host => lost.push(host.name),
   });
