Append what a lost host had entrusted until the store has it

By reading: the keeper appended the lost host's sheets once and dropped them, so an append that failed or took longer than its bound lost the counts for good; and a message of the lost host that came late took its place.

Plan: where a zone is full, lasting endpoints make room for the cheap ones to come. The first estimate of the work rests on 3 s, not 1 s.

--- a/source/balance/split.ts
+++ b/source/balance/split.ts
@@ -20,7 +20,7 @@
 /** Milliseconds after which half of the work counts no more. */
 const WORK_HALF_LIFE_MILLISECONDS = 5_000;
 /** Milliseconds of arrivals that the first estimate of the work rests on. */
-const FIRST_MILLISECONDS = 1_000;
+const FIRST_MILLISECONDS = 3_000;
 const KEY = 'large prompts';
 
 /** No work yet. */
--- a/source/capacity/plan.ts
+++ b/source/capacity/plan.ts
@@ -75,20 +75,34 @@
   const lastingMost = Math.floor(range.most * LASTING_MOST_SHARE);
   const missing = Math.max(needed - present(supplies), 0);
   const standIns = spread(missing, range, supplies);
+  const idle = situation.known && busy < IDLE_BUSY;
   return supplies.map(supply => {
     const {zone, dry} = supply;
     const steadyHere = Math.min(shares.get(zone) ?? 0, lastingMost);
     const reclaimable = Math.min(cheap, range.most - steadyHere);
     const least = Math.max(range.least - reclaimable, 0);
-    const idle = situation.known && busy < IDLE_BUSY;
-    const replaced = supply.reclaimable >= reclaimable || idle;
     const wanted = Math.max(steadyHere, least);
-    const kept = replaced ? wanted : Math.max(wanted, supply.lasting);
-    const lasting = kept + (dry ? (standIns.get(zone) ?? 0) : 0);
+    const standing = idle ? 0 : unreplaced(supply, wanted, reclaimable, range);
+    const standIn = dry ? (standIns.get(zone) ?? 0) : 0;
+    const lasting = Math.max(wanted, standing) + standIn;
     return {zone, lasting: Math.min(lasting, range.most), reclaimable};
   });
 }
 
+/** Lasting endpoints that stay until cheap ones have taken their place. */
+function unreplaced(
+  supply: ZoneSupply,
+  wanted: number,
+  reclaimable: number,
+  {most}: Range,
+): number {
+  const missing = wanted + reclaimable - supply.reclaimable;
+  const standing = Math.min(supply.lasting, Math.max(missing, 0));
+  // Where the zone is full, the first cheap ones make room for the others.
+  const room = supply.reclaimable > 0 ? most - reclaimable : most;
+  return Math.min(standing, room);
+}
+
 /** Without cheap endpoints, the need is spread over the zones. */
 function lastingOnly(
   range: Range,
--- a/source/duty/usage.ts
+++ b/source/duty/usage.ts
@@ -94,7 +94,8 @@
 
   /** Keeps the counts of another host, in case it dies with them. */
   keep(host: string, sheets: readonly Sheet[]): void {
-    this.entrusted.set(host, sheets);
+    const known = this.entrusted.get(host) ?? [];
+    this.entrusted.set(host, newestOf(known, sheets));
   }
 
   /** Appends what a host that was lost had entrusted to this one. */
@@ -105,7 +106,7 @@
     const {logger} = this.options;
     const windows = sheets.map(({window}) => window).join();
     logger.info('usage-appended-for', {host, windows});
-    await this.appendSheets(sheets);
+    await this.appendUntilHeld(sheets);
   }
 
   /** Begins to append this host's counts after each window. */
@@ -176,6 +177,16 @@
     });
   }
 
+  /** Appends sheets that nobody else has, again until the store has them. */
+  private async appendUntilHeld(sheets: readonly Sheet[]): Promise<void> {
+    if (await this.appendSheets(sheets)) return;
+    const {clock, logger} = this.options;
+    const kept = this.windowAt(0) - WINDOWS_KEPT;
+    const left = sheets.filter(({window}) => window >= kept);
+    if (left.length === 0) return logger.warn('usage-given-up', {kept});
+    clock.after(RETRY_MILLISECONDS, () => void this.appendUntilHeld(left));
+  }
+
   /** Appends sheets; answers whether the store has said that it has them. */
   private async appendSheets(sheets: readonly Sheet[]): Promise<boolean> {
     const {store, logger} = this.options;
@@ -287,6 +298,20 @@
   }
 }
 
+/** The newest sheet of each window, since a message may come after a later one. */
+function newestOf(
+  known: readonly Sheet[],
+  sheets: readonly Sheet[],
+): readonly Sheet[] {
+  const newest = new Map(known.map(sheet => [sheet.window, sheet]));
+  for (const sheet of sheets) {
+    const before = newest.get(sheet.window)?.sequence ?? 0;
+    if (before <= sheet.sequence) newest.set(sheet.window, sheet);
+  }
+  const oldest = Math.max(...newest.keys()) - WINDOWS_OPEN;
+  return [...newest.values()].filter(({window}) => window >= oldest);
+}
+
 function recordOf(record: UsageRecord): Buffer {
   return encode(record);
 }
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -70,6 +70,19 @@
   );
 });
 
+test('in a zone that is full, lasting ones make room for the cheap ones to come', t => {
+  const supplies = situation().supplies.map(each => ({
+    ...each,
+    reclaimable: 2,
+  }));
+  const plans = planZones(situation({busy: 1.5, supplies, known: false}));
+  t.true(
+    plans.every(
+      ({lasting, reclaimable}) => lasting + reclaimable <= RANGE.most,
+    ),
+  );
+});
+
 test('where no cheap ones can be had and too few are left, lasting ones are ordered', t => {
   const supplies = [
     supply('palermo', {lasting: 1, reclaimable: 0, dry: true}),
