--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -99,6 +99,7 @@
       random,
       changed: () => this.adopt(),
       fed: () => this.feeder?.fed ?? false,
+      feeds: () => this.feeder?.hasFed ?? false,
     });
     this.usage = this.createUsage();
     this.duties = this.createDuties();
--- a/source/edge/knowledge.ts
+++ b/source/edge/knowledge.ts
@@ -35,6 +35,8 @@
   readonly changed: () => void;
   /** Whether other hosts follow the store for this one. */
   readonly fed: () => boolean;
+  /** Whether this host follows the store for others. */
+  readonly feeds: () => boolean;
 }
 
 /** What a host believes about its platform. */
@@ -49,13 +51,14 @@
   private stopTimer: Cancel = () => {};
 
   constructor(private readonly options: KnowledgeOptions) {
-    const {store, clock, logger, random, reader, fed} = options;
+    const {store, clock, logger, random, reader, fed, feeds} = options;
     const common = {
       store,
       clock,
       logger,
       random,
       fed,
+      feeds,
       heard: (answered: boolean) => this.heard(answered),
     };
     this.operator = new KeyedFollower({
--- a/source/gossip/feeder.ts
+++ b/source/gossip/feeder.ts
@@ -61,9 +61,14 @@
     return !this.follows && isFed(this.words, this.options.clock.monotonic());
   }
 
+  /** Whether this host follows the store for others. */
+  get hasFed(): boolean {
+    return this.feeds.length > 0;
+  }
+
   /** Notes that records have come in, and passes them on soon. */
   changed(): void {
-    if (this.feeds.length === 0) return;
+    if (!this.hasFed) return;
     this.stopGathering ??= this.options.clock.after(GATHER_MILLISECONDS, () =>
       this.passOn(),
     );
--- a/source/store/follower.ts
+++ b/source/store/follower.ts
@@ -25,6 +25,11 @@
 const PROBE_MILLISECONDS = 600;
 /** Milliseconds between two looks at whether the host is still fed. */
 const FED_MILLISECONDS = 200;
+/**
+ * Milliseconds after a change for which a host that feeds others gathers more
+ * of them, since a large fleet has many and each would cost a call.
+ */
+const GATHER_MILLISECONDS = 200;
 const FIRST_PAUSE_MILLISECONDS = 100;
 const LONGEST_PAUSE_MILLISECONDS = 600;
 
@@ -39,6 +44,8 @@
   readonly changed: (records: readonly KeyedRecord[]) => void;
   /** Whether other hosts follow the topic for this one. */
   readonly fed: () => boolean;
+  /** Whether this host follows the topic for others. */
+  readonly feeds: () => boolean;
   /** Called after each answer of the store and each failure to get one. */
   readonly heard: (answered: boolean) => void;
 }
@@ -88,8 +95,11 @@
           await this.pause(FED_MILLISECONDS);
           continue;
         }
+        const before = this.position;
         await this.step();
         this.recovered();
+        const news = this.position > before;
+        if (news && this.options.feeds()) await this.pause(GATHER_MILLISECONDS);
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
         await this.failed(error);
