Keep what is sent to a host until the connection to it is made

The first pulse to a newcomer, which names others, was lost while its connection was being made, and the next that names any came 12 s later. Ruled out: seeds (they are greeted each second). Now up to eight messages wait for a connection (test/outbox.test.ts stayed pending before). Every follower gathers changes for 50 ms.

--- a/source/gossip/index.ts
+++ b/source/gossip/index.ts
@@ -1,6 +1,7 @@
 /** The door of the gossip folder. */
 export {DIRECT_HOSTS_MOST, feedPlan, isFed, type FeedWords} from './feed.js';
 export {Feeder, type FeederOptions} from './feeder.js';
+export {Outbox} from './outbox.js';
 export {GossipDesk, type GossipOptions, type OwnState} from './gossip.js';
 export {
   afterHearsay,
--- a/source/gossip/outbox.ts
+++ b/source/gossip/outbox.ts
@@ -13,11 +13,15 @@
 const CONNECT_MILLISECONDS = 1_000;
 /** Bytes that may wait in a connection before messages are dropped. */
 const WAITING_BYTES_MOST = 1_048_576;
+/** Messages that wait for a connection; of more, the newest. */
+const PENDING_MOST = 8;
 
 /** The way to another host. */
 export class Outbox {
   private socket: Socket | undefined;
   private connected = false;
+  /** What was sent while the connection is being made. */
+  private pending: Gossip[] = [];
   private stopTimer: Cancel = () => {};
 
   constructor(
@@ -25,11 +29,14 @@
     private readonly clock: Clock,
   ) {}
 
-  /** Sends a message, if there is a connection; otherwise begins one. */
+  /** Sends a message, once there is a connection. */
   send(message: Gossip): void {
     if (!this.socket) this.open();
     const {socket} = this;
-    if (!socket || !this.connected) return;
+    if (!socket || !this.connected) {
+      this.pending = [...this.pending, message].slice(-PENDING_MOST);
+      return;
+    }
     if (socket.writableLength > WAITING_BYTES_MOST) return this.renew();
     socket.write(encodeFrame(message));
   }
@@ -40,6 +47,7 @@
     this.socket?.destroy();
     this.socket = undefined;
     this.connected = false;
+    this.pending = [];
   }
 
   private open(): void {
@@ -49,6 +57,8 @@
     socket.once('connect', () => {
       this.stopTimer();
       this.connected = true;
+      for (const message of this.pending) socket.write(encodeFrame(message));
+      this.pending = [];
     });
     socket.on('error', () => this.lost(socket));
     socket.on('close', () => this.lost(socket));
--- a/source/store/follower.ts
+++ b/source/store/follower.ts
@@ -26,10 +26,11 @@
 /** Milliseconds between two looks at whether the host is still fed. */
 const FED_MILLISECONDS = 200;
 /**
- * Milliseconds after a change for which a host that feeds others gathers more
- * of them, since a large fleet has many and each would cost a call.
+ * Milliseconds after a change for which more of them are gathered, since each
+ * would cost a call; a host that feeds others has the calls of a large fleet.
  */
-const GATHER_MILLISECONDS = 200;
+const GATHER_MILLISECONDS = 50;
+const FEEDER_GATHER_MILLISECONDS = 200;
 const FIRST_PAUSE_MILLISECONDS = 100;
 const LONGEST_PAUSE_MILLISECONDS = 600;
 
@@ -98,8 +99,7 @@
         const before = this.position;
         await this.step();
         this.recovered();
-        const news = this.position > before;
-        if (news && this.options.feeds()) await this.pause(GATHER_MILLISECONDS);
+        if (this.position > before) await this.gather();
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
         await this.failed(error);
@@ -168,6 +168,12 @@
     await this.pause(pause * (0.5 + this.options.random.next() / 2));
   }
 
+  private gather(): Promise<void> {
+    return this.pause(
+      this.options.feeds() ? FEEDER_GATHER_MILLISECONDS : GATHER_MILLISECONDS,
+    );
+  }
+
   private pause(duration: number): Promise<void> {
     return new Promise(resolve => {
       const cancel = this.options.clock.after(duration, resolve);
--- /dev/null
+++ b/test/outbox.test.ts
@@ -0,0 +1,41 @@
+/** What is sent while a connection is being made is not lost with the wait. */
+import {createServer} from 'node:net';
+
+import test from 'ava';
+
+import {SystemClock} from '../source/clock/index.js';
+import {gossipSchema, Outbox, type Gossip} from '../source/gossip/index.js';
+import {FrameReader} from '../source/peers/index.js';
+import {listen} from '../source/wire/index.js';
+import {freeAddress} from '../tools/ports.js';
+
+const FROM = {name: 'one', started: 1, address: '', zone: 'palermo'};
+
+function wanted(position: number): Gossip {
+  return {kind: 'wanted', from: FROM, topic: 'endpoints', position};
+}
+
+test('the first message to a host arrives, and of many the newest', async t => {
+  const address = await freeAddress();
+  const got: number[] = [];
+  const server = createServer(socket => {
+    const reader = new FrameReader();
+    socket.on('data', bytes => {
+      for (const value of reader.push(bytes)) {
+        const message = gossipSchema.parse(value);
+        if (message.kind === 'wanted') got.push(message.position);
+      }
+    });
+  });
+  await listen(server, address);
+  const outbox = new Outbox(address, new SystemClock());
+  t.teardown(() => {
+    outbox.renew();
+    server.close();
+  });
+  for (let position = 1; position <= 20; position++) {
+    outbox.send(wanted(position));
+  }
+  while (got.length < 8) await new Promise(resolve => setTimeout(resolve, 10));
+  t.deepEqual(got, [13, 14, 15, 16, 17, 18, 19, 20]);
+});
