--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -13,6 +13,7 @@
   type Choice,
 } from './choose.js';
 import {coldShare, mayAdd, withSend, type ColdSends} from './cold.js';
+import {CallersWork, type ServiceWork} from './callers.js';
 import {KeptParts} from './kept.js';
 import {
   afterLoad,
@@ -24,17 +25,8 @@
   type NamedLoad,
 } from './load.js';
 import {ownPlaces} from './share.js';
-import {
-  afterPrompt,
-  busyEngines,
-  largeCount,
-  largeEngines,
-  NO_WORK,
-  steadyWork,
-  totalWork,
-  type PromptWork,
-} from './split.js';
-import {engineTime, isLarge, sharedParts, type Prompt} from './work.js';
+import {busyEngines, largeCount, largeEngines, totalWork} from './split.js';
+import {isLarge, sharedParts, type Prompt} from './work.js';
 
 /** Requests that a plain service’s endpoint is given for each of its places. */
 const PLAIN_FILL = 1.5;
@@ -76,15 +68,6 @@
   readonly reading: number;
 }
 
-/** Milliseconds of engine time that callers have asked of a service of late. */
-export interface ServiceWork {
-  readonly service: string;
-  readonly large: number;
-  readonly small: number;
-}
-
-type OthersWork = Omit<ServiceWork, 'service'>;
-
 /** What a host knows when it looks for an endpoint. */
 export interface Surroundings {
   readonly host: string;
@@ -102,20 +85,18 @@
   private hosts: readonly string[];
   private readonly loads = new Map<string, EndpointLoad>();
   private readonly coldSends = new Map<string, ColdSends>();
-  /** Work that callers of this host ask for, by service. */
-  private readonly work = new Map<string, PromptWork>();
+  private readonly callers: CallersWork;
   /** How many other hosts cannot reach an endpoint. */
   private doubts: ReadonlyMap<string, number> = new Map();
   /** Requests so far; where endpoints are alike they get one in turn. */
   private turn = 0;
   private readonly largeCounts = new Map<string, number>();
   readonly kept = new KeptParts();
-  /** The same of the other hosts. */
-  private othersWork: ReadonlyMap<string, OthersWork> = new Map();
 
   constructor(private readonly surroundings: Surroundings) {
     super();
     this.hosts = [surroundings.host];
+    this.callers = new CallersWork(surroundings.clock);
   }
 
   setServices(services: ReadonlyMap<string, Service>): void {
@@ -168,16 +149,13 @@
 
   /** Notes a request as it arrives, for the division of the engines. */
   arrived(service: string, prompt: Prompt): void {
-    const before = this.work.get(service) ?? NO_WORK;
     const slots = this.services.get(service)?.engine?.slots ?? PLAIN_SLOTS;
-    const time = engineTime(prompt, slots);
-    const work = afterPrompt(before, isLarge(prompt), time, this.now());
-    this.work.set(service, work);
+    this.callers.arrived(service, prompt, slots);
   }
 
   /** Engines of the service that requests of all hosts keep busy. */
   busy(service: string): number {
-    return busyEngines(this.workOf(service));
+    return busyEngines(this.callers.ofAll(service));
   }
 
   /** What this host has at each endpoint, for the others. */
@@ -216,11 +194,7 @@
 
   /** The work that callers of this host ask for, for the others. */
   ownWork(): ServiceWork[] {
-    const now = this.now();
-    return [...this.work].map(([service, before]) => {
-      const {large, small} = steadyWork(before, now);
-      return {service, large: Math.round(large), small: Math.round(small)};
-    });
+    return this.callers.list();
   }
 
   /** Takes over what the other hosts have told. */
@@ -237,12 +211,7 @@
       const sum = sums.get(id) ?? {requests: 0, reading: 0};
       this.update(id, {kind: 'told', ...sum, now});
     }
-    const others = new Map<string, OthersWork>();
-    for (const {service, large, small} of work) {
-      const sum = others.get(service) ?? {large: 0, small: 0};
-      others.set(service, {large: sum.large + large, small: sum.small + small});
-    }
-    this.othersWork = others;
+    this.callers.told(work);
   }
 
   /**
@@ -288,7 +257,7 @@
   ): Choice | undefined {
     const ids = candidates.map(({id}) => id);
     const standing = this.largeCounts.get(service) ?? 0;
-    const count = largeCount(ids.length, this.workOf(service), standing);
+    const count = largeCount(ids.length, this.callers.ofAll(service), standing);
     this.largeCounts.set(service, count);
     const readers = largeEngines(ids, count);
     const large = isLarge(prompt);
@@ -383,27 +352,12 @@
       held += this.load(entry.id).own;
       slots += entry.slots;
     }
-    const own = totalWork(this.ownWorkOf(service));
-    const all = totalWork(this.workOf(service));
+    const own = totalWork(this.callers.ofOwn(service));
+    const all = totalWork(this.callers.ofAll(service));
     const most = ownPlaces({slots, hosts: this.hosts.length, own, all});
     return held < most * fill;
   }
 
-  private ownWorkOf(service: string): PromptWork {
-    return steadyWork(this.work.get(service) ?? NO_WORK, this.now());
-  }
-
-  /** The work that callers of all hosts ask for. */
-  private workOf(service: string): PromptWork {
-    const own = this.ownWorkOf(service);
-    const others = this.othersWork.get(service) ?? {large: 0, small: 0};
-    return {
-      ...own,
-      large: own.large + others.large,
-      small: own.small + others.small,
-    };
-  }
-
   private load(id: string): EndpointLoad {
     return this.loads.get(id) ?? IDLE_LOAD;
   }
--- a/source/balance/index.ts
+++ b/source/balance/index.ts
@@ -1,10 +1,10 @@
 /** The door of the balance folder. */
+export {CallersWork, type ServiceWork} from './callers.js';
 export {
   EndpointBook,
   type Demand,
   type EndpointUse,
   type Place,
-  type ServiceWork,
   type Surroundings,
 } from './book.js';
 export {
