Keep what was found at the start, whoever holds the duties

Ruled out: the order of the line (urgent requests waited up to 2.3 s behind each other at one engine; larger ones began by their floor of a twentieth). Every host notes what it finds in its first 5 s, and where there is one zone lasting endpoints alone carry the work of callers. test/orders.test.ts: without the note the first test fails.

--- a/source/capacity/plan.ts
+++ b/source/capacity/plan.ts
@@ -43,6 +43,8 @@
 const HEADROOM = 2.5;
 /** Of these, lasting ones, which carry on when cheap ones are taken away. */
 const LASTING_HEADROOM = 0.6;
+/** The same where there is one zone, which may lose all of its cheap ones. */
+const LASTING_HEADROOM_ALONE = 1.25;
 /** Share of the lasting endpoints found that is kept beside cheap ones. */
 const FOUND_SHARE = 1 / 3;
 /** Share of a zone's endpoints that lasting ones may take up beside cheap ones. */
@@ -68,7 +70,9 @@
     return lastingOnly(range, supplies, Math.max(needed, found));
   }
   const kept = Math.ceil(found * FOUND_SHARE);
-  const steady = Math.max(Math.ceil(busy * LASTING_HEADROOM), kept);
+  const alone = supplies.length === 1;
+  const headroom = alone ? LASTING_HEADROOM_ALONE : LASTING_HEADROOM;
+  const steady = Math.max(Math.ceil(busy * headroom), kept);
   const shares = spread(steady, range, supplies);
   const expected = situation.known ? 0 : found - steady;
   const cheap = cheapInZone(range, supplies, needed, expected);
--- a/source/duty/orders.ts
+++ b/source/duty/orders.ts
@@ -15,6 +15,8 @@
 const DRY_MILLISECONDS = 3_000;
 /** Milliseconds for which a larger plan stands after the need for it is over. */
 const KEEP_MILLISECONDS = 30_000;
+/** Milliseconds after the first look in which what is found may still grow. */
+const FOUND_MILLISECONDS = 5_000;
 /** Milliseconds of callers after which their work tells what they need. */
 const KNOWN_MILLISECONDS = 10_000;
 /** Busy endpoints from which on callers are there. */
@@ -48,7 +50,8 @@
   private readonly sent = new Map<string, Standing>();
   private readonly dryUntil = new Map<string, number>();
   private readonly peaks = new Map<string, Standing>();
-  private readonly found = new Map<string, number>();
+  /** Lasting endpoints at the first look, with its time. */
+  private readonly found = new Map<string, Standing>();
   /** Monotonic milliseconds of the first callers, by service. */
   private readonly calledAt = new Map<string, number>();
   /** Zones in which a service was ever seen; it may have lost all there. */
@@ -56,12 +59,34 @@
 
   constructor(private readonly options: OrdersOptions) {}
 
+  /**
+   * Notes what stands before the first order. Every host does, since one that
+   * takes the duties over finds only what its predecessor has left.
+   */
+  note(): void {
+    const view = this.options.view();
+    for (const service of view.services.values()) {
+      if (!service.range) continue;
+      const {name} = service;
+      const lasting = lastingOf(this.supplies(service, view));
+      if (lasting > 0) this.found.set(name, this.afterLook(name, lasting));
+    }
+  }
+
+  private afterLook(service: string, count: number): Standing {
+    const now = this.options.clock.monotonic();
+    const before = this.found.get(service) ?? {count, at: now};
+    if (now - before.at > FOUND_MILLISECONDS) return before;
+    return {...before, count: Math.max(before.count, count)};
+  }
+
   /** Sends the orders that are due. */
   async carryOut(holder: Holder): Promise<void> {
     if (holder.fence !== this.fence) {
       this.fence = holder.fence;
       this.sent.clear();
     }
+    this.note();
     const {services} = this.options.view();
     for (const service of services.values()) {
       if (service.range) await this.orderFor(service, holder);
@@ -75,9 +100,7 @@
     if (!range || view.directory.size === 0) return;
     const {name} = service;
     const busy = this.peak(name, view.busy(name));
-    const lasting = supplies.reduce((sum, zone) => sum + zone.lasting, 0);
-    const found = this.found.get(name) ?? lasting;
-    this.found.set(name, found);
+    const found = this.found.get(name)?.count ?? 0;
     const known = this.isKnown(name, busy);
     for (const plan of planZones({range, supplies, busy, found, known})) {
       const supply = supplies.find(({zone}) => zone === plan.zone);
@@ -182,6 +205,10 @@
   }
 }
 
+function lastingOf(supplies: readonly ZoneSupply[]): number {
+  return supplies.reduce((sum, {lasting}) => sum + lasting, 0);
+}
+
 function staying(
   endpoints: readonly KnownEndpoint[],
   reclaimable: boolean,
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -55,6 +55,7 @@
   private readonly forwarder: Forwarder;
   private readonly prober: Prober;
   private readonly usage: Usage | undefined;
+  private readonly orders: Orders | undefined;
   private readonly duties: DutyDesk | undefined;
   private readonly gossip: GossipDesk | undefined;
   private readonly feeder: Feeder | undefined;
@@ -102,6 +103,7 @@
       feeds: () => this.feeder?.hasFed ?? false,
     });
     this.usage = this.createUsage();
+    this.orders = this.createOrders();
     this.duties = this.createDuties();
     this.gossip = this.createGossip();
     this.feeder = this.gossip && this.createFeeder(this.gossip);
@@ -179,11 +181,10 @@
     });
   }
 
-  private createDuties(): DutyDesk | undefined {
-    const {settings, platform, clock, logger, metrics} = this.parts;
-    const {usage} = this;
-    if (!platform.duties || !usage) return undefined;
-    const orders = new Orders({
+  private createOrders(): Orders | undefined {
+    const {platform, clock, logger} = this.parts;
+    if (!platform.duties) return undefined;
+    return new Orders({
       calls: platform.duties,
       clock,
       logger,
@@ -194,6 +195,12 @@
         busy: service => this.book.busy(service),
       }),
     });
+  }
+
+  private createDuties(): DutyDesk | undefined {
+    const {settings, platform, clock, logger, metrics} = this.parts;
+    const {usage, orders} = this;
+    if (!usage || !orders) return undefined;
     return new DutyDesk({
       name: settings.name,
       member: startOf(this.address),
@@ -292,6 +299,7 @@
       this.forwarder.table = table;
     }
     this.feeder?.changed();
+    this.orders?.note();
     const ready = this.knowledge.complete;
     if (ready && this.state === 'catching-up') this.move('ready');
     this.admission.poke();
