--- a/test/lease.test.ts
+++ b/test/lease.test.ts
@@ -315,3 +315,15 @@
   t.is(leases.get(LEASE)?.holder, 'one');
   t.is(leases.get(LEASE)?.fence, 7);
 });
+
+test('a holder stops a flight before its lease is up', t => {
+  const held: LeaseRole = {
+    ...following(LEASE, 'host-1', 0, 0),
+    state: 'holding',
+    actsFrom: 0,
+    heldUntil: LEASE_MILLISECONDS,
+  };
+  const last = LEASE_MILLISECONDS - FLIGHT_MILLISECONDS;
+  t.true(mayAct(held, last - 1));
+  t.false(mayAct(held, last));
+});
--- a/test/term.test.ts
+++ b/test/term.test.ts
@@ -172,3 +172,17 @@
     6_000,
   );
 });
+
+test('a holder stops a flight before the store may give the duties away', t => {
+  const joined = {generation: 4, partitions: [0]};
+  const first = afterJoin(NO_TERM, {joined, askedAt: 0, now: 5}, TIMES);
+  const waited = TIMES.lease + TIMES.flight + 5;
+  const term = afterJoin(
+    first,
+    {joined, askedAt: waited, now: waited + 5},
+    TIMES,
+  );
+  const last = waited + TIMES.timeToLive - TIMES.flight;
+  t.true(mayAct(term, last - 1));
+  t.false(mayAct(term, last));
+});
