--- a/source/daemon/host.ts
+++ b/source/daemon/host.ts
@@ -117,7 +117,7 @@
 
   /** Throws a Refusal on a route that refuses while withdrawals may be missed. */
   refuseWhenCutOff({whenCutOff, name}: Route): void {
-    if (this.zone.logAge < CUT_OFF_MILLISECONDS) return;
+    if (this.zone.record.age < CUT_OFF_MILLISECONDS) return;
     this.metrics.count('cut-off', {route: name, did: whenCutOff});
     if (whenCutOff === 'serve') return;
     throw new Refusal(
--- a/source/daemon/operators.ts
+++ b/source/daemon/operators.ts
@@ -64,7 +64,7 @@
     malformed: host.fold.malformed,
     diverged: host.fold.diverged,
     logInReach: host.zone.logInReach,
-    logAge: Math.min(host.zone.logAge, Number.MAX_SAFE_INTEGER),
+    logAge: Math.min(host.zone.record.age, Number.MAX_SAFE_INTEGER),
     waiting: host.plane.admission.waiting,
     underWay: host.exchanges.size,
     peers: host.zone.peers().map(({hello}) => hello.name),
@@ -74,7 +74,7 @@
       holder: standing?.holder ?? '',
       fence: standing?.fence ?? -1,
     })),
-    claims: host.zone.claimCount,
+    claims: host.zone.record.claimCount,
     endpoints: host.zone.endpoints
       .list()
       .map(({endpoint, state, running, zoneIn}) => ({
--- a/source/daemon/service.ts
+++ b/source/daemon/service.ts
@@ -77,12 +77,16 @@
   );
   let ran = false;
   exchange.runsOn = true;
-  const settlement = await host.zone.once.run(id, bodyDigest, async () => {
-    const answer = await run(host, exchange, base);
-    ran = true;
-    send(exchange, answer);
-    return settlementOf(id, answer, host.settings.claimAnswerBytes);
-  });
+  const settlement = await host.zone.record.once.run(
+    id,
+    bodyDigest,
+    async () => {
+      const answer = await run(host, exchange, base);
+      ran = true;
+      send(exchange, answer);
+      return settlementOf(id, answer, host.settings.claimAnswerBytes);
+    },
+  );
   if (!ran) repeat(host, exchange, settlement);
 }
 
--- a/source/daemon/zone.ts
+++ b/source/daemon/zone.ts
@@ -3,7 +3,6 @@
  * the log, the leases, the endpoints and the usage.
  */
 import type {Admission} from '../admission/index.js';
-import {ClaimTable, ClaimWriter, Once} from '../claims/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import {Holding} from '../credits/index.js';
 import type {EndpointAdapter} from '../engine/index.js';
@@ -12,29 +11,22 @@
   EndpointWatch,
   GrantedAllowances,
   LeaseDesk,
-  LogDesk,
   Membership,
   Roster,
   UsageDesk,
   zoneLeaseOf,
   type Member,
 } from '../fleet/index.js';
-import {
-  emptyFold,
-  isComplete,
-  LogFollower,
-  takeSnapshot,
-  type Fold,
-  type Folded,
-} from '../log/index.js';
+import type {Fold} from '../log/index.js';
 import type {Logger} from '../logging/index.js';
 import {PROTOCOL_VERSION, type Hello, type Message} from '../messages/index.js';
 import type {Metrics} from '../metrics/index.js';
 import {Mesh, type Peer} from '../peers/index.js';
 import {EndpointTable, FixedSplit} from '../placement/index.js';
-import type {HostEntry, LogEntry, Platform} from '../platform/index.js';
+import type {HostEntry, Platform} from '../platform/index.js';
 import type {Settings} from '../settings/index.js';
 import {usageLeaseOf} from '../usage/index.js';
+import {RecordPlane} from './record.js';
 
 const TICK_MILLISECONDS = 1_000;
 const ANNOUNCE_MILLISECONDS = 2_000;
@@ -62,14 +54,10 @@
   readonly endpoints: EndpointTable;
   readonly membership: Membership;
   readonly leases: LeaseDesk;
-  readonly log: LogDesk;
-  readonly once: Once;
+  readonly record: RecordPlane;
   readonly usage: UsageDesk;
   private readonly split: FixedSplit;
   private readonly holding = new Holding();
-  private readonly claims = new ClaimTable();
-  private readonly writer: ClaimWriter;
-  private readonly follower: LogFollower;
   private readonly mesh: Mesh;
   private readonly roster: Roster;
   private readonly hello: Hello;
@@ -91,8 +79,7 @@
     this.split = new FixedSplit(name);
     const allowances = new GrantedAllowances(this.holding, this.split, clock);
     this.endpoints = new EndpointTable(zone, clock, allowances);
-    this.log = this.createLog();
-    this.follower = this.createFollower();
+    this.record = this.createRecord();
     this.mesh = this.createMesh();
     this.roster = this.createRoster();
     this.leases = new LeaseDesk({
@@ -101,15 +88,7 @@
       metrics,
       incarnation,
       append: record => platform.append([record]),
-      readAt: () => this.follower.atEnd,
-    });
-    this.writer = this.createWriter();
-    this.once = new Once({
-      clock,
-      incarnation,
-      table: this.claims,
-      writer: this.writer,
-      logInReach: () => this.follower.inReach && this.log.claimsComplete,
+      readAt: () => this.record.follower.atEnd,
     });
     this.usage = this.createUsage();
   }
@@ -121,7 +100,7 @@
     this.credits = this.createCredits(admission);
     await this.mesh.start(settings.peers);
     this.contend();
-    void this.follower.run();
+    void this.record.follower.run();
     void this.announce();
     this.timers = [
       clock.every(TICK_MILLISECONDS, () => this.tick()),
@@ -132,24 +111,11 @@
   }
 
   get fold(): Fold {
-    return this.log.fold;
+    return this.record.fold;
   }
 
   get logInReach(): boolean {
-    return this.follower.inReach;
-  }
-
-  /**
-   * Milliseconds since this host knew all of the log, by itself or through a
-   * host that did.
-   */
-  get logAge(): number {
-    const relayed = this.options.clock.monotonic() - this.relayedAt;
-    return Math.min(this.follower.age, relayed);
-  }
-
-  get claimCount(): number {
-    return this.claims.size;
+    return this.record.follower.inReach;
   }
 
   /** The hosts that a link leads to. */
@@ -180,7 +146,7 @@
     const sheets = this.usage.seal();
     this.mesh.broadcast({kind: 'usage', sheets});
     const late = new Promise<void>(resolve => clock.after(bound, resolve));
-    const settled = this.writer.whenSettled();
+    const settled = this.record.writer.whenSettled();
     const kept = platform
       .append([{kind: 'usage-sheets', sheets}])
       .catch(() => metrics.count('append-failed', {kind: 'usage-sheets'}));
@@ -188,13 +154,11 @@
   }
 
   stop(): void {
-    this.follower.stop();
+    this.record.follower.stop();
     this.mesh.stop();
     for (const cancel of this.timers) cancel();
   }
 
-  private relayedAt = -Infinity;
-
   private self(): Member {
     const {name, incarnation, zone} = this.hello;
     return {name, incarnation, zone, leaving: false};
@@ -204,7 +168,8 @@
     this.contend();
     this.credits.tick();
     this.usage.tick();
-    this.snapshotIfDue();
+    const lease = usageLeaseOf(this.options.settings.region);
+    this.record.snapshotIfDue(() => this.leases.mayAct(lease));
     this.askForEntries();
   }
 
@@ -217,29 +182,14 @@
     this.leases.contend(usageLeaseOf(region), patienceOf(regionRank));
   }
 
-  /** One host that holds a lease appends a snapshot before records expire. */
-  private snapshotIfDue(): void {
-    const {settings, platform, metrics} = this.options;
-    const {fold} = this.log;
-    const since = fold.next - 1 - Math.max(fold.snapshotCovers, 0);
-    const due = since >= settings.snapshotRecords && isComplete(fold);
-    if (!due || !this.leases.mayAct(usageLeaseOf(settings.region))) return;
-    platform.append([{kind: 'snapshot', snapshot: takeSnapshot(fold)}]).then(
-      () => metrics.count('snapshot'),
-      () => metrics.count('append-failed', {kind: 'snapshot'}),
-    );
-  }
-
   /** Asks a host that has applied more for the entries, if the log is away. */
   private askForEntries(): void {
-    if (this.follower.inReach) return;
-    const complete = isComplete(this.fold);
-    const from =
-      complete && this.fold.configuration.offset >= 0 ? this.fold.next : -1;
+    if (this.record.follower.inReach) return;
+    const {wanted: from} = this.record;
     for (const {heartbeat, link} of this.mesh.list()) {
       if (!heartbeat) continue;
       if (heartbeat.logInReach && heartbeat.applied < this.fold.next) {
-        this.relayedAt = this.options.clock.monotonic();
+        this.record.noteRelayed();
       }
       if (heartbeat.applied >= this.fold.next) {
         link.send({kind: 'log-request', from});
@@ -267,12 +217,12 @@
       case 'usage':
         return this.usage.receive(message.sheets);
       case 'log-request': {
-        const answer = this.log.answer(message.from);
+        const answer = this.record.log.answer(message.from);
         if (answer) this.mesh.get(hello.incarnation)?.link.send(answer);
         return;
       }
       case 'log-entries':
-        return this.log.takeAnswer(message);
+        return this.record.log.takeAnswer(message);
       default:
         return;
     }
@@ -292,16 +242,13 @@
     this.credits.noteChange();
   }
 
-  private createLog(): LogDesk {
-    const {metrics, changed} = this.options;
-    return new LogDesk(emptyFold(0), {
-      metrics,
-      applied: (folded, entry) => this.noteApplied(folded, entry),
-      claims: (record, offset) => {
-        this.claims.apply(record, offset);
-        this.once.noteRecord(record);
-        this.writer.noteRead();
-      },
+  private createRecord(): RecordPlane {
+    const {changed, settings, caughtUp} = this.options;
+    return new RecordPlane({
+      ...this.options,
+      snapshotRecords: settings.snapshotRecords,
+      caughtUp: () => caughtUp(),
+      sheets: sheets => this.usage.receive(sheets),
       changed: (before, after) => {
         this.leases.read(after.leases);
         if (after.usage !== before.usage) this.usage.settle();
@@ -310,36 +257,6 @@
     });
   }
 
-  private noteApplied({record, verdict}: Folded, {offset}: LogEntry): void {
-    const {metrics, logger} = this.options;
-    if (!record) {
-      metrics.count('record-malformed');
-      logger.warn('record-malformed', {offset});
-      return;
-    }
-    if (record.kind === 'usage-sheets') this.usage.receive(record.sheets);
-    if (record.kind !== 'release-note' || !verdict) return;
-    metrics.count('release-note', {verdict: verdict.kind});
-    const {id} = record.note;
-    logger.info('release-note', {id, offset, verdict: verdict.kind});
-  }
-
-  private createFollower(): LogFollower {
-    const {platform, clock, logger} = this.options;
-    return new LogFollower({
-      platform,
-      clock,
-      first: first => {
-        this.log.start(first);
-        this.claims.forgetBefore(first);
-      },
-      entries: entries => this.log.take(entries),
-      next: () => this.log.next,
-      reach: reachable => logger.info('log-reach', {reachable}),
-      atEnd: () => this.options.caughtUp(),
-    });
-  }
-
   private createMesh(): Mesh {
     const {clock, settings, metrics} = this.options;
     return new Mesh({
@@ -348,7 +265,7 @@
       secrets: settings.peerSecret.split(','),
       pulse: () => ({
         applied: this.fold.next - 1,
-        logInReach: this.follower.inReach,
+        logInReach: this.logInReach,
         leaving: this.options.state() === 'leaving',
       }),
       up: peer => this.linkUp(peer),
@@ -383,21 +300,6 @@
     return known === undefined || known.region === this.options.settings.region;
   }
 
-  private createWriter(): ClaimWriter {
-    const {platform, clock, metrics, incarnation} = this.options;
-    return new ClaimWriter({
-      platform,
-      clock,
-      incarnation,
-      isSettled: id => {
-        const standing = this.claims.get(id);
-        const mine = standing?.incarnation === incarnation;
-        return !mine || standing.settlement !== undefined;
-      },
-      failed: () => metrics.count('append-failed', {kind: 'claims'}),
-    });
-  }
-
   private createUsage(): UsageDesk {
     const {clock, metrics, platform, settings, incarnation} = this.options;
     return new UsageDesk({
