Ask again whether an endpoint may be sent to once the connection is there

Ruled out: late reading (all seven hosts note the removal within 0.1 s); a slow link (the send itself is late).

Change: a request is written only when its connection is there and the endpoint still stands then; a lapse ends by the clock and not by the look; it is waited for at most half a second less than the bound on leaving. An endpoint that has left is not blamed for a failed connection.

Before: the new tests do not compile against the old code, which wrote the request without asking.

--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -50,6 +50,8 @@
 export interface Place {
   readonly endpoint: KnownEndpoint;
   readonly choice: Choice;
+  /** Whether the endpoint may still be sent to. */
+  readonly isOpen: () => boolean;
   /** The head of an answer has come. */
   answered(named: NamedLoad | undefined): void;
   /** The endpoint has failed the request. */
@@ -284,6 +286,7 @@
     return {
       endpoint,
       choice,
+      isOpen: () => this.stands(endpoint),
       answered: named => {
         read();
         this.update(id, {kind: 'answered', named, now: this.now()});
@@ -330,8 +333,21 @@
     return sound.length > 0 ? sound : standing;
   }
 
-  private isOpen({entry, coldUntil}: KnownEndpoint, now: number): boolean {
+  /** Whether an endpoint that was known once is still there and may be used. */
+  private stands({entry, knownAt}: KnownEndpoint): boolean {
+    const known = this.directory.get(entry.id);
+    if (known?.knownAt !== knownAt) return false;
+    return this.mayUse(known, this.now());
+  }
+
+  private mayUse({entry, lapsesAt}: KnownEndpoint, now: number): boolean {
     if (entry.leaving || this.zonesOut.has(entry.zone)) return false;
+    return lapsesAt === undefined || now < lapsesAt;
+  }
+
+  private isOpen(known: KnownEndpoint, now: number): boolean {
+    const {entry, coldUntil} = known;
+    if (!this.mayUse(known, now)) return false;
     if (now >= coldUntil) return true;
     const rate = this.services.get(entry.service)?.coldRate ?? 0;
     if (rate === 0) return true;
--- a/source/directory/directory.ts
+++ b/source/directory/directory.ts
@@ -8,8 +8,13 @@
 
 /** Milliseconds after an outage in which entries may lapse. */
 const OUTAGE_MILLISECONDS = 2_500;
-/** Milliseconds for which a lapsed entry is waited for; it may mean a leave. */
-const LAPSE_MILLISECONDS = 1_500;
+/** Milliseconds for which a lapsed entry is waited for at the most. */
+const LAPSE_MILLISECONDS_MOST = 1_500;
+/**
+ * Milliseconds of the time in which a leaving endpoint may still be sent to
+ * that pass before a host has word of it and before a request is there.
+ */
+const WORD_MILLISECONDS = 500;
 /** Share of a service's entries that go at once only when they lapse. */
 const LAPSE_SHARE = 0.5;
 const LAPSE_ENTRIES_LEAST = 3;
@@ -39,6 +44,21 @@
   readonly now: number;
   /** Monotonic milliseconds at which the store was last found away. */
   readonly lostAt: number;
+  /** Milliseconds for which a lapsed entry is waited for. */
+  readonly lapse: number;
+}
+
+/**
+ * Milliseconds for which a lapsed entry is waited for. It may mean that the
+ * endpoint leaves, and one that leaves may be sent to for so long only.
+ *
+ * ```ts
+ * const lapse = lapseTime(settings.drainMilliseconds);
+ * ```
+ */
+export function lapseTime(drain: number): number {
+  const rest = Math.max(drain - WORD_MILLISECONDS, 0);
+  return Math.min(rest, LAPSE_MILLISECONDS_MOST);
 }
 
 /**
@@ -54,11 +74,11 @@
   health: StoreHealth,
 ): Directory {
   const after = new Map(before);
-  const lapsed = lapsing(before, changes, health);
+  const lapses = lapsing(before, changes, health);
   for (const {id, entry} of changes) {
     const known = after.get(id);
     if (entry) after.set(id, knownAs(known, entry, health.now));
-    else if (known && lapsed) after.set(id, lapse(known, health.now));
+    else if (known && lapses) after.set(id, lapsed(known, health));
     else after.delete(id);
   }
   return after;
@@ -89,8 +109,11 @@
   };
 }
 
-function lapse(known: KnownEndpoint, now: number): KnownEndpoint {
-  return {...known, lapsesAt: known.lapsesAt ?? now + LAPSE_MILLISECONDS};
+function lapsed(
+  known: KnownEndpoint,
+  {now, lapse}: StoreHealth,
+): KnownEndpoint {
+  return {...known, lapsesAt: known.lapsesAt ?? now + lapse};
 }
 
 /** Whether removals are lapses: after an outage, or when most go at once. */
--- a/source/directory/index.ts
+++ b/source/directory/index.ts
@@ -3,6 +3,7 @@
 export {
   afterEntries,
   afterLapses,
+  lapseTime,
   type Directory,
   type EntryChange,
   type KnownEndpoint,
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -98,6 +98,7 @@
       logger,
       metrics,
       random,
+      drain: settings.drainMilliseconds,
       changed: () => this.adopt(),
       fed: () => this.feeder?.fed ?? false,
       feeds: () => this.feeder?.hasFed ?? false,
--- a/source/edge/knowledge.ts
+++ b/source/edge/knowledge.ts
@@ -7,6 +7,7 @@
 import {
   afterEntries,
   afterLapses,
+  lapseTime,
   type Directory,
   type EntryChange,
   type KnownEndpoint,
@@ -31,6 +32,8 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly random: Random;
+  /** Milliseconds for which an endpoint that leaves may be sent to. */
+  readonly drain: number;
   /** Called when anything has changed. */
   readonly changed: () => void;
   /** Whether other hosts follow the store for this one. */
@@ -172,7 +175,8 @@
     const changes = records.map(record => this.entryChange(record));
     const before = this.directory;
     const now = clock.monotonic();
-    const health = {now, lostAt: this.lostAt};
+    const lapse = lapseTime(this.options.drain);
+    const health = {now, lostAt: this.lostAt, lapse};
     this.directory = afterEntries(before, changes, health);
     for (const {id} of changes) this.noteEndpoint(id, before);
     this.options.changed();
--- a/source/edge/prober.ts
+++ b/source/edge/prober.ts
@@ -63,9 +63,10 @@
     const cancel = clock.after(ANSWER_MILLISECONDS, () => halt.abort());
     const headers = ['Host', address];
     const body = Buffer.alloc(0);
-    const outgoing = {address, method: 'GET', url, headers, body, fresh: true};
+    const request = {address, method: 'GET', url, headers, body, fresh: true};
+    const isOpen = () => true;
     try {
-      const {message} = await connections.send(outgoing, halt);
+      const {message} = await connections.send({...request, isOpen}, halt);
       message.resume();
       const {status, endpoint: answering} = protocol.answerHead(message);
       return status === SOUND_STATUS && (answering ?? id) === id;
--- a/source/edge/settings.ts
+++ b/source/edge/settings.ts
@@ -32,6 +32,9 @@
     windowMilliseconds: z.number(),
     lateMilliseconds: z.number(),
   }),
+  drainMilliseconds: z
+    .number()
+    .describe('Time for which an endpoint that leaves may be sent to.'),
   leaseMilliseconds: z
     .number()
     .describe('Time within which a duty may not go back and forth.'),
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -113,7 +113,8 @@
     }
     const {method, url} = arrival;
     const fresh = !route.repeatable && !route.resumable;
-    const outgoing = {address, method, url, headers, body, fresh};
+    const {isOpen} = place;
+    const outgoing = {address, method, url, headers, body, fresh, isOpen};
     return this.parts.connections.send(outgoing, this.halt);
   }
 
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -28,6 +28,11 @@
   readonly body: Buffer;
   /** Whether it gets a connection of its own. */
   readonly fresh: boolean;
+  /**
+   * Whether the endpoint may still be sent to. It is asked once the connection
+   * is there, since the endpoint may leave while one is being made.
+   */
+  readonly isOpen: () => boolean;
 }
 
 /** A message that answers a request. */
@@ -92,7 +97,7 @@
    * ```
    */
   send(outgoing: Outgoing, signal: Signal): Promise<Received> {
-    const {address, method, url, headers, body, fresh} = outgoing;
+    const {address, method, url, headers, body, fresh, isOpen} = outgoing;
     return new Promise((resolve, reject) => {
       let connected = false;
       let stopTimer: Cancel = () => {};
@@ -111,17 +116,22 @@
         reject(new WireError(stage, `${address} ${error.message}`));
       };
       const stopWatching = signal.onAbort(() => sent.destroy());
-      sent.once('socket', (socket: Socket) => {
-        if (!socket.connecting) {
-          connected = true;
+      const write = () => {
+        if (!isOpen()) {
+          sent.destroy(new Error('has left meanwhile'));
           return;
         }
+        connected = true;
+        sent.end(body);
+      };
+      sent.once('socket', (socket: Socket) => {
+        if (!socket.connecting) return write();
         stopTimer = this.clock.after(CONNECT_MILLISECONDS, () =>
           sent.destroy(new Error('does not accept connections')),
         );
         socket.once('connect', () => {
-          connected = true;
           stopTimer();
+          write();
         });
       });
       sent.once('response', message => {
@@ -131,7 +141,6 @@
         resolve({message, isWhole: wholeness(message)});
       });
       sent.on('error', fail);
-      sent.end(body);
     });
   }
 
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -13,6 +13,7 @@
   NO_REPEATS,
   pull,
   type EndpointBook,
+  type Place,
   type RepeatBound,
   type RepeatCount,
 } from '../balance/index.js';
@@ -201,8 +202,7 @@
     } catch (error) {
       if (error instanceof AttemptFailure && !stop.aborted) {
         failedAt.add(place.endpoint.entry.id);
-        if (error.stage === 'connect') place.unreachable();
-        else if (!error.notRun) place.failed();
+        blame(place, error);
         this.noteFailure(course, place.endpoint.entry.id, error, sentAt);
       }
       throw error;
@@ -371,6 +371,15 @@
   }
 }
 
+/** Notes at an endpoint that it has failed a request, unless it has left. */
+function blame(place: Place, {stage, notRun}: AttemptFailure): void {
+  if (stage === 'connect') {
+    if (place.isOpen()) place.unreachable();
+    return;
+  }
+  if (!notRun) place.failed();
+}
+
 /** The endpoint's own failure was passed on as the answer. */
 class AnsweredByEndpoint extends Error {
   constructor(readonly status: number) {
--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -45,6 +45,7 @@
     headers: ['Host', 'test'],
     body: Buffer.alloc(0),
     fresh,
+    isOpen: () => true,
   };
 }
 
@@ -76,6 +77,24 @@
   t.deepEqual(outcome, ['part', false]);
 });
 
+test('nothing is sent to an endpoint that has left while a connection is made', async t => {
+  let received = 0;
+  const address = await serverOf(t, () => received++);
+  let asked = 0;
+  const isOpen = () => {
+    asked++;
+    return false;
+  };
+  const sending = newConnections().send(
+    {...outgoingTo(address), isOpen},
+    new Cancellation(),
+  );
+  const error = await t.throwsAsync(sending, {instanceOf: WireError});
+  t.is(error?.stage, 'connect');
+  t.is(asked, 1);
+  t.is(received, 0);
+});
+
 test('a kept connection that receives something unasked is not used again', async t => {
   let connections = 0;
   const address = await serverOf(t, socket => {
--- a/test/directory.test.ts
+++ b/test/directory.test.ts
@@ -4,11 +4,13 @@
 import {
   afterEntries,
   afterLapses,
+  lapseTime,
   type Directory,
   type EndpointEntry,
 } from '../source/directory/index.js';
 
-const CALM = {now: 100_000, lostAt: -Infinity};
+const LAPSE = 1_500;
+const CALM = {now: 100_000, lostAt: -Infinity, lapse: LAPSE};
 
 function entry(id: string, change: Partial<EndpointEntry> = {}): EndpointEntry {
   return {
@@ -27,7 +29,7 @@
 
 function directoryOf(...ids: string[]): Directory {
   const changes = ids.map(id => ({id, entry: entry(id)}));
-  return afterEntries(new Map(), changes, {now: 0, lostAt: -Infinity});
+  return afterEntries(new Map(), changes, {...CALM, now: 0});
 }
 
 test('an entry that is removed while the store is well is gone at once', t => {
@@ -39,7 +41,7 @@
 
 test('entries that are missing after an outage are waited for, then gone', t => {
   const before = directoryOf('a', 'b', 'c', 'd', 'e', 'f', 'g');
-  const health = {now: 100_000, lostAt: 99_000};
+  const health = {now: 100_000, lostAt: 99_000, lapse: LAPSE};
   const lapsed = afterEntries(before, [{id: 'a', entry: undefined}], health);
   t.true(lapsed.has('a'));
   t.true(afterLapses(lapsed, 101_400).has('a'));
@@ -48,7 +50,7 @@
 
 test('a lapsed entry that is entered again stays', t => {
   const before = directoryOf('a', 'b');
-  const health = {now: 100_000, lostAt: 99_000};
+  const health = {now: 100_000, lostAt: 99_000, lapse: LAPSE};
   const lapsed = afterEntries(before, [{id: 'a', entry: undefined}], health);
   const again = afterEntries(lapsed, [{id: 'a', entry: entry('a')}], CALM);
   t.true(afterLapses(again, 200_000).has('a'));
@@ -75,3 +77,10 @@
   const after = afterEntries(before, [{id: 'b', entry: undefined}], CALM);
   t.deepEqual([...after.keys()], ['a', 'c', 'd', 'e', 'f', 'g']);
 });
+
+test('a lapsed entry is given up before the time in which endpoints may leave', t => {
+  t.is(lapseTime(2_000), 1_500);
+  t.is(lapseTime(3_000), 1_500);
+  t.is(lapseTime(1_500), 1_000);
+  t.is(lapseTime(300), 0);
+});
--- a/test/reach.test.ts
+++ b/test/reach.test.ts
@@ -107,3 +107,31 @@
 function farIds(): string[] {
   return ['far-1', 'far-2', 'far-3'];
 }
+
+test('a place is not open any more once its endpoint leaves, lapses or starts anew', t => {
+  const clock = new ManualClock();
+  const book = bookOf(clock);
+  const place = book.take(DEMAND);
+  t.truthy(place);
+  if (!place) return;
+  t.true(place.isOpen());
+  const {id} = place.endpoint.entry;
+  const known = place.endpoint;
+  const now = clock.monotonic();
+  const changes: readonly KnownEndpoint[] = [
+    {...known, entry: {...known.entry, leaving: true}},
+    {...known, lapsesAt: now},
+    {...known, knownAt: known.knownAt + 1},
+  ];
+  for (const change of changes) {
+    book.setDirectory(new Map([[id, change]]));
+    t.false(place.isOpen());
+    book.setDirectory(new Map([[id, known]]));
+  }
+  t.true(place.isOpen());
+  book.setZonesOut(new Set([known.entry.zone]));
+  t.false(place.isOpen());
+  book.setZonesOut(new Set());
+  book.setDirectory(new Map());
+  t.false(place.isOpen());
+});
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -213,6 +213,7 @@
       limits: {memoryMb: 200},
       bounds: {
         graceS: 8,
+        drainMs: 2_000,
         retryRatio: 0.2,
         retryWindowS: 10,
         retrySlack: 52,
