Add a fault soak over real hosts, by seed

Change: soak/ (plan, proxy, endpoint, ledger, player): hosts killed, stopped, frozen and reloaded by signals, connections delayed, reset, cut one way and silenced by proxies, the store away, busy, lossy and forgetful, endpoints that leave and crash, keys withdrawn; in series and overlapping.

The ledger's test breaks each promise by itself.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -59,7 +59,7 @@
     },
   },
   {
-    files: ['test/**', 'tools/**', 'standins/**'],
+    files: ['test/**', 'tools/**', 'standins/**', 'soak/**'],
     rules: {'no-restricted-imports': 'off'},
   },
   {
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,38 @@
+/** Plays soaks of one seed after another and prints what came of each. */
+import * as z from 'zod';
+
+import {readSettings} from '../source/settings/index.js';
+import {Soak} from './soak.js';
+
+const settingsSchema = z.strictObject({
+  /** The first seed; a fresh one where it is absent. */
+  first: z.coerce.number().int().optional(),
+  seeds: z.coerce.number().int().default(1),
+  hosts: z.coerce.number().int().default(3),
+  endpoints: z.coerce.number().int().default(4),
+  callers: z.coerce.number().int().default(3),
+  seconds: z.coerce.number().default(12),
+});
+const {first, seeds, seconds, ...size} = readSettings(
+  process.argv.slice(2),
+  {},
+  settingsSchema,
+);
+const FRESH = 1_000_000;
+const start = first ?? Math.floor(Math.random() * FRESH);
+
+let broken = 0;
+for (let seed = start; seed < start + seeds; seed++) {
+  const lasts = seconds * 1_000;
+  const report = await new Soak({...size, seed, lasts}).play();
+  const {asked, served, violations, faults} = report;
+  console.log(
+    `seed ${seed}: ${faults.length} faults, ${served} of ${asked} served, ` +
+      `${violations.length} promises broken`,
+  );
+  if (violations.length === 0) continue;
+  broken++;
+  console.log(JSON.stringify({violations: violations.slice(0, 20), faults}));
+}
+console.log(`${seeds - broken} passed, ${broken} failed`);
+process.exit(broken > 0 ? 1 : 0);
--- /dev/null
+++ b/soak/plan.ts
@@ -0,0 +1,101 @@
+/**
+ * What a soak does wrong and when, from its seed alone. Faults come in series
+ * and overlap; every fault ends before the calm at the end.
+ */
+import type {Random} from '../source/random/index.js';
+import type {ProxyMode} from './proxy.js';
+
+/** One fault, or one step of planned work. */
+export type Fault =
+  | {readonly kind: 'kill' | 'stop' | 'reload'; readonly host: number}
+  | {readonly kind: 'freeze'; readonly host: number; readonly lasts: number}
+  | {
+      readonly kind: 'store-cut';
+      readonly host: number;
+      readonly mode: ProxyMode;
+      readonly lasts: number;
+    }
+  | {
+      readonly kind: 'endpoint-cut';
+      readonly endpoint: number;
+      readonly mode: ProxyMode;
+      readonly lasts: number;
+    }
+  | {
+      readonly kind: 'store-away' | 'store-busy';
+      readonly lasts: number;
+    }
+  | {readonly kind: 'store-loses'; readonly answers: number}
+  | {readonly kind: 'store-forgets'}
+  | {
+      readonly kind: 'endpoint-leaves' | 'endpoint-crashes';
+      readonly endpoint: number;
+    }
+  | {readonly kind: 'keys-change'};
+
+/** A fault with its time, in milliseconds from the start. */
+export interface PlannedFault {
+  readonly at: number;
+  readonly fault: Fault;
+}
+
+/** How large the deployment is. */
+export interface SoakSize {
+  readonly hosts: number;
+  readonly endpoints: number;
+  /** Milliseconds of faults. */
+  readonly lasts: number;
+}
+
+const MODES: readonly ProxyMode[] = ['delay', 'reset', 'silent', 'one-way'];
+const FIRST_MILLISECONDS = 500;
+const GAP_MILLISECONDS_MOST = 900;
+const LASTS_MILLISECONDS_LEAST = 300;
+const LASTS_MILLISECONDS_MOST = 2_500;
+const SERIES_SHARE = 0.25;
+
+/**
+ * The faults of a run.
+ *
+ * ```ts
+ * const plan = planOf(seededRandom(7), {hosts: 3, endpoints: 4, lasts: 8_000});
+ * ```
+ */
+export function planOf(random: Random, size: SoakSize): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let at = FIRST_MILLISECONDS;
+  while (at < size.lasts) {
+    const fault = faultOf(random, size);
+    plan.push({at, fault});
+    // A series: the same again, soon.
+    if (random.next() < SERIES_SHARE) plan.push({at: at + 100, fault});
+    at += random.next() * GAP_MILLISECONDS_MOST;
+  }
+  return plan;
+}
+
+function faultOf(random: Random, {hosts, endpoints}: SoakSize): Fault {
+  const pick = (count: number) => Math.floor(random.next() * count);
+  const host = pick(hosts);
+  const endpoint = pick(endpoints);
+  const mode = MODES[pick(MODES.length)] ?? 'reset';
+  const range = LASTS_MILLISECONDS_MOST - LASTS_MILLISECONDS_LEAST;
+  const lasts = LASTS_MILLISECONDS_LEAST + random.next() * range;
+  const faults: readonly Fault[] = [
+    {kind: 'kill', host},
+    {kind: 'stop', host},
+    {kind: 'reload', host},
+    {kind: 'freeze', host, lasts},
+    {kind: 'store-cut', host, mode, lasts},
+    {kind: 'store-cut', host, mode, lasts},
+    {kind: 'endpoint-cut', endpoint, mode, lasts},
+    {kind: 'store-away', lasts},
+    {kind: 'store-busy', lasts},
+    {kind: 'store-loses', answers: 1 + pick(3)},
+    {kind: 'store-forgets'},
+    {kind: 'endpoint-leaves', endpoint},
+    {kind: 'endpoint-crashes', endpoint},
+    {kind: 'keys-change'},
+  ];
+  return faults[pick(faults.length)] ?? {kind: 'store-forgets'};
+}
--- /dev/null
+++ b/soak/seeds.ts
@@ -0,0 +1,9 @@
+/** Seeds of soaks that have failed once, each with its cause. */
+
+/** A seed that is played again in CI. */
+export interface Regression {
+  readonly seed: number;
+  readonly cause: string;
+}
+
+export const REGRESSIONS: readonly Regression[] = [];
--- /dev/null
+++ b/soak/soak.ts
@@ -0,0 +1,420 @@
+/**
+ * One soak: real host processes before stand-ins, callers that never rest,
+ * faults from outside by signals and proxies, and a ledger that is checked all
+ * the while. Everything that is random comes from the seed; processes are ended
+ * by their own ids.
+ */
+import {Agent, request} from 'node:http';
+
+import {seededRandom, type Random} from '../source/random/index.js';
+import {
+  EdgeFleet,
+  until,
+  type HostProcess,
+} from '../test/support/edgeprocess.js';
+import {SoakEndpoint} from './endpoint.js';
+import {Ledger, type Asked, type Got, type Violation} from './ledger.js';
+import {planOf, type Fault, type SoakSize} from './plan.js';
+import {FaultyProxy} from './proxy.js';
+
+/** What a soak is. */
+export interface SoakOptions extends SoakSize {
+  readonly seed: number;
+  /** Callers of each host. */
+  readonly callers: number;
+}
+
+/** What came of it. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly faults: readonly string[];
+  readonly asked: number;
+  readonly served: number;
+  readonly violations: readonly Violation[];
+}
+
+/** One host with all that is done to it. */
+interface Station {
+  process: HostProcess;
+  readonly store: FaultyProxy;
+  /** Disturbances other than planned work, and how many have ended. */
+  disturbed: number;
+  calmed: number;
+  /** Whether its process is meant to run. */
+  up: boolean;
+  /** Whether it has been told to stop. */
+  stopping: boolean;
+}
+
+interface Seat {
+  endpoint: SoakEndpoint;
+  proxy: FaultyProxy;
+}
+
+const ROUTES = ['read', 'record', 'draft'] as const;
+/** Share of requests that bear a key which may be withdrawn. */
+const OLD_KEY_SHARE = 0.2;
+const RESTART_MILLISECONDS = 300;
+const LEAVE_MILLISECONDS = 2_500;
+const RETRY_MILLISECONDS = 40;
+const PAUSE_MILLISECONDS_MOST = 60;
+const CALLER_MILLISECONDS = 3_000;
+/** Within which everything is served again once the faults are over. */
+const RECOVERY_MILLISECONDS = 60_000;
+
+/** Milliseconds that what is under way may take to arrive. */
+const FLIGHT_MILLISECONDS = 1_000;
+const UNDISTURBED = {disturbed: 0, calmed: 0, up: true, stopping: false};
+
+const wait = (duration: number) =>
+  new Promise<void>(resolve => setTimeout(resolve, duration));
+
+/** Plays one soak to its end. */
+export class Soak {
+  private readonly fleet = new EdgeFleet();
+  private readonly ledger = new Ledger();
+  private readonly random: Random;
+  private readonly stations: Station[] = [];
+  private readonly seats: Seat[] = [];
+  private readonly faults: string[] = [];
+  private readonly repairs: Promise<void>[] = [];
+  private keys: string[] = ['key-0'];
+  private keyCount = 1;
+  private endpointCount = 0;
+  private over = false;
+  private attempts = 0;
+  /** Disturbances of the whole deployment, and how many have ended. */
+  private troubles = 0;
+  private calmed = 0;
+  /** When each host has said that it knows an endpoint to leave. */
+  private readonly leaves = new Map<string, number>();
+
+  constructor(private readonly options: SoakOptions) {
+    this.random = seededRandom(options.seed);
+  }
+
+  /** Plays it; everything that it started has ended when it resolves. */
+  async play(): Promise<SoakReport> {
+    const {hosts, seed, callers} = this.options;
+    try {
+      await this.begin();
+      const asking = this.stations.flatMap((_, index) =>
+        Array.from({length: callers}, () => this.call(index)),
+      );
+      await this.disturb();
+      await Promise.all(this.repairs);
+      await this.recover();
+      this.over = true;
+      await Promise.all(asking);
+      this.readDuties();
+    } finally {
+      this.over = true;
+      this.end(hosts);
+    }
+    const {asked, served, violations} = this.ledger;
+    return {seed, faults: this.faults, asked, served, violations};
+  }
+
+  private async begin(): Promise<void> {
+    const {hosts, endpoints} = this.options;
+    await this.fleet.site.start();
+    this.fleet.configure(this.keys);
+    for (let index = 0; index < endpoints; index++) {
+      this.seats.push(await this.newSeat());
+    }
+    for (let index = 0; index < hosts; index++) {
+      const store = new FaultyProxy(this.fleet.site.address);
+      await store.start();
+      const name = `host-${index}`;
+      const process = await this.fleet.host(name, undefined, store.address);
+      this.stations.push({process, store, ...UNDISTURBED});
+    }
+    for (const {process} of this.stations) await this.fleet.ready(process);
+  }
+
+  private async newSeat(): Promise<Seat> {
+    const id = `register-${this.endpointCount++}`;
+    const endpoint = new SoakEndpoint(id, arrived =>
+      this.ledger.arrive({...arrived, left: this.hasLeft(id, arrived.id)}),
+    );
+    await endpoint.start();
+    const proxy = new FaultyProxy(endpoint.address);
+    await proxy.start();
+    this.fleet.enter(id, proxy.address, 'ready');
+    return {endpoint, proxy};
+  }
+
+  private async disturb(): Promise<void> {
+    const began = performance.now();
+    for (const {at, fault} of planOf(this.random, this.options)) {
+      await wait(Math.max(began + at - performance.now(), 0));
+      this.faults.push(`${Math.round(at)} ${JSON.stringify(fault)}`);
+      this.repairs.push(this.carryOut(fault));
+    }
+  }
+
+  private async carryOut(fault: Fault): Promise<void> {
+    switch (fault.kind) {
+      case 'kill':
+      case 'stop':
+        return this.restart(this.station(fault.host), fault.kind);
+      case 'reload':
+        return void this.signal(this.station(fault.host), 'SIGHUP');
+      case 'freeze':
+        return this.freeze(this.station(fault.host), fault.lasts);
+      case 'store-cut': {
+        const station = this.station(fault.host);
+        return this.cut(station.store, fault.mode, fault.lasts);
+      }
+      case 'endpoint-cut': {
+        const {proxy} = this.seat(fault.endpoint);
+        return this.cut(proxy, fault.mode, fault.lasts);
+      }
+      case 'store-away':
+        return this.whileTrue('away', fault.lasts);
+      case 'store-busy':
+        return this.whileTrue('busy', fault.lasts);
+      case 'store-loses':
+        this.fleet.site.faults.loseAppends += fault.answers;
+        return;
+      case 'store-forgets':
+        return this.fleet.site.forget('keyed.op');
+      case 'endpoint-leaves':
+        return this.replace(fault.endpoint, true);
+      case 'endpoint-crashes':
+        return this.replace(fault.endpoint, false);
+      case 'keys-change':
+        return this.changeKeys();
+    }
+  }
+
+  private async restart(station: Station, how: 'kill' | 'stop'): Promise<void> {
+    if (!station.up) return;
+    station.up = false;
+    if (how === 'kill') station.disturbed++;
+    else station.stopping = true;
+    station.process.child.kill(how === 'kill' ? 'SIGKILL' : 'SIGTERM');
+    // A host that is frozen as well ends when it wakes.
+    await station.process.ended;
+    await wait(RESTART_MILLISECONDS);
+    station.process = this.fleet.restart(station.process);
+    station.up = true;
+    station.stopping = false;
+    await this.fleet.ready(station.process);
+    if (how === 'kill') station.calmed++;
+  }
+
+  private signal({process: {child}, up}: Station, name: NodeJS.Signals): void {
+    if (up) child.kill(name);
+  }
+
+  private async freeze(station: Station, lasts: number): Promise<void> {
+    const {child} = station.process;
+    station.disturbed++;
+    child.kill('SIGSTOP');
+    await wait(lasts);
+    child.kill('SIGCONT');
+    station.calmed++;
+  }
+
+  private async cut(
+    proxy: FaultyProxy,
+    mode: Parameters<FaultyProxy['set']>[0],
+    lasts: number,
+  ): Promise<void> {
+    this.troubles++;
+    proxy.set(mode);
+    await wait(lasts);
+    proxy.set('pass');
+    this.calmed++;
+  }
+
+  private async whileTrue(
+    fault: 'away' | 'busy',
+    lasts: number,
+  ): Promise<void> {
+    const {faults} = this.fleet.site;
+    faults[fault] = true;
+    await wait(lasts);
+    faults[fault] = false;
+  }
+
+  /** An endpoint leaves or crashes, and another takes its seat. */
+  private async replace(index: number, planned: boolean): Promise<void> {
+    const {endpoint, proxy} = this.seat(index);
+    const {id} = endpoint;
+    this.seats[index] = await this.newSeat();
+    if (planned) {
+      this.fleet.enter(id, proxy.address, 'draining');
+      await wait(LEAVE_MILLISECONDS);
+    } else {
+      this.troubles++;
+      endpoint.stop();
+      await wait(LEAVE_MILLISECONDS);
+      this.calmed++;
+    }
+    this.fleet.remove(id);
+    endpoint.stop();
+    proxy.stop();
+  }
+
+  private changeKeys(): void {
+    this.keys = [...this.keys, `key-${this.keyCount++}`].slice(-2);
+    this.fleet.configure(this.keys);
+  }
+
+  /** Whether the host that sends a request has said that an endpoint leaves. */
+  private hasLeft(endpoint: string, request: string): boolean {
+    const [host = ''] = request.split('.');
+    const {process} = this.station(Number(host));
+    const said = process.lines.some(
+      ({event, fields}) =>
+        event === 'endpoint' &&
+        fields['id'] === endpoint &&
+        (fields['state'] === 'leaving' || fields['state'] === 'gone'),
+    );
+    if (!said) return false;
+    const key = `${process.child.pid} ${endpoint}`;
+    const now = performance.now();
+    const since = this.leaves.get(key) ?? now;
+    this.leaves.set(key, since);
+    return now - since > FLIGHT_MILLISECONDS;
+  }
+
+  /** Whether a host has said that it knows the newest configuration. */
+  private isCurrent({process: {lines}}: Station): boolean {
+    const known = lines.findLast(({event}) => event === 'configuration');
+    return known?.fields['version'] === this.fleet.configured;
+  }
+
+  private async call(index: number): Promise<void> {
+    const agent = new Agent({keepAlive: true, maxSockets: 1});
+    while (!this.over) {
+      const known = Math.floor(this.random.next() * this.keyCount);
+      const old = this.random.next() < OLD_KEY_SHARE;
+      const key = old ? `key-${known}` : this.newestKey;
+      const route = ROUTES[Math.floor(this.random.next() * ROUTES.length)];
+      const got = await this.askFor(index, key, route ?? 'read', agent);
+      const pause = this.random.next() * PAUSE_MILLISECONDS_MOST;
+      await wait(got.status === 0 ? RETRY_MILLISECONDS : pause);
+    }
+    agent.destroy();
+  }
+
+  private get newestKey(): string {
+    return this.keys.at(-1) ?? '';
+  }
+
+  private async askFor(
+    index: number,
+    key: string,
+    route: Asked['route'],
+    agent: Agent,
+  ): Promise<Got> {
+    const station = this.station(index);
+    const asked = {
+      id: `${index}.${this.attempts++}.${this.options.seed}`,
+      host: station.process.name,
+      route,
+      key,
+      withdrawn: !this.keys.includes(key) && this.isCurrent(station),
+    };
+    this.ledger.ask(asked);
+    const got = await this.ask(station, asked, agent);
+    this.ledger.get(asked, got);
+    return got;
+  }
+
+  /** Asks as a caller, on the connection that it keeps. */
+  private ask(station: Station, asked: Asked, agent: Agent): Promise<Got> {
+    const {process} = station;
+    const disturbances = () => station.disturbed + this.troubles;
+    const calm = () =>
+      station.calmed === station.disturbed && this.calmed === this.troubles;
+    const before = disturbances();
+    const calmBefore = calm();
+    let body = '';
+    let overdue = false;
+    return new Promise(resolve => {
+      const end = (status: number, whole: boolean) => {
+        clearTimeout(timer);
+        const stopped = station.stopping || process !== station.process;
+        const undisturbed = calmBefore && calm() && disturbances() === before;
+        const plannedOnly = stopped && undisturbed && !overdue;
+        resolve({status, body, whole, plannedOnly});
+      };
+      const sent = request(
+        `http://${process.callers}/${asked.route}/1`,
+        {
+          agent,
+          method: asked.route === 'record' ? 'POST' : 'GET',
+          headers: {
+            host: 'register.example',
+            authorization: `Bearer ${asked.key}`,
+            'x-attempt-id': asked.id,
+            'x-deadline-ms': '2000',
+          },
+        },
+        message => {
+          message.on('data', (part: Buffer) => (body += part.toString()));
+          message.on('error', () => {});
+          message.on('close', () =>
+            end(message.statusCode ?? 0, message.complete),
+          );
+        },
+      );
+      const timer = setTimeout(() => {
+        overdue = true;
+        sent.destroy();
+      }, CALLER_MILLISECONDS);
+      sent.on('error', () => end(0, false));
+      sent.end();
+    });
+  }
+
+  /** Waits until every host serves every route again. */
+  private async recover(): Promise<void> {
+    const {site} = this.fleet;
+    site.faults.loseAppends = 0;
+    const end = performance.now() + RECOVERY_MILLISECONDS;
+    const agent = new Agent({keepAlive: false});
+    for (const index of this.stations.keys()) {
+      await until(async () => {
+        const got = await this.askFor(index, this.newestKey, 'read', agent);
+        return got.status === 200 || performance.now() > end;
+      });
+    }
+    if (performance.now() <= end) return;
+    this.ledger.broken('served-again', 'not within a minute of the last fault');
+  }
+
+  private readDuties(): void {
+    for (const {path, fence, body} of this.fleet.site.duties) {
+      this.ledger.fence(path, fence);
+      if (path !== '/usage') continue;
+      const window = Number(body['windowId']);
+      this.ledger.report(window, JSON.stringify(body['counts']));
+    }
+  }
+
+  private station(index: number): Station {
+    const station = this.stations[index];
+    if (!station) throw new RangeError(`no host ${index}`);
+    return station;
+  }
+
+  private seat(index: number): Seat {
+    const seat = this.seats[index];
+    if (!seat) throw new RangeError(`no endpoint ${index}`);
+    return seat;
+  }
+
+  private end(hosts: number): void {
+    for (const {store} of this.stations.slice(0, hosts)) store.stop();
+    this.fleet.stop();
+    for (const {endpoint, proxy} of this.seats) {
+      endpoint.stop();
+      proxy.stop();
+    }
+  }
+}
--- /dev/null
+++ b/test/soak.test.ts
@@ -0,0 +1,156 @@
+/**
+ * A short soak with a fixed seed: real host processes under faults from outside
+ * keep the promises that callers, endpoints and the platform can check. And the
+ * ledger itself notices each promise when it is broken.
+ */
+import test from 'ava';
+
+import {answerTo, Ledger, TEAM, type Asked} from '../soak/ledger.js';
+import {planOf} from '../soak/plan.js';
+import {REGRESSIONS} from '../soak/seeds.js';
+import {Soak} from '../soak/soak.js';
+import {seededRandom} from '../source/random/index.js';
+
+const SIZE = {hosts: 2, endpoints: 3, callers: 2, lasts: 5_000};
+const SEED = 20261204;
+
+for (const seed of [SEED, ...REGRESSIONS.map(({seed: failed}) => failed)]) {
+  test(`hosts keep their promises under the faults of seed ${seed}`, async t => {
+    t.log(`seed ${seed}`);
+    const report = await new Soak({...SIZE, seed}).play();
+    for (const fault of report.faults) t.log(fault);
+    t.true(report.served > 0);
+    t.deepEqual(report.violations, []);
+  });
+}
+
+test('a seed names its faults, and another one names others', t => {
+  const plan = (seed: number) => planOf(seededRandom(seed), SIZE);
+  t.deepEqual(plan(7), plan(7));
+  t.notDeepEqual(plan(7), plan(8));
+  t.true(plan(7).every(({at}) => at < SIZE.lasts + 100));
+});
+
+const ASKED: Asked = {
+  id: '0.1.7',
+  host: 'host-0',
+  route: 'record',
+  key: 'key-0',
+  withdrawn: false,
+};
+const ARRIVED = {
+  id: ASKED.id,
+  endpoint: 'register-0',
+  team: TEAM,
+  headers: '',
+  left: false,
+};
+const WHOLE = {
+  status: 200,
+  body: answerTo(ASKED),
+  whole: true,
+  plannedOnly: false,
+};
+
+function promisesBroken(play: (ledger: Ledger) => void): string[] {
+  const ledger = new Ledger();
+  play(ledger);
+  return ledger.violations.map(({promise}) => promise);
+}
+
+test('a ledger in order names no broken promise', t => {
+  const broken = promisesBroken(ledger => {
+    ledger.ask(ASKED);
+    ledger.arrive(ARRIVED);
+    ledger.get(ASKED, WHOLE);
+    ledger.report(7, '{"guides":1}');
+    ledger.report(7, '{"guides":1}');
+    ledger.fence('/usage', 3);
+    ledger.fence('/usage', 3);
+  });
+  t.deepEqual(broken, []);
+});
+
+test('the ledger notices each promise that is broken', t => {
+  const cases: readonly [string, (ledger: Ledger) => void][] = [
+    [
+      'runs-at-most-once',
+      ledger => {
+        ledger.ask(ASKED);
+        ledger.arrive(ARRIVED);
+        ledger.arrive(ARRIVED);
+      },
+    ],
+    [
+      'refused-is-not-run',
+      ledger => {
+        ledger.ask(ASKED);
+        ledger.get(ASKED, {...WHOLE, status: 503, body: ''});
+        ledger.arrive(ARRIVED);
+      },
+    ],
+    [
+      'refused-is-not-run',
+      ledger => {
+        ledger.ask(ASKED);
+        ledger.arrive(ARRIVED);
+        ledger.get(ASKED, {...WHOLE, status: 503, body: ''});
+      },
+    ],
+    [
+      'whole-own-answer',
+      ledger => {
+        ledger.ask(ASKED);
+        ledger.arrive(ARRIVED);
+        ledger.get(ASKED, {...WHOLE, body: 'answer to another'});
+      },
+    ],
+    ['only-asked-for', ledger => ledger.arrive(ARRIVED)],
+    [
+      'no-key-passes',
+      ledger => {
+        ledger.ask(ASKED);
+        ledger.arrive({...ARRIVED, headers: `x ${ASKED.key}`});
+      },
+    ],
+    [
+      'withdrawn-key-stops',
+      ledger => {
+        ledger.ask({...ASKED, withdrawn: true});
+        ledger.arrive(ARRIVED);
+      },
+    ],
+    [
+      'leaving-endpoint-rests',
+      ledger => {
+        ledger.ask(ASKED);
+        ledger.arrive({...ARRIVED, left: true});
+      },
+    ],
+    [
+      'window-reported-once',
+      ledger => {
+        ledger.report(7, '{"guides":1}');
+        ledger.report(7, '{"guides":2}');
+      },
+    ],
+    [
+      'fences-grow',
+      ledger => {
+        ledger.fence('/usage', 3);
+        ledger.fence('/usage', 2);
+      },
+    ],
+    [
+      'nothing-cut-at-a-stop',
+      ledger => {
+        ledger.ask(ASKED);
+        ledger.arrive(ARRIVED);
+        ledger.get(ASKED, {...WHOLE, status: 0, plannedOnly: true});
+      },
+    ],
+  ];
+  for (const [promise, play] of cases) {
+    t.deepEqual(promisesBroken(play), [promise]);
+  }
+});
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -20,13 +20,17 @@
   readonly fields: Readonly<Record<string, unknown>>;
 }
 
-/** One host process. */
-export interface HostProcess {
+/** Where a host can be found, over all its starts. */
+export interface HostPlace {
   readonly name: string;
   readonly callers: string;
   readonly readiness: string;
   /** Path of the settings file. */
   readonly settings: string;
+}
+
+/** One host process. */
+export interface HostProcess extends HostPlace {
   readonly child: ChildProcess;
   readonly lines: Line[];
   /** Resolves with the exit code. */
@@ -41,7 +45,8 @@
   readonly seen = new Map<string, number>();
   private readonly servers: Server[] = [];
   private readonly seeds: string[] = [];
-  private version = 0;
+  /** The version of the newest configuration. */
+  configured = 0;
 
   static async start(t: ExecutionContext): Promise<EdgeFleet> {
     const fleet = new EdgeFleet();
@@ -88,24 +93,13 @@
 
   /** Publishes a configuration with these keys of the one team, and its homes. */
   configure(keys: readonly string[], homes: readonly string[] = []): void {
-    this.version += 3;
+    this.configured += 3;
     this.site.put('keyed.op', 'config', {
-      version: this.version,
+      version: this.configured,
       routes: [
-        {
-          name: 'read',
-          host: 'register.example',
-          pathPrefix: '/read/',
-          kind: 'idempotent',
-          timeoutMs: 2_000,
-          sloMs: 500,
-          priority: 1,
-          service: 'register',
-          maxAttempts: 2,
-          public: false,
-          sticky: false,
-          resumable: false,
-        },
+        routeOf('read', 'idempotent'),
+        routeOf('record', 'non_idempotent'),
+        routeOf('draft', 'streaming'),
       ],
       services: [
         {
@@ -130,19 +124,37 @@
     });
   }
 
-  /** Starts a host; its settings file may be given instead. */
-  async host(name: string, file?: string): Promise<HostProcess> {
+  /** Removes the entry of an endpoint. */
+  remove(id: string): void {
+    this.site.put('keyed.servers', id, undefined);
+  }
+
+  /** Starts a host; its settings file may be given instead, or its store. */
+  async host(
+    name: string,
+    file?: string,
+    store = this.site.address,
+  ): Promise<HostProcess> {
     const [callers, readiness, control] = await Promise.all(
       [0, 1, 2].map(() => freeAddress()),
     );
     if (!callers || !readiness || !control) throw new Error('no free ports');
     const folder = mkdtempSync(join(tmpdir(), 'arbutusslip-'));
     const path = join(folder, 'settings.json');
-    const settings = this.settingsOf(name, callers, readiness, control);
+    const settings = this.settingsOf(name, callers, readiness, control, store);
     writeFileSync(path, file ?? JSON.stringify(settings));
     this.seeds.push(control);
+    return this.launch({name, callers, readiness, settings: path});
+  }
+
+  /** Starts a host anew on the settings that it had. */
+  restart({name, callers, readiness, settings}: HostProcess): HostProcess {
+    return this.launch({name, callers, readiness, settings});
+  }
+
+  private launch(place: HostPlace): HostProcess {
     const child = spawn(process.execPath, [PROGRAM], {
-      env: {PATH: process.env['PATH'], ARBUTUSSLIP_BOOT: path},
+      env: {PATH: process.env['PATH'], ARBUTUSSLIP_BOOT: place.settings},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     const lines: Line[] = [];
@@ -155,15 +167,7 @@
     const ended = new Promise<number | null>(resolve => {
       child.once('exit', code => resolve(code));
     });
-    const host = {
-      name,
-      callers,
-      readiness,
-      settings: path,
-      child,
-      lines,
-      ended,
-    };
+    const host = {...place, child, lines, ended};
     this.hosts.push(host);
     return host;
   }
@@ -203,6 +207,7 @@
     front: string,
     readiness: string,
     control: string,
+    store: string,
   ): object {
     return {
       nodeId: name,
@@ -221,13 +226,14 @@
         usageWindowS: 1,
         usageLateS: 10,
       },
-      platform: {address: this.site.address},
+      platform: {address: store},
       cloudApi: {address: this.site.address, duties: ['usage_report']},
       unknown: {field: 'is passed over'},
     };
   }
 
-  private stop(): void {
+  /** Ends everything that was started. */
+  stop(): void {
     for (const {child} of this.hosts) child.kill('SIGKILL');
     for (const server of this.servers) {
       server.closeAllConnections();
@@ -237,6 +243,23 @@
   }
 }
 
+function routeOf(name: string, kind: string): object {
+  return {
+    name,
+    host: 'register.example',
+    pathPrefix: `/${name}/`,
+    kind,
+    timeoutMs: 2_000,
+    sloMs: 500,
+    priority: 1,
+    service: 'register',
+    maxAttempts: kind === 'non_idempotent' ? 1 : 2,
+    public: false,
+    sticky: false,
+    resumable: kind === 'streaming',
+  };
+}
+
 /** Resolves when something holds. */
 export async function until(
   holds: () => boolean | Promise<boolean>,
