Order as many cheap endpoints for unknown callers that a zone can lose its own

Cause: before callers are known as many endpoints stand as were found, two thirds of them cheap, which a zone may lose at once; and the work of the first seconds, when engines keep nothing, set the peak that stands for 30 s.

Change: what is expected is divided among the zones that are left when one has lost its cheap ones; the peak is kept only once callers are known.

Before: the new test of plan fails.

--- a/source/capacity/plan.ts
+++ b/source/capacity/plan.ts
@@ -128,8 +128,9 @@
   expected: number,
 ): number {
   const wet = supplies.filter(({dry}) => !dry).length;
-  const each = Math.ceil(needed / Math.max(wet - 1, 1));
-  const first = Math.ceil(expected / Math.max(wet, 1));
+  const left = Math.max(wet - 1, 1);
+  const each = Math.ceil(needed / left);
+  const first = Math.ceil(expected / left);
   return Math.min(Math.max(each, first, CHEAP_LEAST), range.most);
 }
 
--- a/source/duty/orders.ts
+++ b/source/duty/orders.ts
@@ -102,9 +102,11 @@
     const supplies = this.supplies(service, view);
     if (!range || view.directory.size === 0) return;
     const {name} = service;
-    const busy = this.peak(name, view.busy(name));
+    const present = view.busy(name);
     const found = this.found.get(name)?.count ?? 0;
-    const known = this.isKnown(name, busy);
+    const known = this.isKnown(name, present);
+    // Engines that keep nothing yet make the first callers look like more work.
+    const busy = known ? this.peak(name, present) : present;
     for (const plan of planZones({range, supplies, busy, found, known})) {
       const supply = supplies.find(({zone}) => zone === plan.zone);
       if (supply) await this.orderZone(name, plan, supply, holder);
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -51,6 +51,16 @@
   }
 });
 
+test('until callers are known, one zone may lose its cheap ones and as many as were found are left', t => {
+  const range = {...RANGE, most: 94};
+  const plans = planZones(situation({range, found: 140, known: false}));
+  const total = plans.reduce(
+    (sum, {lasting, reclaimable}) => sum + lasting + reclaimable,
+    0,
+  );
+  for (const {reclaimable} of plans) t.true(total - reclaimable >= 140);
+});
+
 test('the first callers find the lasting ones until cheap ones are there', t => {
   const plans = planZones(situation({known: false}));
   t.true(plans.every(({lasting}) => lasting === 2));
