Give the endpoints that may get a request a module of their own

Cause: source/balance/book.ts had grown to 422 lines, with the directory, zones that are out, cold bounds and lapses beside loads and choices.

Change: balance/open.ts keeps the directory and answers which endpoints are open, still stand, and what a cold one has been sent; the book keeps loads, kept parts and callers. Behaviour is the same.

--- a/source/balance/book.ts
+++ b/source/balance/book.ts
@@ -5,14 +5,13 @@
 import {Room, type Lane} from '../admission/index.js';
 import type {Clock} from '../clock/index.js';
 import type {Directory, KnownEndpoint} from '../directory/index.js';
-import {isHome, type Homes, type Service} from '../routing/index.js';
+import type {Homes, Service} from '../routing/index.js';
 import {
   chooseEngine,
   chooseLeastBusy,
   type Candidate,
   type Choice,
 } from './choose.js';
-import {coldShare, mayAdd, withSend, type ColdSends} from './cold.js';
 import {CallersWork, type ServiceWork} from './callers.js';
 import {KeptParts} from './kept.js';
 import {
@@ -24,6 +23,7 @@
   type LoadEvent,
   type NamedLoad,
 } from './load.js';
+import {OpenEndpoints} from './open.js';
 import {ownPlaces} from './share.js';
 import {busyEngines, largeCount, largeEngines, totalWork} from './split.js';
 import {isLarge, sharedParts, sharedTokens, type Prompt} from './work.js';
@@ -81,13 +81,8 @@
 
 /** The endpoints of a host. */
 export class EndpointBook extends Room {
-  private directory: Directory = new Map();
-  private ofService: ReadonlyMap<string, readonly KnownEndpoint[]> = new Map();
-  private services: ReadonlyMap<string, Service> = new Map();
-  private zonesOut: ReadonlySet<string> = new Set();
-  private hosts: readonly string[];
+  private readonly endpoints: OpenEndpoints;
   private readonly loads = new Map<string, EndpointLoad>();
-  private readonly coldSends = new Map<string, ColdSends>();
   private readonly callers: CallersWork;
   /** How many other hosts cannot reach an endpoint. */
   private doubts: ReadonlyMap<string, number> = new Map();
@@ -98,43 +93,38 @@
 
   constructor(private readonly surroundings: Surroundings) {
     super();
-    this.hosts = [surroundings.host];
+    this.endpoints = new OpenEndpoints(surroundings);
     this.callers = new CallersWork(surroundings.clock);
   }
 
   setServices(services: ReadonlyMap<string, Service>): void {
-    this.services = services;
+    this.endpoints.services = services;
   }
 
   setZonesOut(zones: ReadonlySet<string>): void {
-    this.zonesOut = zones;
+    this.endpoints.zonesOut = zones;
   }
 
   /** Sets the hosts that are believed to live, this one among them. */
   setHosts(hosts: readonly string[]): void {
-    this.hosts = hosts;
+    this.endpoints.hosts = hosts;
   }
 
   get hostCount(): number {
-    return this.hosts.length;
+    return this.endpoints.hosts.length;
   }
 
   setDirectory(directory: Directory): void {
-    for (const [id, known] of this.directory) {
-      const next = directory.get(id);
-      if (next?.knownAt === known.knownAt) continue;
+    for (const id of this.endpoints.setDirectory(directory)) {
       this.loads.delete(id);
-      this.coldSends.delete(id);
       this.kept.forget(id);
     }
-    this.directory = directory;
-    this.ofService = byService(directory);
   }
 
   override hasRoom(lane: Lane): boolean {
     const now = this.now();
     const usable = this.usable(lane.pool, now, lane.homes);
-    const engine = this.services.get(lane.pool)?.engine;
+    const engine = this.endpoints.services.get(lane.pool)?.engine;
     const fill = engine
       ? (TIER_FILL[lane.tier] ?? LOWEST_TIER_FILL)
       : PLAIN_FILL;
@@ -148,12 +138,13 @@
   override places(pool: string): number {
     const usable = this.usable(pool, this.now());
     const slots = usable.reduce((sum, {entry}) => sum + entry.slots, 0);
-    return slots / Math.max(this.hosts.length, 1);
+    return slots / Math.max(this.hostCount, 1);
   }
 
   /** Notes a request as it arrives, for the division of the engines. */
   arrived(service: string, prompt: Prompt): void {
-    const slots = this.services.get(service)?.engine?.slots ?? PLAIN_SLOTS;
+    const slots =
+      this.endpoints.services.get(service)?.engine?.slots ?? PLAIN_SLOTS;
     this.callers.arrived(service, prompt, slots);
   }
 
@@ -174,7 +165,7 @@
 
   /** The endpoints that this host cannot reach. */
   unreachable(): KnownEndpoint[] {
-    return [...this.directory.values()].filter(
+    return [...this.endpoints.directory.values()].filter(
       ({entry}) => this.load(entry.id).unreachable,
     );
   }
@@ -186,7 +177,7 @@
 
   /** The service of an endpoint. */
   serviceOf({entry}: KnownEndpoint): Service | undefined {
-    return this.services.get(entry.service);
+    return this.endpoints.services.get(entry.service);
   }
 
   /** Takes over which endpoints the other hosts cannot reach. */
@@ -211,7 +202,7 @@
       sum.reading += reading;
       sums.set(id, sum);
     }
-    for (const id of this.directory.keys()) {
+    for (const id of this.endpoints.directory.keys()) {
       const sum = sums.get(id) ?? {requests: 0, reading: 0};
       if (sum.requests === 0 && this.load(id).others === 0) continue;
       this.update(id, {kind: 'told', ...sum, now});
@@ -248,7 +239,7 @@
     const choice = prompt
       ? this.chooseFor(prompt, service, candidates, now)
       : chooseLeastBusy(candidates, now);
-    const endpoint = choice && this.directory.get(choice.id);
+    const endpoint = choice && this.endpoints.directory.get(choice.id);
     if (!endpoint) return undefined;
     if (prompt) this.noteRead(service, prompt, choice.id, now);
     return this.placeAt(endpoint, choice, now);
@@ -290,9 +281,7 @@
   private placeAt(endpoint: KnownEndpoint, choice: Choice, now: number): Place {
     const {id} = choice;
     const {reading} = choice;
-    if (now < endpoint.coldUntil) {
-      this.coldSends.set(id, withSend(this.coldSends.get(id) ?? [], now));
-    }
+    this.endpoints.noteSend(endpoint, now);
     this.update(id, {kind: 'sent', reading});
     let unread = true;
     let held = true;
@@ -303,7 +292,7 @@
     return {
       endpoint,
       choice,
-      isOpen: () => this.stands(endpoint),
+      isOpen: () => this.endpoints.stands(endpoint, this.now()),
       answered: named => {
         read();
         this.update(id, {kind: 'answered', named, now: this.now()});
@@ -334,41 +323,9 @@
 
   /** The endpoints of a service that may get a request now. */
   private usable(service: string, now: number, homes?: Homes): KnownEndpoint[] {
-    const {regions} = this.surroundings;
-    const open = (this.ofService.get(service) ?? []).filter(
-      known =>
-        isHome(homes, regions[known.entry.zone]) && this.isOpen(known, now),
-    );
-    // One whose entry has lapsed may have left, so it is a last resort.
-    const entered = open.filter(({lapsesAt}) => lapsesAt === undefined);
-    const standing = entered.length > 0 ? entered : open;
-    const sound = standing.filter(
-      ({entry}) => !isAvoided(this.load(entry.id), now),
-    );
-    return sound.length > 0 ? sound : standing;
-  }
-
-  /** Whether an endpoint that was known once is still there and may be used. */
-  private stands({entry, knownAt}: KnownEndpoint): boolean {
-    const known = this.directory.get(entry.id);
-    if (known?.knownAt !== knownAt) return false;
-    return this.mayUse(known, this.now());
-  }
-
-  private mayUse({entry, lapsesAt}: KnownEndpoint, now: number): boolean {
-    if (entry.leaving || this.zonesOut.has(entry.zone)) return false;
-    return lapsesAt === undefined || now < lapsesAt;
-  }
-
-  private isOpen(known: KnownEndpoint, now: number): boolean {
-    const {entry, coldUntil} = known;
-    if (!this.mayUse(known, now)) return false;
-    if (now >= coldUntil) return true;
-    const rate = this.services.get(entry.service)?.coldRate ?? 0;
-    if (rate === 0) return true;
-    const {host} = this.surroundings;
-    const share = coldShare(entry.id, rate, host, this.hosts);
-    return mayAdd(this.coldSends.get(entry.id) ?? [], share, now);
+    const isAvoidedNow = (id: string) => isAvoided(this.load(id), now);
+    const selection = {service, homes, isAvoided: isAvoidedNow};
+    return this.endpoints.usable(selection, now);
   }
 
   /** Whether this host has less at the engines than its share of them. */
@@ -385,7 +342,7 @@
     }
     const own = totalWork(this.callers.ofOwn(service));
     const all = totalWork(this.callers.ofAll(service));
-    const most = ownPlaces({slots, hosts: this.hosts.length, own, all});
+    const most = ownPlaces({slots, hosts: this.hostCount, own, all});
     return held < most * fill;
   }
 
@@ -394,7 +351,7 @@
   }
 
   private update(id: string, event: LoadEvent): void {
-    if (!this.directory.has(id)) return;
+    if (!this.endpoints.directory.has(id)) return;
     this.loads.set(id, afterLoad(this.load(id), event));
   }
 
@@ -403,19 +360,6 @@
   }
 }
 
-function byService(
-  directory: Directory,
-): ReadonlyMap<string, readonly KnownEndpoint[]> {
-  const services = new Map<string, KnownEndpoint[]>();
-  for (const known of directory.values()) {
-    const {service} = known.entry;
-    const others = services.get(service);
-    if (others) others.push(known);
-    else services.set(service, [known]);
-  }
-  return services;
-}
-
 function rotated<T>(items: readonly T[], turn: number): T[] {
   const start = items.length > 0 ? turn % items.length : 0;
   return [...items.slice(start), ...items.slice(0, start)];
