Order more cheap endpoints where hosts are many

Ruled out: too little capacity on the mean; the hosts' own share (does not bind).

Change: beyond 12 hosts the plan has 3.5 endpoints for each that is busy, in place of 2.5. Fleets of up to 12 hosts order as before.

Before: the new test of plan does not compile. After: plan and orders, 12 of 12.

--- a/source/capacity/plan.ts
+++ b/source/capacity/plan.ts
@@ -30,6 +30,8 @@
   readonly found: number;
   /** Whether callers have been there for long enough to tell what they need. */
   readonly known: boolean;
+  /** Hosts among which the callers are spread. */
+  readonly hosts: number;
 }
 
 /** How many of each kind a zone is to have. */
@@ -41,6 +43,13 @@
 
 /** Endpoints for each that is busy on the mean, since arrivals are uneven. */
 const HEADROOM = 2.5;
+/**
+ * The same with many hosts. Their word of each other is seconds old, so requests
+ * meet at some endpoints while others have room.
+ */
+const HEADROOM_MANY_HOSTS = 3.5;
+/** Hosts up to which each knows well what the others have where. */
+const FEW_HOSTS = 12;
 /** Of these, lasting ones, which carry on when cheap ones are taken away. */
 const LASTING_HEADROOM = 0.6;
 /** The same where there is one zone, which may lose all of its cheap ones. */
@@ -65,7 +74,8 @@
   const {range, busy, found} = situation;
   const supplies = situation.supplies.filter(({out}) => !out);
   if (supplies.length === 0) return [];
-  const needed = Math.ceil(busy * HEADROOM);
+  const spare = situation.hosts > FEW_HOSTS ? HEADROOM_MANY_HOSTS : HEADROOM;
+  const needed = Math.ceil(busy * spare);
   if (range.reclaimablePrice === undefined) {
     return lastingOnly(range, supplies, Math.max(needed, found));
   }
--- a/source/duty/orders.ts
+++ b/source/duty/orders.ts
@@ -29,6 +29,8 @@
   readonly zonesOut: ReadonlySet<string>;
   /** Endpoints of a service that callers keep busy, on the mean. */
   readonly busy: (service: string) => number;
+  /** Hosts that are believed to live, this one among them. */
+  readonly hosts: number;
 }
 
 /** What orders are made from. */
@@ -102,12 +104,20 @@
     const supplies = this.supplies(service, view);
     if (!range || view.directory.size === 0) return;
     const {name} = service;
+    const {hosts} = view;
     const present = view.busy(name);
     const found = this.found.get(name)?.count ?? 0;
     const known = this.isKnown(name, present);
     // Engines that keep nothing yet make the first callers look like more work.
     const busy = known ? this.peak(name, present) : present;
-    for (const plan of planZones({range, supplies, busy, found, known})) {
+    for (const plan of planZones({
+      range,
+      supplies,
+      busy,
+      found,
+      known,
+      hosts,
+    })) {
       const supply = supplies.find(({zone}) => zone === plan.zone);
       if (supply) await this.orderZone(name, plan, supply, holder);
     }
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -196,6 +196,7 @@
         directory: this.knowledge.directory,
         zonesOut: this.knowledge.zonesOut,
         busy: service => this.book.busy(service),
+        hosts: this.book.hostCount,
       }),
     });
   }
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -78,6 +78,7 @@
       directory: seen.directory,
       zonesOut: new Set<string>(),
       busy: () => seen.busy,
+      hosts: 6,
     }),
   });
   return {clock, calls, seen, orders};
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -24,7 +24,8 @@
 function situation(change: Partial<Situation> = {}): Situation {
   const zones = ['palermo', 'catania', 'siracusa'];
   const supplies = zones.map(zone => supply(zone));
-  return {range: RANGE, supplies, busy: 0, found: 6, known: true, ...change};
+  const callers = {busy: 0, found: 6, known: true, hosts: 6};
+  return {range: RANGE, supplies, ...callers, ...change};
 }
 
 test('while no caller is there, cheap endpoints take the place of most lasting ones', t => {
@@ -111,6 +112,17 @@
   t.true(plans.every(({reclaimable}) => reclaimable === 0));
 });
 
+test('where many hosts know little of each other, more cheap endpoints stand by', t => {
+  const range = {...RANGE, most: 94};
+  const cheapOf = (hosts: number) =>
+    planZones(situation({range, busy: 37, hosts})).reduce(
+      (sum, {reclaimable}) => sum + reclaimable,
+      0,
+    );
+  t.is(cheapOf(12), 3 * Math.ceil((37 * 2.5) / 2));
+  t.is(cheapOf(61), 3 * Math.ceil((37 * 3.5) / 2));
+});
+
 test('a plan keeps to the range, and one zone can lose its cheap endpoints', t => {
   const supplies = fc.array(
     fc.record({
