--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -52,18 +52,17 @@
     this.pipe(far, near, false);
   }
 
-  /** Bytes that were held up are lost when the fault is over. */
+  /** Bytes that are swallowed are lost for good; none overtakes another. */
   private pipe(from: Socket, to: Socket, outward: boolean): void {
+    const line = new Line();
+    const wait = () => (this.mode === 'delay' ? DELAY_MILLISECONDS : 0);
     from.on('data', bytes => {
       if (this.mode === 'silent') return;
       if (this.mode === 'one-way' && !outward) return;
-      if (this.mode !== 'delay') return void to.write(bytes);
-      setTimeout(() => to.write(bytes), DELAY_MILLISECONDS);
+      line.add(wait(), () => to.write(bytes));
     });
     from.on('end', () => {
-      if (this.mode === 'silent') return;
-      const wait = this.mode === 'delay' ? DELAY_MILLISECONDS : 0;
-      setTimeout(() => to.end(), wait);
+      if (this.mode !== 'silent') line.add(wait(), () => to.end());
     });
     from.on('error', () => to.destroy());
     from.on('close', () => this.sockets.delete(from));
@@ -79,3 +78,24 @@
     this.sockets.clear();
   }
 }
+
+/** Steps that are taken in their order, each no sooner than it is due. */
+class Line {
+  private readonly steps: {readonly due: number; readonly take: () => void}[] =
+    [];
+
+  add(delay: number, take: () => void): void {
+    this.steps.push({due: performance.now() + delay, take});
+    if (this.steps.length === 1) this.next();
+  }
+
+  private next(): void {
+    const [step] = this.steps;
+    if (!step) return;
+    const left = step.due - performance.now();
+    if (left > 0) return void setTimeout(() => this.next(), left);
+    step.take();
+    this.steps.shift();
+    this.next();
+  }
+}
--- a/soak/seeds.ts
+++ b/soak/seeds.ts
@@ -12,4 +12,8 @@
     // Its faults are others since callers draw random numbers of their own.
     cause: 'a signal to reload ended a host that was still loading',
   },
+  {
+    seed: 2043,
+    cause: 'the proxy let later bytes overtake those that it delayed',
+  },
 ];
