--- /dev/null
+++ b/soak/caller.ts
@@ -0,0 +1,55 @@
+/** One request of a caller, on the connection that its agent keeps. */
+import {request, type Agent} from 'node:http';
+
+import type {Asked, Got} from './ledger.js';
+
+const CALLER_MILLISECONDS = 3_000;
+const PATIENCE_MILLISECONDS = 2_000;
+
+/** What came back. */
+export interface Reply extends Pick<Got, 'status' | 'body' | 'whole'> {
+  /** Whether the caller gave up because nothing came in time. */
+  readonly overdue: boolean;
+}
+
+/** Asks the host at an address; never throws. */
+export function askHost(
+  address: string,
+  {route, key, id}: Asked,
+  agent: Agent,
+): Promise<Reply> {
+  let body = '';
+  let overdue = false;
+  return new Promise(resolve => {
+    const end = (status: number, whole: boolean) => {
+      clearTimeout(timer);
+      resolve({status, body, whole, overdue});
+    };
+    const sent = request(
+      `http://${address}/${route}/1`,
+      {
+        agent,
+        method: route === 'record' ? 'POST' : 'GET',
+        headers: {
+          host: 'register.example',
+          authorization: `Bearer ${key}`,
+          'x-attempt-id': id,
+          'x-deadline-ms': String(PATIENCE_MILLISECONDS),
+        },
+      },
+      message => {
+        message.on('data', (part: Buffer) => (body += part.toString()));
+        message.on('error', () => {});
+        message.on('close', () =>
+          end(message.statusCode ?? 0, message.complete),
+        );
+      },
+    );
+    const timer = setTimeout(() => {
+      overdue = true;
+      sent.destroy();
+    }, CALLER_MILLISECONDS);
+    sent.on('error', () => end(0, false));
+    sent.end();
+  });
+}
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -4,7 +4,7 @@
  * the while. Everything that is random comes from the seed; processes are ended
  * by their own ids.
  */
-import {Agent, request} from 'node:http';
+import {Agent} from 'node:http';
 
 import {seededRandom, type Random} from '../source/random/index.js';
 import {
@@ -12,6 +12,7 @@
   until,
   type HostProcess,
 } from '../test/support/edgeprocess.js';
+import {askHost} from './caller.js';
 import {SoakEndpoint} from './endpoint.js';
 import {Ledger, type Asked, type Got, type Violation} from './ledger.js';
 import {planOf, type Fault, type SoakSize} from './plan.js';
@@ -60,7 +61,6 @@
 const LEAVE_MILLISECONDS = 2_500;
 const RETRY_MILLISECONDS = 40;
 const PAUSE_MILLISECONDS_MOST = 60;
-const CALLER_MILLISECONDS = 3_000;
 /** Within which everything is served again once the faults are over. */
 const RECOVERY_MILLISECONDS = 60_000;
 
@@ -327,51 +327,31 @@
     return got;
   }
 
-  /** Asks as a caller, on the connection that it keeps. */
-  private ask(station: Station, asked: Asked, agent: Agent): Promise<Got> {
+  /** Asks, and notes whether anything but a planned stop can have cut it. */
+  private async ask(
+    station: Station,
+    asked: Asked,
+    agent: Agent,
+  ): Promise<Got> {
     const {process} = station;
-    const disturbances = () => station.disturbed + this.troubles;
-    const calm = () =>
-      station.calmed === station.disturbed && this.calmed === this.troubles;
-    const before = disturbances();
-    const calmBefore = calm();
-    let body = '';
-    let overdue = false;
-    return new Promise(resolve => {
-      const end = (status: number, whole: boolean) => {
-        clearTimeout(timer);
-        const stopped = station.stopping || process !== station.process;
-        const undisturbed = calmBefore && calm() && disturbances() === before;
-        const plannedOnly = stopped && undisturbed && !overdue;
-        resolve({status, body, whole, plannedOnly});
-      };
-      const sent = request(
-        `http://${process.callers}/${asked.route}/1`,
-        {
-          agent,
-          method: asked.route === 'record' ? 'POST' : 'GET',
-          headers: {
-            host: 'register.example',
-            authorization: `Bearer ${asked.key}`,
-            'x-attempt-id': asked.id,
-            'x-deadline-ms': '2000',
-          },
-        },
-        message => {
-          message.on('data', (part: Buffer) => (body += part.toString()));
-          message.on('error', () => {});
-          message.on('close', () =>
-            end(message.statusCode ?? 0, message.complete),
-          );
-        },
-      );
-      const timer = setTimeout(() => {
-        overdue = true;
-        sent.destroy();
-      }, CALLER_MILLISECONDS);
-      sent.on('error', () => end(0, false));
-      sent.end();
-    });
+    const before = this.disturbancesOf(station);
+    const calmBefore = this.isCalm(station);
+    const reply = await askHost(process.callers, asked, agent);
+    const stopped = station.stopping || process !== station.process;
+    const undisturbed =
+      calmBefore &&
+      this.isCalm(station) &&
+      this.disturbancesOf(station) === before;
+    const plannedOnly = stopped && undisturbed && !reply.overdue;
+    return {...reply, plannedOnly};
+  }
+
+  private disturbancesOf({disturbed}: Station): number {
+    return disturbed + this.troubles;
+  }
+
+  private isCalm({calmed, disturbed}: Station): boolean {
+    return calmed === disturbed && this.calmed === this.troubles;
   }
 
   /** Waits until every host serves every route again. */
