Log why a process ends, and how loaded it is

Node prints the line of the bundle in which the error was thrown, one line of 450 KB, so the message itself is cut off, and nothing structured says which requests ended with the process.

Change: `uncaught-error` carries the error, its stack, memory, processor time and the requests in progress; `load` says every 5 s how much memory, processor time and delay a host has; the last lines are written before the process exits, for at most 500 ms (exit did not wait for them). The bundle keeps its lines, so that a stack names a place.

What a host decides is as it was.

--- a/source/daemon/host.ts
+++ b/source/daemon/host.ts
@@ -26,6 +26,7 @@
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Platform} from '../platform/index.js';
+import type {Load} from '../process/index.js';
 import type {Settings} from '../settings/index.js';
 import {listen} from '../wire/index.js';
 import {createListener} from './listener.js';
@@ -106,6 +107,14 @@
     return this.state === 'draining';
   }
 
+  /** The requests that this host holds. */
+  get load(): Load {
+    return {
+      active: this.exchanges.size,
+      queued: this.plane.admission.waiting,
+    };
+  }
+
   get fold(): LogState {
     return this.zone.fold;
   }
--- a/source/daemon/run.ts
+++ b/source/daemon/run.ts
@@ -4,6 +4,7 @@
 import {createLogger} from '../logging/index.js';
 import {Metrics} from '../metrics/index.js';
 import {HttpPlatform} from '../platform/index.js';
+import {endOnUncaughtError, LoadReporter} from '../process/index.js';
 import {
   readSettings,
   settingsSchema,
@@ -40,7 +41,15 @@
   const metrics = await Metrics.withStatsd(settings.metrics);
   const platform = new HttpPlatform(settings.platform);
   const host = new Host({settings, clock, logger, metrics, platform});
+  const load = () => host.load;
+  endOnUncaughtError({
+    source: process,
+    logger,
+    load,
+    end: code => process.exit(code),
+  });
   await host.start();
+  new LoadReporter({clock, logger, load}).start();
   const leave = () => void host.drain().then(() => process.exit(0));
   process.on('SIGTERM', leave);
   process.on('SIGINT', leave);
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -24,6 +24,7 @@
 } from '../gossip/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
+import type {Load} from '../process/index.js';
 import type {RandomSource} from '../random/index.js';
 import {listen} from '../wire/index.js';
 import {PlatformView} from './platformview.js';
@@ -159,6 +160,14 @@
     this.feeder?.start();
   }
 
+  /** The requests that this host holds. */
+  get load(): Load {
+    return {
+      active: this.forwarder.activeCount,
+      queued: this.admission.waiting,
+    };
+  }
+
   /** Applies the settings that can change at run time: the retry budget. */
   reload({repeats}: EdgeSettings): void {
     this.forwarder.retryBudget = repeats;
--- a/source/edge/run.ts
+++ b/source/edge/run.ts
@@ -6,6 +6,7 @@
 import {SettingsError} from '../errors/index.js';
 import {BoundedSink, createLogger} from '../logging/index.js';
 import {Metrics} from '../metrics/index.js';
+import {endOnUncaughtError, LoadReporter} from '../process/index.js';
 import {seededRandom} from '../random/index.js';
 import {EdgeHost} from './host.js';
 import type {PlatformParts} from './platform.js';
@@ -13,6 +14,8 @@
 import type {ReloadSignals} from './signals.js';
 
 const STDOUT_FILE_DESCRIPTOR = 1;
+/** Longest time that the end of the process waits for the reader of its log. */
+const MAX_FLUSH_MILLISECONDS = 500;
 
 /** What differs between host processes. */
 export interface EdgeOptions {
@@ -43,14 +46,18 @@
   const random = seededRandom(process.pid ^ Date.now());
   const parts = {settings, platform, clock, logger, metrics, random};
   const host = new EdgeHost(parts);
+  const exit = (code: number) => {
+    clock.after(MAX_FLUSH_MILLISECONDS, () => process.exit(code));
+    void sink.flush().then(() => process.exit(code));
+  };
+  const load = () => host.load;
+  endOnUncaughtError({source: process, logger, load, end: exit});
   logger.info('start', {host: settings.name, zone: settings.zone});
   await host.start();
+  new LoadReporter({clock, logger, load}).start();
   const drainAndExit = (signal: string) => {
     logger.info('stop', {signal});
-    void host.drain().then(() => {
-      sink.flush();
-      process.exit(0);
-    });
+    void host.drain().then(() => exit(0));
   };
   const reload = () => {
     try {
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -80,6 +80,11 @@
     this.retryBudget = parts.retryBudget;
   }
 
+  /** The number of requests in progress. */
+  get activeCount(): number {
+    return this.activeRequests.size;
+  }
+
   /**
    * Resolves when no request is in progress. Only one caller may wait at a
    * time: a further call keeps the promise of the earlier one from resolving.
--- a/source/logging/sink.ts
+++ b/source/logging/sink.ts
@@ -31,6 +31,8 @@
   private readonly failures: LineCounts = {lines: 0, dropped: 0};
   private secondStartedAt = -Infinity;
   private stopTimer: Cancel | undefined;
+  /** Called when everything that was accepted has been written. */
+  private readonly onWritten: Array<() => void> = [];
 
   constructor(
     private readonly descriptor: number,
@@ -53,13 +55,20 @@
   }
 
   /**
-   * Starts to write the buffered lines without waiting for the batch timer, for a
-   * process that is about to end. Does not wait until they are written.
+   * Writes the buffered lines without waiting for the batch timer, for a process
+   * that is about to end. Resolves when they are written, which takes as long as
+   * the reader does.
+   *
+   * ```ts
+   * await Promise.race([sink.flush(), wait(MAX_FLUSH_MILLISECONDS)]);
+   * ```
    */
-  flush(): void {
+  flush(): Promise<void> {
     this.stopTimer?.();
     this.stopTimer = undefined;
+    const written = new Promise<void>(resolve => this.onWritten.push(resolve));
     this.writeBatch();
+    return written;
   }
 
   /** Starts a new second if the last is over, and logs what that one dropped. */
@@ -90,7 +99,11 @@
   }
 
   private writeBatch(): void {
-    if (this.isWriting || this.buffered.length === 0) return;
+    if (this.isWriting) return;
+    if (this.buffered.length === 0) {
+      for (const resolve of this.onWritten.splice(0)) resolve();
+      return;
+    }
     const batch = this.buffered.join('');
     this.buffered = [];
     this.bufferedLength = 0;
--- /dev/null
+++ b/source/process/load.ts
@@ -0,0 +1,112 @@
+/**
+ * Logs at intervals how loaded the process is: its memory and processor time, how
+ * late its timers fire, and the requests that it holds. An operator can tell from
+ * these lines whether a host was short of memory or processor time when something
+ * went wrong.
+ */
+import type {Cancel, Clock} from '../clock/index.js';
+import type {Logger} from '../logging/index.js';
+
+/** The requests that a process holds. */
+export interface Load {
+  /** Requests in progress, those that are queued included. */
+  readonly active: number;
+  /** Of these, requests that wait in the admission queue. */
+  readonly queued: number;
+}
+
+/** What a reporter is made from. */
+export interface LoadReporterOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly load: () => Load;
+}
+
+const SAMPLE_INTERVAL_MILLISECONDS = 1_000;
+const SAMPLES_PER_REPORT = 5;
+const BYTES_PER_MEGABYTE = 1_048_576;
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+
+/** Logs an event `load` every five seconds. */
+export class LoadReporter {
+  private sampledAt: number;
+  private reportedAt: number;
+  /** Processor milliseconds up to the last report. */
+  private processorBefore = processorMilliseconds();
+  /** Longest delay of a sample since the last report, in milliseconds. */
+  private maxDelay = 0;
+  private samples = 0;
+  private stopTimer: Cancel = () => {};
+
+  constructor(private readonly options: LoadReporterOptions) {
+    this.sampledAt = options.clock.monotonic();
+    this.reportedAt = this.sampledAt;
+  }
+
+  /**
+   * Starts to report.
+   *
+   * ```ts
+   * const reporter = new LoadReporter({clock, logger, load: () => host.load});
+   * reporter.start();
+   * ```
+   */
+  start(): void {
+    const {clock} = this.options;
+    this.sampledAt = clock.monotonic();
+    this.stopTimer = clock.every(SAMPLE_INTERVAL_MILLISECONDS, () =>
+      this.sample(),
+    );
+  }
+
+  stop(): void {
+    this.stopTimer();
+  }
+
+  private sample(): void {
+    const now = this.options.clock.monotonic();
+    const delay = now - this.sampledAt - SAMPLE_INTERVAL_MILLISECONDS;
+    this.maxDelay = Math.max(this.maxDelay, delay);
+    this.sampledAt = now;
+    this.samples++;
+    if (this.samples % SAMPLES_PER_REPORT === 0) this.report(now);
+  }
+
+  private report(now: number): void {
+    const {logger, load} = this.options;
+    const processor = processorMilliseconds();
+    const share = (processor - this.processorBefore) / (now - this.reportedAt);
+    const {active, queued} = load();
+    logger.info('load', {
+      ...memoryFields(),
+      processorPercent: Math.round(share * 100),
+      timerDelay: Math.round(this.maxDelay),
+      active,
+      queued,
+    });
+    this.processorBefore = processor;
+    this.reportedAt = now;
+    this.maxDelay = 0;
+  }
+}
+
+/** The memory of a process, as fields of a log line. */
+export interface MemoryFields {
+  readonly memoryMegabytes: number;
+  readonly heapMegabytes: number;
+}
+
+/** Returns the memory of this process. */
+export function memoryFields(): MemoryFields {
+  const {rss, heapUsed} = process.memoryUsage();
+  return {
+    memoryMegabytes: Math.round(rss / BYTES_PER_MEGABYTE),
+    heapMegabytes: Math.round(heapUsed / BYTES_PER_MEGABYTE),
+  };
+}
+
+/** Processor time of the process since its start, in milliseconds. */
+export function processorMilliseconds(): number {
+  const {user, system} = process.cpuUsage();
+  return (user + system) / MICROSECONDS_PER_MILLISECOND;
+}
--- a/test/sink.test.ts
+++ b/test/sink.test.ts
@@ -37,3 +37,15 @@
   });
   closeSync(file);
 });
+
+test('the lines of a process that is about to end are written when flush resolves', async t => {
+  const path = join(mkdtempSync(join(tmpdir(), 'arbutusslip-')), 'log');
+  const file = openSync(path, 'w');
+  const sink = new BoundedSink(file, new ManualClock());
+  sink.writeLine('info', 'before\n');
+  const first = sink.flush();
+  sink.writeLine('error', 'last\n');
+  await Promise.all([first, sink.flush()]);
+  t.is(readFileSync(path, 'utf8'), 'before\nlast\n');
+  closeSync(file);
+});
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -26,7 +26,6 @@
     metafile: true,
     bundle: true,
     minifySyntax: true,
-    minifyWhitespace: true,
     splitting: true,
     platform: 'node',
     target: 'node20',
