--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -300,3 +300,48 @@
   setup.clock.advance(5_000);
   await Promise.all(requests.map(({done}) => done));
 });
+
+/** Slots that become free at a time and are taken again a moment later. */
+class BriefCapacity extends CapacityProvider {
+  private looks = 0;
+
+  /** Looks for capacity that find some, counted from the next one. */
+  constructor(private found: number) {
+    super();
+  }
+
+  offer(found: number): void {
+    this.looks = 0;
+    this.found = found;
+  }
+
+  override hasCapacity(): boolean {
+    return this.looks++ < this.found;
+  }
+
+  override slotCount(): number {
+    return 4;
+  }
+}
+
+test('capacity that is gone at a second look neither fails a request nor ends the process', async t => {
+  const clock = new ManualClock();
+  const capacity = new BriefCapacity(1);
+  const admission = new Admission({clock, capacity, maxQueued: 10});
+  let runs = 0;
+  const work = () => Promise.resolve(++runs);
+  const first = admission.run(requestOf(groupOf(1), 'one', 0), work, () => {});
+  capacity.offer(0);
+  const second = admission.run(requestOf(groupOf(1), 'one', 0), work, () => {});
+  const results = Promise.allSettled([first.done, second.done]);
+  capacity.offer(1);
+  t.notThrows(() => admission.dispatch());
+  capacity.offer(Infinity);
+  t.notThrows(() => admission.dispatch());
+  t.deepEqual(
+    (await results).map(({status}) => status),
+    ['fulfilled', 'fulfilled'],
+  );
+  t.is(runs, 2);
+  t.is(admission.waiting, 0);
+});
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -20,6 +20,12 @@
   readonly fields: Readonly<Record<string, unknown>>;
 }
 
+/** How a host is started, beside its settings. */
+export interface LaunchFlags {
+  readonly node?: readonly string[];
+  readonly program?: readonly string[];
+}
+
 /** Where a host can be found, over all its starts. */
 export interface HostPlace {
   readonly name: string;
@@ -27,6 +33,7 @@
   readonly readiness: string;
   /** Path of the settings file. */
   readonly settings: string;
+  readonly flags: LaunchFlags;
 }
 
 /** One host process. */
@@ -55,8 +62,8 @@
     return fleet;
   }
 
-  /** Starts an endpoint and enters it in the store. */
-  async endpoint(id: string): Promise<void> {
+  /** Starts an endpoint, which answers after a delay, and enters it in the store. */
+  async endpoint(id: string, delay = 0): Promise<void> {
     const server = createServer((message, response) => {
       message.resume();
       message.on('end', () => {
@@ -65,7 +72,7 @@
           'x-attempt-id': String(message.headers['x-attempt-id']),
           'x-response-seal': 'seal',
         });
-        response.end(id);
+        setTimeout(() => response.end(id), delay);
       });
     });
     this.servers.push(server);
@@ -134,6 +141,7 @@
     name: string,
     file?: string,
     store = this.site.address,
+    flags: LaunchFlags = {},
   ): Promise<HostProcess> {
     const [callers, readiness, control] = await Promise.all(
       [0, 1, 2].map(() => freeAddress()),
@@ -144,16 +152,23 @@
     const settings = this.settingsOf(name, callers, readiness, control, store);
     writeFileSync(path, file ?? JSON.stringify(settings));
     this.seeds.push(control);
-    return this.launch({name, callers, readiness, settings: path});
+    return this.launch({name, callers, readiness, settings: path, flags});
   }
 
   /** Starts a host anew on the settings that it had. */
-  restart({name, callers, readiness, settings}: HostProcess): HostProcess {
-    return this.launch({name, callers, readiness, settings});
+  restart({
+    name,
+    callers,
+    readiness,
+    settings,
+    flags,
+  }: HostProcess): HostProcess {
+    return this.launch({name, callers, readiness, settings, flags});
   }
 
   private launch(place: HostPlace): HostProcess {
-    const child = spawn(process.execPath, [PROGRAM], {
+    const {node = [], program = []} = place.flags;
+    const child = spawn(process.execPath, [...node, PROGRAM, ...program], {
       env: {PATH: process.env['PATH'], ARBUTUSSLIP_BOOT: place.settings},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
