Load the metrics library so that the bundle finds it, and keep its errors

Cause: prom-client is a CommonJS module. Imported by Node from source it shows its members by name, and so it does in the tests; imported from a chunk of the bundle it has a default export only. `new library.Registry()` threw inside a promise that nobody awaits, and Node ends a process on that.

Why this works: the default export is there both ways. A failure to format is answered with 500 and logged, since it concerns that one fetch.

--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -137,7 +137,7 @@
     this.feeder = this.gossip && this.createFeeder(this.gossip);
     this.callers = this.createCallerServer();
     this.readiness = createReadinessServer(() => this.state === 'serving');
-    this.metricsServer = createMetricsServer(metrics);
+    this.metricsServer = createMetricsServer(metrics, logger);
   }
 
   /**
--- a/source/edge/servers.ts
+++ b/source/edge/servers.ts
@@ -1,6 +1,7 @@
 /** HTTP servers for the load balancer's readiness probes and for metrics. */
 import {createServer, type Server} from 'node:http';
 
+import type {Logger} from '../logging/index.js';
 import {formatPrometheusMetrics, type Metrics} from '../metrics/index.js';
 
 /**
@@ -17,14 +18,22 @@
 
 /**
  * Creates the server that exposes the metrics in Prometheus text format, on any
- * path. Does not listen yet.
+ * path. Answers 500 where they cannot be formatted. Does not listen yet.
  */
-export function createMetricsServer(metrics: Metrics): Server {
+export function createMetricsServer(metrics: Metrics, logger: Logger): Server {
   return createServer((message, response) => {
     message.resume();
-    void formatPrometheusMetrics(metrics).then(text => {
-      response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
-      response.end(text);
-    });
+    formatPrometheusMetrics(metrics).then(
+      text => {
+        response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
+        response.end(text);
+      },
+      (error: unknown) => {
+        const detail = error instanceof Error ? (error.stack ?? '') : 'unknown';
+        logger.error('metrics-not-formatted', {detail});
+        response.writeHead(500, {'content-length': 0});
+        response.end();
+      },
+    );
   });
 }
--- a/source/metrics/prometheus.ts
+++ b/source/metrics/prometheus.ts
@@ -6,7 +6,10 @@
 const NAME_PREFIX = 'arbutusslip_';
 const QUANTILES = ['p50', 'p95', 'p99'] as const;
 
-/** prom-client, which is loaded only when metrics are first requested. */
+/**
+ * prom-client, which is loaded only when metrics are first requested. It is a
+ * CommonJS module: in a bundle its default export is the only one.
+ */
 type PromClient = typeof import('prom-client');
 
 /**
@@ -22,7 +25,7 @@
 export async function formatPrometheusMetrics(
   metrics: Metrics,
 ): Promise<string> {
-  const library = await import('prom-client');
+  const {default: library} = await import('prom-client');
   const registry = new library.Registry();
   const {counters, timings} = metrics.snapshot();
   const countersByName = new Map<string, Counter>();
