Give a metric the tags of all its series

Cause: the labels of a metric were those of its first series, and prom-client throws on a label that it was not told of.

Evidence: metrics › series of one name with other tags are shown together, failed before with `Added label "route" is not included in initial labelset`. No metric of the users' platform does this today; it was found from reading.

--- a/source/metrics/prometheus.ts
+++ b/source/metrics/prometheus.ts
@@ -1,7 +1,7 @@
 /** The metrics of a process in the text format that Prometheus scrapes. */
 import type {Counter, Gauge, Registry} from 'prom-client';
 
-import type {Metrics} from './metrics.js';
+import type {Metrics, Tags} from './metrics.js';
 
 const NAME_PREFIX = 'arbutusslip_';
 const QUANTILES = ['p50', 'p95', 'p99'] as const;
@@ -12,14 +12,22 @@
  */
 type PromClient = typeof import('prom-client');
 
+/** The series of one metric name. */
+interface Family<Series extends {readonly tags: Tags}> {
+  readonly name: string;
+  /** The tags of all series, each once. */
+  readonly tagNames: readonly string[];
+  readonly series: readonly Series[];
+}
+
 /**
  * Returns all counters and timings in the Prometheus text format. A timing is a
  * gauge of its quantiles in milliseconds, with the number of recorded durations
- * under the quantile `count`. The labels of a metric are those of its first
- * series.
+ * under the quantile `count`. The labels of a metric are the tags of all its
+ * series; a series without one of them lacks the label.
  *
  * ```ts
- * response.end(await expositionOf(metrics));
+ * response.end(await formatPrometheusMetrics(metrics));
  * ```
  */
 export async function formatPrometheusMetrics(
@@ -28,58 +36,62 @@
   const {default: library} = await import('prom-client');
   const registry = new library.Registry();
   const {counters, timings} = metrics.snapshot();
-  const countersByName = new Map<string, Counter>();
-  for (const {name, tags, value} of counters) {
-    const known = countersByName.get(name);
-    const counter =
-      known ?? createCounter(library, registry, name, Object.keys(tags));
-    countersByName.set(name, counter);
-    counter.inc(tags, value);
+  for (const family of familiesOf(counters)) {
+    const counter = createCounter(library, registry, family);
+    for (const {tags, value} of family.series) counter.inc(tags, value);
   }
-  const gaugesByName = new Map<string, Gauge>();
-  for (const {name, tags, ...statistics} of timings) {
-    const known = gaugesByName.get(name);
-    const gauge =
-      known ?? createGauge(library, registry, name, Object.keys(tags));
-    gaugesByName.set(name, gauge);
-    for (const quantile of QUANTILES) {
-      gauge.set({...tags, quantile}, statistics[quantile]);
+  for (const family of familiesOf(timings)) {
+    const gauge = createGauge(library, registry, family);
+    for (const {tags, ...statistics} of family.series) {
+      for (const quantile of QUANTILES) {
+        gauge.set({...tags, quantile}, statistics[quantile]);
+      }
+      gauge.set({...tags, quantile: 'count'}, statistics.count);
     }
-    gauge.set({...tags, quantile: 'count'}, statistics.count);
   }
   return registry.metrics();
 }
 
+/** Groups series by the name of their metric. */
+function familiesOf<
+  Series extends {readonly name: string; readonly tags: Tags},
+>(allSeries: readonly Series[]): Array<Family<Series>> {
+  const byName = new Map<string, Series[]>();
+  for (const series of allSeries) {
+    const known = byName.get(series.name);
+    if (known) known.push(series);
+    else byName.set(series.name, [series]);
+  }
+  return [...byName].map(([name, series]) => ({
+    name,
+    series,
+    tagNames: [...new Set(series.flatMap(({tags}) => Object.keys(tags)))],
+  }));
+}
+
 function createCounter(
   library: PromClient,
   registry: Registry,
-  name: string,
-  labelNames: string[],
+  {name, tagNames}: Family<{readonly tags: Tags}>,
 ): Counter {
-  const help = `${name}, since the start`;
-  const registers = [registry];
   return new library.Counter({
     name: `${prometheusNameFor(name)}_total`,
-    help,
-    labelNames,
-    registers,
+    help: `${name}, since the start`,
+    labelNames: [...tagNames],
+    registers: [registry],
   });
 }
 
 function createGauge(
   library: PromClient,
   registry: Registry,
-  name: string,
-  tags: string[],
+  {name, tagNames}: Family<{readonly tags: Tags}>,
 ): Gauge {
-  const help = `${name} in milliseconds, and how many`;
-  const labelNames = [...tags, 'quantile'];
-  const registers = [registry];
   return new library.Gauge({
     name: `${prometheusNameFor(name)}_milliseconds`,
-    help,
-    labelNames,
-    registers,
+    help: `${name} in milliseconds, and how many`,
+    labelNames: [...tagNames, 'quantile'],
+    registers: [registry],
   });
 }
 
--- a/test/metrics.test.ts
+++ b/test/metrics.test.ts
@@ -37,3 +37,15 @@
   t.is(timing?.count, 2);
   t.true((timing?.p99 ?? 0) >= 590_000);
 });
+
+test('series of one name with other tags are shown together', async t => {
+  const metrics = new Metrics();
+  metrics.count('retry', {reason: 'cut'});
+  metrics.count('retry', {reason: 'cut', route: 'drafts'}, 2);
+  metrics.time('answer', 5);
+  metrics.time('answer', 7, {route: 'drafts'});
+  const text = await formatPrometheusMetrics(metrics);
+  t.regex(text, /arbutusslip_retry_total\{reason="cut"\} 1/);
+  t.regex(text, /arbutusslip_retry_total\{reason="cut",route="drafts"\} 2/);
+  t.regex(text, /arbutusslip_answer_milliseconds\{quantile="count"\} 1/);
+});
