Start the request on which the size of the queue was based

What callers saw: 500 with `job is not a function` for a request that then ran all the same; and hosts that ended with code 1 one after the other under load, each with all requests that it had.

Cause: p-queue asks for the size and then takes a request. Both looked at the capacity, at two readings of the clock. Capacity goes with time alone: the host's share of the slots falls between two reports of the other hosts as its own demand decays, and when an ejection lapses, the endpoint that comes back, perhaps full, replaces the ejected ones that were used for want of others. So the size said one and the second look found none; p-queue called undefined. Out of `add` this rejected the new request, which stayed queued; out of a timer or a microtask it ended the process.

Why this works: the request that the reading of the size found is kept and is the one that p-queue gets in the same turn, so there is one decision at one time. Where it is no longer next, p-queue gets a function that does nothing. The queue is now walked once for each start, not twice.

--- a/source/admission/fairqueue.ts
+++ b/source/admission/fairqueue.ts
@@ -44,7 +44,13 @@
     this.addToHeap(request.team);
   }
 
-  /** Takes the next request. */
+  /** The next request; it stays in the queue. */
+  peek(): T | undefined {
+    const team = this.nextTeam();
+    return team === undefined ? undefined : this.teams.get(team)?.[0];
+  }
+
+  /** Takes the request that `peek` returns. */
   shift(): T | undefined {
     const team = this.nextTeam();
     const queued = team === undefined ? undefined : this.teams.get(team);
--- a/source/admission/queue.ts
+++ b/source/admission/queue.ts
@@ -56,23 +56,31 @@
     this.length++;
   }
 
-  /** Whether any request could start now. */
-  hasNext(now: number): boolean {
-    return this.length > 0 && this.nextQueue(now) !== undefined;
+  /**
+   * The next request that has capacity now; it stays queued. Capacity depends on
+   * time, so a later call may answer otherwise.
+   */
+  peek(now: number): Selection<T> | undefined {
+    if (this.length === 0) return undefined;
+    const next = this.nextQueue(now);
+    const request = next?.groupQueue.queue.peek();
+    return next && request && {request, byFloor: next.byFloor};
   }
 
   /**
-   * Takes the next request that has capacity and charges its team the
-   * estimate. Whoever takes one must call `settle` when it has ended.
+   * Takes the request that `peek` has just returned out of the queue and charges
+   * its team the estimate; returns false if it is no longer the next of its
+   * group. Whoever starts one must call `settle` when it has ended.
    *
    * ```ts
-   * const selection = queue.take(clock.monotonic());
+   * const selection = queue.peek(now);
+   * if (selection && queue.start(selection, now)) void run(selection.request);
    * ```
    */
-  take(now: number): Selection<T> | undefined {
-    const next = this.nextQueue(now);
-    const request = next?.groupQueue.queue.shift();
-    if (!next || !request) return undefined;
+  start({request}: Selection<T>, now: number): boolean {
+    const {queue} = this.groupQueue(request.group);
+    if (queue.peek() !== request) return false;
+    queue.shift();
     this.length--;
     const {pool, className} = request.group;
     this.counters(className).charge(
@@ -81,7 +89,13 @@
       request.weight,
     );
     this.floorTracker(pool).recordStart(className, request.estimate, now);
-    return {request, byFloor: next.byFloor};
+    return true;
+  }
+
+  /** Starts the next request that has capacity now. */
+  take(now: number): Selection<T> | undefined {
+    const selection = this.peek(now);
+    return selection && this.start(selection, now) ? selection : undefined;
   }
 
   /** Removes a request that will not start; returns whether it was queued. */
--- a/source/admission/runner.ts
+++ b/source/admission/runner.ts
@@ -1,7 +1,9 @@
 /**
  * Adapts the admission queue to p-queue, which runs the work. p-queue starts
  * work whenever its queue has any, so the queue reports a size of zero while
- * no request has capacity.
+ * no request has capacity. The request that made it report another size is the
+ * one that p-queue then gets: capacity may be gone at the next reading of the
+ * clock, and p-queue calls whatever it gets.
  */
 import PQueue, {type Queue, type QueueAddOptions} from 'p-queue';
 
@@ -11,6 +13,9 @@
 
 type RunFunction = () => Promise<unknown>;
 
+/** What p-queue gets when no request can start, since it calls what it gets. */
+const doNothing: RunFunction = () => Promise.resolve();
+
 /** A request with the function that p-queue made to run its work. */
 export interface Runnable extends AdmissionRequest {
   run?: RunFunction;
@@ -44,8 +49,12 @@
   onStart: (selection: Selection<T>) => void,
 ): Runner<T> {
   class QueueAdapter implements RunnableQueue<T> {
+    /** What the last reading of the size was based on. */
+    private next: Selection<T> | undefined;
+
     get size(): number {
-      return queue.hasNext(clock.monotonic()) ? queue.size : 0;
+      this.next = queue.peek(clock.monotonic());
+      return this.next ? queue.size : 0;
     }
 
     enqueue(run: RunFunction, options?: Partial<RunnableOptions<T>>): void {
@@ -55,11 +64,13 @@
       queue.push(request);
     }
 
-    dequeue(): RunFunction | undefined {
-      const selection = queue.take(clock.monotonic());
-      if (!selection) return undefined;
+    dequeue(): RunFunction {
+      const selection = this.next;
+      this.next = undefined;
+      const isStarted = selection && queue.start(selection, clock.monotonic());
+      if (!isStarted) return doNothing;
       onStart(selection);
-      return selection.request.run;
+      return selection.request.run ?? doNothing;
     }
 
     filter(): RunFunction[] {
