Answer the requests of a host that an uncaught error ends

Cause: Node's default for an error that nothing caught is to exit at once. Whatever the error was, all of the host's requests went with it.

Evidence: hostend › requests on kept connections are answered when an uncaught error ends their host, failed before with 0, 0, 0 for three requests that the endpoint had.

Why this works: the host drains as on SIGTERM: not ready, no new connections, the requests in progress to their end within the grace period, usage sealed; then it exits with code 1, so that the platform starts it anew. A drain that fails is logged and does not keep the process.

--- a/source/daemon/run.ts
+++ b/source/daemon/run.ts
@@ -13,6 +13,11 @@
 import {Host} from './host.js';
 
 const EXIT_SETTINGS = 2;
+/**
+ * Longest time that a host goes on with the requests that it holds after an
+ * error that nothing caught.
+ */
+const MAX_DRAIN_AFTER_ERROR_MILLISECONDS = 10_000;
 
 /**
  * Runs the daemon until a signal ends it.
@@ -46,7 +51,10 @@
     source: process,
     logger,
     load,
-    end: code => process.exit(code),
+    end: code => {
+      clock.after(MAX_DRAIN_AFTER_ERROR_MILLISECONDS, () => process.exit(code));
+      void host.drain().finally(() => process.exit(code));
+    },
   });
   await host.start();
   new LoadReporter({clock, logger, load}).start();
--- a/source/edge/run.ts
+++ b/source/edge/run.ts
@@ -31,7 +31,10 @@
 
 /**
  * Starts a host. Resolves once it has started; the host then runs until SIGTERM
- * or SIGINT, on which it drains and the process exits. A reload with invalid
+ * or SIGINT, on which it drains and the process exits, with code 0. An error that
+ * nothing caught does the same with code 1: the requests in progress still get
+ * their answers, but the host takes no new connections, since its state may be
+ * inconsistent. A reload with invalid
  * settings is logged and leaves the settings as they were. Throws a
  * SettingsError if the host cannot listen on an address.
  */
@@ -50,14 +53,24 @@
     clock.after(MAX_FLUSH_MILLISECONDS, () => process.exit(code));
     void sink.flush().then(() => process.exit(code));
   };
+  const drainAndExit = (code: number) => {
+    const failed = (error: unknown) => {
+      const detail = error instanceof Error ? (error.stack ?? '') : 'unknown';
+      logger.error('drain-failed', {detail});
+    };
+    void host
+      .drain()
+      .catch(failed)
+      .then(() => exit(code));
+  };
   const load = () => host.load;
-  endOnUncaughtError({source: process, logger, load, end: exit});
+  endOnUncaughtError({source: process, logger, load, end: drainAndExit});
   logger.info('start', {host: settings.name, zone: settings.zone});
   await host.start();
   new LoadReporter({clock, logger, load}).start();
-  const drainAndExit = (signal: string) => {
+  const stop = (signal: string) => {
     logger.info('stop', {signal});
-    void host.drain().then(() => exit(0));
+    drainAndExit(0);
   };
   const reload = () => {
     try {
@@ -69,6 +82,6 @@
     }
   };
   options.signals.onReload(reload);
-  process.on('SIGTERM', drainAndExit);
-  process.on('SIGINT', drainAndExit);
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
 }
--- a/source/process/uncaught.ts
+++ b/source/process/uncaught.ts
@@ -1,7 +1,7 @@
 /**
- * Ends a process on an error that nothing caught, with a log line that tells
- * which error it was and what ends with the process. Node's own message goes to
- * standard error, has no structure, and quotes a line of the bundle.
+ * Ends a process in order on an error that nothing caught. Without a handler Node
+ * ends it at once, with all requests that it holds, and says why in a message
+ * that has no structure and quotes a line of the bundle.
  */
 import type {EventEmitter} from 'node:events';
 
@@ -19,9 +19,9 @@
   /** Emits `uncaughtException`: the process, except in tests. */
   readonly source: EventEmitter;
   readonly logger: Logger;
-  /** The requests that end with the process. */
+  /** The requests that the process holds. */
   readonly load: () => Load;
-  /** Ends the process with an exit code. Called once. */
+  /** Ends the process with an exit code, in its own time. Called once. */
   readonly end: (exitCode: number) => void;
 }
 
@@ -30,7 +30,7 @@
  * the process on the first.
  *
  * ```ts
- * endOnUncaughtError({source: process, logger, load, end: code => exit(code)});
+ * endOnUncaughtError({source: process, logger, load, end: drainAndExit});
  * ```
  */
 export function endOnUncaughtError(options: UncaughtErrorOptions): void {
