Let a second signal to stop wait for the drain of the first

What callers saw: a host that was told to stop twice cut every request in progress. A platform that repeats SIGTERM, or a SIGTERM that reaches a host which drains after an uncaught error, does this.

Cause: the second call of drain() found the host draining and resolved at once, and whoever called it then ended the process.

Evidence: hostend › a second signal to stop does not cut the requests of a draining host, failed before with 0 for a request that the endpoint had.

Why this works: all calls resolve with the one drain.

--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -81,6 +81,7 @@
   private readonly readiness: Server;
   private readonly metricsServer: Server;
   private state = hostChart.initial;
+  private draining: Promise<void> = Promise.resolve();
   private cancelPulseBatch: Cancel | undefined;
   private cancelRedispatch: Cancel | undefined;
 
@@ -178,10 +179,16 @@
    * no more, then waits for the requests in progress, seals the usage and
    * leaves the leader election. Resolves when that is done, or shortly before
    * the platform kills the process, even if requests are still in progress.
-   * Does nothing while the host is starting or if it is draining or stopped.
+   * Further calls resolve with the first. Does nothing while the host is starting.
    */
-  async drain(): Promise<void> {
-    if (!hostChart.allows(this.state, 'drain')) return;
+  drain(): Promise<void> {
+    if (hostChart.allows(this.state, 'drain')) {
+      this.draining = this.drainAndStop();
+    }
+    return this.draining;
+  }
+
+  private async drainAndStop(): Promise<void> {
     this.transition('drain');
     this.gossip?.sendPulses();
     const {settings, clock} = this.parts;
--- a/test/hostend.test.ts
+++ b/test/hostend.test.ts
@@ -104,3 +104,18 @@
   t.is(await host.ended, 1);
   t.true(host.lines.some(({event}) => event === 'uncaught-error'));
 });
+
+test('a second signal to stop does not cut the requests of a draining host', async t => {
+  const {host, fleet} = await startHost(t, {}, 700);
+  const agent = new Agent({keepAlive: true});
+  t.teardown(() => agent.destroy());
+  const answer = readOn(agent, host);
+  await until(() => fleet.seen.get('register-1') === 1);
+  host.child.kill('SIGTERM');
+  await until(() =>
+    host.lines.some(({fields}) => fields['state'] === 'draining'),
+  );
+  host.child.kill('SIGTERM');
+  t.is(await answer, 200);
+  t.is(await host.ended, 0);
+});
