--- /dev/null
+++ b/source/forward/admission.ts
@@ -0,0 +1,65 @@
+/**
+ * What admission is told about a request: with which others it is scheduled, for
+ * how long it may be queued, and until when a start still meets its target.
+ */
+import type {AdmissionRequest} from '../admission/index.js';
+import type {Prompt} from '../balance/index.js';
+import type {AllowedRegions, Route} from '../routing/index.js';
+
+/** Share of the remaining time that a request may wait in the queue. */
+const MAX_QUEUE_TIME_SHARE = 0.6;
+/** Share of a service's starts that a route gets at least while it waits. */
+const MIN_ROUTE_SHARE = 0.05;
+/** Cost of a request without a prompt in the fair sharing between teams. */
+const PROMPTLESS_REQUEST_TOKENS = 100;
+
+/** A request that is about to wait for an endpoint. */
+export interface WaitingRequest {
+  readonly route: Route;
+  readonly service: string;
+  /** Name of the team; empty if there is none. */
+  readonly team: string;
+  /** Priority tier; 0 is served first. */
+  readonly tier: number;
+  readonly homes: AllowedRegions;
+  readonly prompt: Prompt | undefined;
+  /** Monotonic milliseconds. */
+  readonly arrived: number;
+  /** Monotonic milliseconds at which its final response is due. */
+  readonly deadline: number;
+}
+
+/**
+ * Returns what admission needs to know of a request that waits from `now` on.
+ *
+ * ```ts
+ * admission.run(admissionRequestFor(waiting, clock.monotonic()), work, preempt);
+ * ```
+ */
+export function admissionRequestFor(
+  waiting: WaitingRequest,
+  now: number,
+): AdmissionRequest {
+  const {route, service, team, tier, homes, prompt, arrived} = waiting;
+  const elapsed = now - arrived;
+  const timeLeft = Math.max(waiting.deadline - now, 0);
+  return {
+    group: {
+      pool: service,
+      className: route.name,
+      tier: tier + 1,
+      floorShare: MIN_ROUTE_SHARE,
+      cheapShare: 0,
+      repeatable: false,
+      homes,
+    },
+    team,
+    weight: 1,
+    estimate: prompt
+      ? prompt.tokens + prompt.output
+      : PROMPTLESS_REQUEST_TOKENS,
+    arrived,
+    bound: elapsed + timeLeft * MAX_QUEUE_TIME_SHARE,
+    prefix: '',
+  };
+}
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -25,6 +25,7 @@
 import type {RandomSource} from '../random/index.js';
 import {serviceFor, type RoutingTable} from '../routing/index.js';
 import {readBytes} from '../wire/index.js';
+import {admissionRequestFor} from './admission.js';
 import {CallerResponse} from './response.js';
 import {Attempt, AttemptFailure} from './attempt.js';
 import type {ConnectionPool} from './connections.js';
@@ -32,8 +33,6 @@
 import {refusalStatus, retryAfterSeconds} from './outcome.js';
 import type {Protocol} from './protocol.js';
 
-/** Share of the remaining time that a request may wait in the queue. */
-const MAX_QUEUE_TIME_SHARE = 0.6;
 /**
  * A request that may be retried goes to another endpoint when there has been no
  * response for this multiple of its route's target plus a multiple of the wait
@@ -44,10 +43,6 @@
 const FIRST_RESPONSE_EXPECTED_WAIT_FACTOR = 2;
 /** Sends that one request may make, those that did not run it included. */
 const MAX_SENDS = 4;
-/** Share of a service's starts that a route gets at least while it waits. */
-const MIN_ROUTE_SHARE = 0.05;
-/** Cost of a request without a prompt in the fair sharing between teams. */
-const PROMPTLESS_REQUEST_TOKENS = 100;
 
 /** What all requests of a host share. */
 export interface ForwarderParts {
@@ -339,28 +334,13 @@
   }
 
   private createAdmissionRequest(context: RequestContext): AdmissionRequest {
-    const {route, request, team, timeLeft, homes} = context;
-    const {prompt} = request;
-    const elapsed = this.parts.clock.monotonic() - context.arrived;
-    return {
-      group: {
-        pool: context.service,
-        className: route.name,
-        tier: context.tier + 1,
-        floorShare: MIN_ROUTE_SHARE,
-        cheapShare: 0,
-        repeatable: false,
-        homes,
-      },
-      team: team?.name ?? '',
-      weight: 1,
-      estimate: prompt
-        ? prompt.tokens + prompt.output
-        : PROMPTLESS_REQUEST_TOKENS,
-      arrived: context.arrived,
-      bound: elapsed + timeLeft * MAX_QUEUE_TIME_SHARE,
-      prefix: '',
-    };
+    const {route, service, tier, homes, arrived, deadline} = context;
+    const {prompt} = context.request;
+    const team = context.team?.name ?? '';
+    return admissionRequestFor(
+      {route, service, team, tier, homes, prompt, arrived, deadline},
+      this.parts.clock.monotonic(),
+    );
   }
 
   /** Whether the limit on retries allows one more for the request's service. */
