--- a/source/admission/fairqueue.ts
+++ b/source/admission/fairqueue.ts
@@ -100,7 +100,8 @@
         this.heap.pop();
         continue;
       }
-      if (item.counter >= this.counters.counter(item.team)) return item.team;
+      const hasRisen = item.counter < this.counters.counter(item.team);
+      if (!hasRisen) return item.team;
       this.heap.pop();
       this.addToHeap(item.team);
     }
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -79,12 +79,45 @@
 });
 
 test('a request with malformed token counts has no prompt', t => {
-  for (const counts of ['', 'many', '10', '-4,5']) {
+  const infinite = ['Infinity,5', '5,Infinity', '1e300,5', '5,1e999'];
+  for (const counts of ['', 'many', '10', '-4,5', ...infinite]) {
     const raw = ['X-Model', 'm', 'X-Token-Counts', counts];
     t.is(protocol.parseRequest(messageOf(raw)).prompt, undefined, counts);
   }
 });
 
+test('the size of a prompt is a finite number, whatever its other headers state', t => {
+  for (const stated of ['Infinity', '-Infinity', '1e300', '-1e300', 'NaN']) {
+    const prompt = protocol.parseRequest(
+      messageOf([
+        'X-Model',
+        'm',
+        'X-Token-Counts',
+        '1460,80',
+        'X-Length-Hint',
+        stated,
+        'X-Prefix-Hash',
+        `5c1e07a2:${stated},91bd3f06:410`,
+      ]),
+    ).prompt;
+    t.is(prompt?.output, 80, stated);
+    t.deepEqual(
+      prompt?.parts.map(({tokens}) => tokens),
+      [0, 410],
+      stated,
+    );
+  }
+});
+
+test('a load with numbers that are not finite is no load', t => {
+  for (const stated of ['Infinity,0,8', '0,1e300,8', '0,0,Infinity']) {
+    const {load} = protocol.parseResponseHead(
+      messageOf(['X-Server-Load', stated]),
+    );
+    t.is(load, undefined, stated);
+  }
+});
+
 test('the seal, the load and whether the request ran are parsed from a response', t => {
   const head = protocol.parseResponseHead(
     messageOf([
