Spread planned endpoints over zones without a loop over their count

What operators would see: the leader stops for good, with a whole core in use, when the demand that hosts report is very large. Each report is checked to be a finite number, but nothing bounds it or the sum.

Cause: spreadOverZones dealt endpoints out one at a time, so its time grew with the demand; for Infinity it never ended.

Evidence: "a demand without bound is planned at once, up to the maximum of each zone" did not end within 20 s before (killed); it passes now, with the other tests of the plan, one of them over 2,000 random inputs. Each zone's share is now computed: the zone at place i of n gets ceil((count - i) / n), which is what dealing out in order gave.

--- a/source/capacity/plan.ts
+++ b/source/capacity/plan.ts
@@ -187,12 +187,12 @@
   const zones = supplies
     .map(({zone}) => zone)
     .sort((one, other) => priceOf(one) - priceOf(other));
-  const shares = new Map<string, number>();
-  for (let assigned = 0; assigned < count; assigned++) {
-    const zone = zones[assigned % zones.length] ?? '';
-    shares.set(zone, (shares.get(zone) ?? 0) + 1);
-  }
-  return shares;
+  return new Map(
+    zones.map((zone, index) => [
+      zone,
+      Math.max(Math.ceil((count - index) / zones.length), 0),
+    ]),
+  );
 }
 
 function totalEndpoints(supplies: readonly ZoneSupply[]): number {
--- a/test/plan.test.ts
+++ b/test/plan.test.ts
@@ -161,3 +161,13 @@
   });
   holds(t, property, 2_000);
 });
+
+test('a demand without bound is planned at once, up to the maximum of each zone', t => {
+  for (const busy of [1e12, Number.MAX_VALUE, Infinity]) {
+    const plans = planZones(planInput({busy}));
+    const totals = plans.map(
+      ({onDemand, reclaimable}) => onDemand + reclaimable,
+    );
+    t.deepEqual(totals, [4, 4, 4]);
+  }
+});
