Treat every malformed answer of the store as a failed call

What operators saw: a host ended with code 1 and a TypeError, RangeError or SyntaxError when the store answered with something other than its pages say, such as `null`, a list without items or a proxy's page with status 410. One keyed record without content, which stays in the store, ended each host that followed the topic.

Cause: the store's client read fields of unchecked JSON and bytes beyond the end of a buffer. Its callers expect only a StoreError: they throw any other error on, within a promise that nobody awaits.

Evidence: "a host goes on when the store answers with ..." (host processes before a store that answers one kind of call wrongly) failed before in all of eight cases, each with exit code 1, and passes now.

A keyed record that ends before its key is left out, counted and logged as record-malformed with its offset, so that the topic is still followed.

--- a/source/store/follower.ts
+++ b/source/store/follower.ts
@@ -6,6 +6,7 @@
  */
 import type {Cancel, Clock} from '../clock/index.js';
 import type {Logger} from '../logging/index.js';
+import type {Metrics} from '../metrics/index.js';
 import type {RandomSource} from '../random/index.js';
 import {
   applyPage,
@@ -44,6 +45,7 @@
   readonly topic: string;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly random: RandomSource;
   /** Called with the records that changed the view, in their order. */
   readonly onChanges: (records: readonly KeyedRecord[]) => void;
@@ -146,6 +148,7 @@
       : wait + responseTimeout;
     const readOptions = {from: next, wait};
     const page = await store.readKeyed(topic, readOptions, timeout);
+    for (const offset of page.malformed ?? []) this.reportMalformed(offset);
     this.applyUpdate(applyPage(this.state, page));
   }
 
@@ -155,6 +158,12 @@
     if (changes.length > 0 && !this.stopped) this.options.onChanges(changes);
   }
 
+  private reportMalformed(offset: number): void {
+    const {logger, metrics, topic} = this.options;
+    metrics.count('record-malformed', {topic});
+    logger.warn('record-malformed', {topic, offset});
+  }
+
   private handleSuccess(): void {
     const {logger, topic} = this.options;
     if (this.failures > 0) {
--- a/source/store/store.ts
+++ b/source/store/store.ts
@@ -45,6 +45,8 @@
 export interface KeyedPage {
   readonly records: readonly KeyedRecord[];
   readonly end: number;
+  /** Offsets of records that could not be parsed and are left out. */
+  readonly malformed?: readonly number[];
 }
 
 /**
--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -2,13 +2,17 @@
  * Host processes go on after malformed input: of a caller, the store, an
  * endpoint, an operator or another host.
  */
-import {request} from 'node:http';
+import {createServer, request, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {setTimeout} from 'node:timers/promises';
 
 import test, {type ExecutionContext} from 'ava';
 
 import {EdgeFleet, type HostProcess} from './support/edgeprocess.js';
 
 const ANSWER_TIMEOUT_MILLISECONDS = 5_000;
+/** Time in which a host makes each kind of call to the store. */
+const STORE_CALLS_MILLISECONDS = 4_000;
 
 interface ServingHost {
   readonly fleet: EdgeFleet;
@@ -60,3 +64,104 @@
   t.is(await statusOf(host, prompt), 200);
   t.is(await statusOf(host), 200);
 });
+
+/** Answers calls to some path of the store, and hands on all others. */
+async function startOddStore(
+  t: ExecutionContext,
+  store: string,
+  path: string,
+  answer: Buffer,
+  status: number,
+): Promise<string> {
+  const server: Server = createServer((message, response) => {
+    if (message.url?.startsWith(path)) {
+      message.resume();
+      response.writeHead(status);
+      response.end(answer);
+      return;
+    }
+    const {method = 'GET', url = '/', headers} = message;
+    const handedOn = request(`http://${store}${url}`, {method, headers});
+    handedOn.on('error', () => response.destroy());
+    handedOn.on('response', reply => {
+      response.writeHead(reply.statusCode ?? 0, reply.headers);
+      reply.pipe(response);
+    });
+    message.pipe(handedOn);
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+const PAGE_HEADER = Buffer.alloc(16);
+const EMPTY_RECORD = Buffer.alloc(4);
+
+const ODD_ANSWERS: ReadonlyArray<{
+  readonly title: string;
+  readonly path: string;
+  readonly answer: string | Buffer;
+  readonly status?: number;
+}> = [
+  {
+    title: 'a list of newest records without its items',
+    path: '/-/log-newest',
+    answer: '{}',
+  },
+  {
+    title: 'newest records that are null',
+    path: '/-/log-newest',
+    answer: '{"items":[null],"truncated":false,"end":1}',
+  },
+  {
+    title: 'a page with an empty record',
+    path: '/-/log-read?topic=keyed.op',
+    answer: Buffer.concat([PAGE_HEADER, EMPTY_RECORD]),
+  },
+  {
+    title: 'a page that is shorter than its header',
+    path: '/-/log-read?topic=usage',
+    answer: 'x',
+  },
+  {
+    title: 'an expiry that is not JSON',
+    path: '/-/log-read?topic=usage',
+    answer: '<html>',
+    status: 410,
+  },
+  {
+    title: 'a place in a group that is null',
+    path: '/-/log-join',
+    answer: 'null',
+  },
+  {
+    title: 'a place in a group without partitions',
+    path: '/-/log-join',
+    answer: '{"generation":1}',
+  },
+  {
+    title: 'a confirmation of an append that is null',
+    path: '/-/log-append',
+    answer: 'null',
+  },
+];
+
+for (const {title, path, answer, status = 200} of ODD_ANSWERS) {
+  test(`a host goes on when the store answers with ${title}`, async t => {
+    const fleet = await EdgeFleet.start(t);
+    await fleet.endpoint('register-1');
+    fleet.configure(['key']);
+    const {address} = fleet.site;
+    const bytes = Buffer.from(answer);
+    const store = await startOddStore(t, address, path, bytes, status);
+    const host = await fleet.host('host-1', undefined, store);
+    await setTimeout(STORE_CALLS_MILLISECONDS);
+    t.is(host.child.exitCode, null);
+    t.not(await statusOf(host), 0);
+  });
+}
