Check addresses where they come in, as Node throws on a port that is none

What operators saw: a host ended with code 1 and `RangeError [ERR_SOCKET_BAD_PORT]` after it had received one pulse whose sender stated an address such as 127.0.0.1:99999. Requests to an endpoint whose entry has such an address, or an id that no header can hold, were answered 500 with `request-failed`, and the endpoint was chosen again. With such a port in its settings file a host ended with a stack trace in place of the name of the field.

Cause: net.connect and http.request throw at once on a port over 65535 and on a header with other characters. A gossip node connects to its members from a timer, where nothing catches that; the address was any text.

Evidence: "a host goes on after a pulse from an address to which Node connects no socket" (a host process) failed before with exit code 1; three cases in protocol.test.ts failed before, as such entries and settings were accepted.

Addresses in gossip, in endpoints' entries and in the settings are now checked to be an IP address and a port from 1 to 65535, ids to be printable ASCII. An entry that is not is malformed: logged, counted, and no endpoint to use. A message that does not match its schema is now logged too, with the field.

--- a/source/directory/entry.ts
+++ b/source/directory/entry.ts
@@ -1,12 +1,17 @@
 /** The entry that an endpoint keeps in the store. */
 import * as z from 'zod';
 
+import {addressSchema} from '../wire/index.js';
+
+/** Characters that an id may have, as it is sent as the value of a header. */
+const ID_PATTERN = /^[\x21-\x7e]+$/;
+
 /** An endpoint's entry at the time when it was read. */
 export const endpointEntrySchema = z.object({
   /** Identifies one incarnation of one endpoint. */
-  id: z.string(),
+  id: z.string().regex(ID_PATTERN, 'must be printable ASCII'),
   service: z.string(),
-  address: z.string(),
+  address: addressSchema,
   zone: z.string(),
   slots: z.number(),
   leaving: z.boolean(),
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -5,6 +5,7 @@
 import * as z from 'zod';
 
 import {sheetSchema} from '../platform/index.js';
+import {addressSchema} from '../wire/index.js';
 
 /** The name, address and incarnation of a host. */
 export const hostAddressSchema = z.object({
@@ -14,7 +15,7 @@
    * incarnation.
    */
   started: z.number(),
-  address: z.string(),
+  address: addressSchema,
   zone: z.string(),
 });
 export type HostAddress = z.infer<typeof hostAddressSchema>;
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -339,7 +339,10 @@
   private handleMessage(value: unknown): void {
     const parsed = gossipSchema.safeParse(value);
     if (!parsed.success) {
+      const [issue] = parsed.error.issues;
+      const detail = `${issue?.path.join('.')}: ${issue?.message}`;
       this.options.metrics.count('gossip-malformed');
+      this.options.logger.warn('gossip-malformed', {detail});
       return;
     }
     const message = parsed.data;
--- /dev/null
+++ b/source/wire/address.ts
@@ -0,0 +1,28 @@
+/** Addresses that come from outside: they are checked before a connection is made. */
+import {isIP} from 'node:net';
+
+import * as z from 'zod';
+
+import {partsOf} from './listen.js';
+
+const MAX_PORT = 65_535;
+
+/**
+ * Whether a text is an IP address and a port to connect to. Node throws when it
+ * is asked to connect to a port that is none.
+ *
+ * ```ts
+ * isAddress('10.0.0.1:80'); // true
+ * isAddress('10.0.0.1:99999'); // false
+ * ```
+ */
+export function isAddress(text: string): boolean {
+  const {host, port} = partsOf(text);
+  const isPort = Number.isInteger(port) && port > 0 && port <= MAX_PORT;
+  return isPort && isIP(host) !== 0;
+}
+
+/** An IP address and a port to connect to. */
+export const addressSchema = z
+  .string()
+  .refine(isAddress, 'must be an IP address and a port, such as 10.0.0.1:80');
--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -3,16 +3,20 @@
  * endpoint, an operator or another host.
  */
 import {createServer, request, type Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {connect, type AddressInfo} from 'node:net';
 import {setTimeout} from 'node:timers/promises';
 
 import test, {type ExecutionContext} from 'ava';
 
+import {encodeFrame} from '../source/peers/index.js';
+import {partsOf} from '../source/wire/index.js';
 import {EdgeFleet, type HostProcess} from './support/edgeprocess.js';
 
 const ANSWER_TIMEOUT_MILLISECONDS = 5_000;
 /** Time in which a host makes each kind of call to the store. */
 const STORE_CALLS_MILLISECONDS = 4_000;
+/** Time in which a host sends several pulses. */
+const GOSSIP_PERIODS_MILLISECONDS = 1_000;
 
 interface ServingHost {
   readonly fleet: EdgeFleet;
@@ -165,3 +169,31 @@
     t.not(await statusOf(host), 0);
   });
 }
+
+test('a host goes on after a pulse from an address to which Node connects no socket', async t => {
+  const {host} = await startServing(t);
+  const socket = connect(partsOf(host.control));
+  socket.on('error', () => {});
+  t.teardown(() => socket.destroy());
+  const address = '127.0.0.1:99999';
+  socket.write(
+    encodeFrame({
+      kind: 'pulse',
+      from: {name: 'host-2', started: 1, address, zone: 'palermo'},
+      sequence: 1,
+      heard: 0,
+      period: 200,
+      leaving: false,
+      positions: [],
+      uses: [],
+      work: [],
+      unreachable: [],
+      kept: [],
+      sheets: [],
+      hosts: [],
+    }),
+  );
+  await setTimeout(GOSSIP_PERIODS_MILLISECONDS);
+  t.is(host.child.exitCode, null);
+  t.is(await statusOf(host), 200);
+});
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -11,6 +11,16 @@
 import {PlatformRecordReader} from '../platform/reader.js';
 import {SettingsError} from '../source/errors/index.js';
 
+function endpointText(address: string): string {
+  return JSON.stringify({
+    service: 's',
+    address,
+    zone: 'z',
+    slots: 8,
+    state: 'ready',
+  });
+}
+
 const protocol = new PlatformProtocol();
 const reader = new PlatformRecordReader();
 
@@ -180,7 +190,11 @@
     kind: 'entry',
     entry: {leaving: true, coldFor: 400, born: 12, reclaimable: true},
   });
-  for (const text of ['', '[]', '{"state":"asleep"}']) {
+  const texts = ['', '[]', '{"state":"asleep"}'];
+  for (const address of ['10.0.0.1:99999', '10.0.0.1:0', '10.0.0:80', ':80']) {
+    texts.push(endpointText(address));
+  }
+  for (const text of texts) {
     const value = Buffer.from(text || ' ');
     t.is(
       reader.parseEndpointRecord({key: 'i-2', value, offset: 6}).kind,
@@ -189,6 +203,13 @@
   }
 });
 
+test('an endpoint whose id no header can hold is malformed', t => {
+  const value = Buffer.from(endpointText('10.0.0.1:80'));
+  for (const key of ['', 'i 1', 'i\n1', 'i–1']) {
+    t.is(reader.parseEndpointRecord({key, value, offset: 1}).kind, 'malformed');
+  }
+});
+
 test('an error for invalid settings names the field', t => {
   const path = join(mkdtempSync(join(tmpdir(), 'arbutusslip-')), 'file.json');
   t.throws(() => openPlatform({}), {instanceOf: SettingsError});
@@ -197,4 +218,10 @@
     instanceOf: SettingsError,
     message: /listen/,
   });
+  const listen = {front: '127.0.0.1:99999', readiness: '127.0.0.1:1'};
+  writeFileSync(path, JSON.stringify({nodeId: 'one', zone: 'z', listen}));
+  t.throws(() => openPlatform({ARBUTUSSLIP_BOOT: path}), {
+    instanceOf: SettingsError,
+    message: /listen\.front/,
+  });
 });
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -25,6 +25,7 @@
   readonly name: string;
   readonly callers: string;
   readonly readiness: string;
+  readonly control: string;
   /** Path of the settings file. */
   readonly settings: string;
 }
@@ -91,8 +92,15 @@
     });
   }
 
-  /** Publishes a configuration with these keys of the one team, and its homes. */
-  configure(keys: readonly string[], homes: readonly string[] = []): void {
+  /**
+   * Publishes a configuration with these keys of the one team, and its homes.
+   * Changes may replace whole sections of it.
+   */
+  configure(
+    keys: readonly string[],
+    homes: readonly string[] = [],
+    changes: object = {},
+  ): void {
     this.configured += 3;
     this.site.put('keyed.op', 'config', {
       version: this.configured,
@@ -121,6 +129,7 @@
       tenants: [
         {name: 'guides', apiKeys: keys, priority: 1, allowedRegions: homes},
       ],
+      ...changes,
     });
   }
 
@@ -144,12 +153,13 @@
     const settings = this.settingsOf(name, callers, readiness, control, store);
     writeFileSync(path, file ?? JSON.stringify(settings));
     this.seeds.push(control);
-    return this.launch({name, callers, readiness, settings: path});
+    return this.launch({name, callers, readiness, control, settings: path});
   }
 
   /** Starts a host anew on the settings that it had. */
-  restart({name, callers, readiness, settings}: HostProcess): HostProcess {
-    return this.launch({name, callers, readiness, settings});
+  restart(host: HostProcess): HostProcess {
+    const {name, callers, readiness, control, settings} = host;
+    return this.launch({name, callers, readiness, control, settings});
   }
 
   private launch(place: HostPlace): HostProcess {
