--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -10,13 +10,15 @@
 
 import {encodeFrame} from '../source/peers/index.js';
 import {partsOf} from '../source/wire/index.js';
-import {EdgeFleet, type HostProcess} from './support/edgeprocess.js';
+import {EdgeFleet, until, type HostProcess} from './support/edgeprocess.js';
 
 const ANSWER_TIMEOUT_MILLISECONDS = 5_000;
 /** Time in which a host makes each kind of call to the store. */
 const STORE_CALLS_MILLISECONDS = 4_000;
 /** Time in which a host sends several pulses. */
 const GOSSIP_PERIODS_MILLISECONDS = 1_000;
+/** Time in which a host probes an endpoint more than once. */
+const PROBE_PERIODS_MILLISECONDS = 1_500;
 
 interface ServingHost {
   readonly fleet: EdgeFleet;
@@ -197,3 +199,19 @@
   t.is(host.child.exitCode, null);
   t.is(await statusOf(host), 200);
 });
+
+test('a host goes on when a health path has characters that no request may have', async t => {
+  const {fleet, host} = await startServing(t);
+  const service = {name: 'register', healthPath: '/health of engines'};
+  fleet.configure(['other'], [], {services: [service]});
+  await until(async () => (await statusOf(host)) === 401);
+  fleet.enter('register-1', '127.0.0.1:1', 'ready');
+  const isTried = () =>
+    host.lines.some(({event}) => event === 'attempt-failed');
+  await until(async () => {
+    await fleet.read(host, 'other');
+    return isTried();
+  });
+  await setTimeout(PROBE_PERIODS_MILLISECONDS);
+  t.is(host.child.exitCode, null);
+});
