Reject a configuration with a timeout that Node's HTTP server refuses

What operators saw: after a configuration with an `idleTimeoutMs` of -5000, each host ended with code 1 and `RangeError [ERR_OUT_OF_RANGE] ... "msecs"` at the first answer on a kept connection, and again after each restart.

Cause: the idle timeout is set on the server as it is; Node starts a timer with it when a response has been sent, and throws there if it is negative.

Evidence: "a host goes on when a configuration has an idle timeout below 0" (a host process) failed before, since the host had ended; "a configuration with a timeout that the HTTP server refuses is malformed" failed before with kind `routing`.

The two timeouts must now be from 0 to the longest that a timer takes. Such a configuration is malformed as others are: counted, logged with the field, and the one before it stays in force.

--- a/source/routing/table.ts
+++ b/source/routing/table.ts
@@ -97,12 +97,17 @@
 });
 export type Team = z.infer<typeof teamSchema>;
 
+/** Node's timers take no longer durations. */
+const MAX_TIMEOUT_MILLISECONDS = 2_147_483_647;
+/** Node's HTTP server throws on an idle timeout below 0. */
+const timeoutSchema = z.number().min(0).max(MAX_TIMEOUT_MILLISECONDS);
+
 /** Limits on the size of requests and on the time that callers may take. */
 export const limitsSchema = z.object({
   headerBytes: z.number(),
   bodyBytes: z.number(),
-  headerMilliseconds: z.number(),
-  idleMilliseconds: z.number(),
+  headerMilliseconds: timeoutSchema,
+  idleMilliseconds: timeoutSchema,
 });
 export type Limits = z.infer<typeof limitsSchema>;
 
--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -2,7 +2,7 @@
  * Host processes go on after malformed input: of a caller, the store, an
  * endpoint, an operator or another host.
  */
-import {createServer, request, type Server} from 'node:http';
+import {Agent, createServer, request, type Server} from 'node:http';
 import {connect, type AddressInfo} from 'node:net';
 import {setTimeout} from 'node:timers/promises';
 
@@ -19,6 +19,8 @@
 const GOSSIP_PERIODS_MILLISECONDS = 1_000;
 /** Time in which a host probes an endpoint more than once. */
 const PROBE_PERIODS_MILLISECONDS = 1_500;
+/** Time in which a configuration comes into force. */
+const CONFIGURATION_MILLISECONDS = 3_000;
 
 interface ServingHost {
   readonly fleet: EdgeFleet;
@@ -38,12 +40,13 @@
 function statusOf(
   {callers}: HostProcess,
   headers: Readonly<Record<string, string>> = {},
+  agent: Agent | false = false,
 ): Promise<number> {
   return new Promise(resolve => {
     const sent = request(
       `http://${callers}/read/1`,
       {
-        agent: false,
+        agent,
         signal: AbortSignal.timeout(ANSWER_TIMEOUT_MILLISECONDS),
         headers: {
           host: 'register.example',
@@ -215,3 +218,19 @@
   await setTimeout(PROBE_PERIODS_MILLISECONDS);
   t.is(host.child.exitCode, null);
 });
+
+test('a host goes on when a configuration has an idle timeout below 0', async t => {
+  const {fleet, host} = await startServing(t);
+  const limits = {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 4_194_304,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: -5_000,
+  };
+  fleet.configure(['key'], [], {limits});
+  await setTimeout(CONFIGURATION_MILLISECONDS);
+  const agent = new Agent({keepAlive: true});
+  t.teardown(() => agent.destroy());
+  t.is(await statusOf(host, {}, agent), 200);
+  t.is(await statusOf(host), 200);
+});
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -210,6 +210,25 @@
   }
 });
 
+test('a configuration with a timeout that the HTTP server refuses is malformed', t => {
+  for (const idleTimeoutMs of [-1, 1e15]) {
+    const limits = {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs,
+    };
+    const wire = {version: 1, routes: [], services: [], limits};
+    const value = Buffer.from(JSON.stringify(wire));
+    const {kind} = reader.parseOperatorRecord({
+      key: 'config',
+      value,
+      offset: 1,
+    });
+    t.is(kind, 'malformed');
+  }
+});
+
 test('an error for invalid settings names the field', t => {
   const path = join(mkdtempSync(join(tmpdir(), 'arbutusslip-')), 'file.json');
   t.throws(() => openPlatform({}), {instanceOf: SettingsError});
