Make a leader's calls fail, not the host, when Node refuses a header

What operators saw: a host whose name has a character that Latin-1 lacks, such as `host–1`, ended with code 1 and `TypeError [ERR_INVALID_CHAR]` at its first call as the leader; the next leader then did the same if its name was alike.

Cause: the name is a header of the call. http.request throws on such a value, and callGuarded calls it in the listener for the connection, outside the promise.

--- a/source/wire/guarded.ts
+++ b/source/wire/guarded.ts
@@ -3,8 +3,8 @@
  * its socket is connected, so a check before the request proves nothing: here
  * the connection is made first, and the check and the write are one step.
  */
-import {request} from 'node:http';
-import {connect} from 'node:net';
+import {request, type ClientRequest} from 'node:http';
+import {connect, type Socket} from 'node:net';
 
 import {WireError} from '../errors/index.js';
 import type {Call} from './call.js';
@@ -34,17 +34,8 @@
     });
     socket.on('error', fail);
     socket.once('connect', () => {
-      const outgoing = request({
-        method: call.method,
-        path: call.path,
-        headers: {
-          host: call.address,
-          'content-type': 'application/json',
-          connection: 'close',
-          ...call.headers,
-        },
-        createConnection: () => socket,
-      });
+      const outgoing = createRequest(call, socket, fail);
+      if (!outgoing) return;
       outgoing.once('error', fail);
       outgoing.once('response', answer => {
         answer.resume();
@@ -63,3 +54,30 @@
     });
   });
 }
+
+/**
+ * Creates the request on a connected socket. Node throws if a header or the path
+ * has characters that it does not send; then this calls `fail`.
+ */
+function createRequest(
+  {address, method, path, headers}: Call,
+  socket: Socket,
+  fail: (error: Error) => void,
+): ClientRequest | undefined {
+  try {
+    return request({
+      method,
+      path,
+      headers: {
+        host: address,
+        'content-type': 'application/json',
+        connection: 'close',
+        ...headers,
+      },
+      createConnection: () => socket,
+    });
+  } catch (error) {
+    fail(error instanceof Error ? error : new Error('unknown'));
+    return undefined;
+  }
+}
--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -234,3 +234,16 @@
   t.is(await statusOf(host, {}, agent), 200);
   t.is(await statusOf(host), 200);
 });
+
+test('a host whose name Latin-1 lacks goes on when it leads', async t => {
+  const fleet = await EdgeFleet.start(t);
+  await fleet.endpoint('register-1');
+  fleet.configure(['key']);
+  const host = await fleet.host('host–1');
+  await fleet.ready(host);
+  t.is(await statusOf(host), 200);
+  await until(
+    () => fleet.site.duties.length > 0 || host.child.exitCode !== null,
+  );
+  t.is(host.child.exitCode, null);
+});
