--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -1,5 +1,5 @@
 /** Parsing of the platform's headers, records and settings, valid and malformed. */
-import type {IncomingMessage} from 'node:http';
+import {validateHeaderValue, type IncomingMessage} from 'node:http';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -229,6 +229,20 @@
   }
 });
 
+test('a team name that Latin-1 lacks is sent as UTF-8', t => {
+  const request = protocol.parseRequest(messageOf([]));
+  const headers = protocol.requestHeaders(request, {
+    endpoint: 'i-1',
+    team: 'Città – 東京',
+    tier: 0,
+    timeLeft: 1_000,
+    lastEvent: undefined,
+  });
+  const value = headers[headers.indexOf('x-tenant') + 1] ?? '';
+  t.notThrows(() => validateHeaderValue('x-tenant', value));
+  t.is(Buffer.from(value, 'latin1').toString(), 'Città – 東京');
+});
+
 test('an error for invalid settings names the field', t => {
   const path = join(mkdtempSync(join(tmpdir(), 'arbutusslip-')), 'file.json');
   t.throws(() => openPlatform({}), {instanceOf: SettingsError});
