--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -1,5 +1,5 @@
 /** Parsing of the platform's headers, records and settings, valid and malformed. */
-import type {IncomingMessage} from 'node:http';
+import {validateHeaderValue, type IncomingMessage} from 'node:http';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -11,6 +11,16 @@
 import {PlatformRecordReader} from '../platform/reader.js';
 import {SettingsError} from '../source/errors/index.js';
 
+function endpointText(address: string): string {
+  return JSON.stringify({
+    service: 's',
+    address,
+    zone: 'z',
+    slots: 8,
+    state: 'ready',
+  });
+}
+
 const protocol = new PlatformProtocol();
 const reader = new PlatformRecordReader();
 
@@ -79,12 +89,45 @@
 });
 
 test('a request with malformed token counts has no prompt', t => {
-  for (const counts of ['', 'many', '10', '-4,5']) {
+  const infinite = ['Infinity,5', '5,Infinity', '1e300,5', '5,1e999'];
+  for (const counts of ['', 'many', '10', '-4,5', ...infinite]) {
     const raw = ['X-Model', 'm', 'X-Token-Counts', counts];
     t.is(protocol.parseRequest(messageOf(raw)).prompt, undefined, counts);
   }
 });
 
+test('the size of a prompt is a finite number, whatever its other headers state', t => {
+  for (const stated of ['Infinity', '-Infinity', '1e300', '-1e300', 'NaN']) {
+    const prompt = protocol.parseRequest(
+      messageOf([
+        'X-Model',
+        'm',
+        'X-Token-Counts',
+        '1460,80',
+        'X-Length-Hint',
+        stated,
+        'X-Prefix-Hash',
+        `5c1e07a2:${stated},91bd3f06:410`,
+      ]),
+    ).prompt;
+    t.is(prompt?.output, 80, stated);
+    t.deepEqual(
+      prompt?.parts.map(({tokens}) => tokens),
+      [0, 410],
+      stated,
+    );
+  }
+});
+
+test('a load with numbers that are not finite is no load', t => {
+  for (const stated of ['Infinity,0,8', '0,1e300,8', '0,0,Infinity']) {
+    const {load} = protocol.parseResponseHead(
+      messageOf(['X-Server-Load', stated]),
+    );
+    t.is(load, undefined, stated);
+  }
+});
+
 test('the seal, the load and whether the request ran are parsed from a response', t => {
   const head = protocol.parseResponseHead(
     messageOf([
@@ -147,7 +190,11 @@
     kind: 'entry',
     entry: {leaving: true, coldFor: 400, born: 12, reclaimable: true},
   });
-  for (const text of ['', '[]', '{"state":"asleep"}']) {
+  const texts = ['', '[]', '{"state":"asleep"}'];
+  for (const address of ['10.0.0.1:99999', '10.0.0.1:0', '10.0.0:80', ':80']) {
+    texts.push(endpointText(address));
+  }
+  for (const text of texts) {
     const value = Buffer.from(text || ' ');
     t.is(
       reader.parseEndpointRecord({key: 'i-2', value, offset: 6}).kind,
@@ -156,6 +203,46 @@
   }
 });
 
+test('an endpoint whose id no header can hold is malformed', t => {
+  const value = Buffer.from(endpointText('10.0.0.1:80'));
+  for (const key of ['', 'i 1', 'i\n1', 'i–1']) {
+    t.is(reader.parseEndpointRecord({key, value, offset: 1}).kind, 'malformed');
+  }
+});
+
+test('a configuration with a timeout that the HTTP server refuses is malformed', t => {
+  for (const idleTimeoutMs of [-1, 1e15]) {
+    const limits = {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs,
+    };
+    const wire = {version: 1, routes: [], services: [], limits};
+    const value = Buffer.from(JSON.stringify(wire));
+    const {kind} = reader.parseOperatorRecord({
+      key: 'config',
+      value,
+      offset: 1,
+    });
+    t.is(kind, 'malformed');
+  }
+});
+
+test('a team name that Latin-1 lacks is sent as UTF-8', t => {
+  const request = protocol.parseRequest(messageOf([]));
+  const headers = protocol.requestHeaders(request, {
+    endpoint: 'i-1',
+    team: 'Città – 東京',
+    tier: 0,
+    timeLeft: 1_000,
+    lastEvent: undefined,
+  });
+  const value = headers[headers.indexOf('x-tenant') + 1] ?? '';
+  t.notThrows(() => validateHeaderValue('x-tenant', value));
+  t.is(Buffer.from(value, 'latin1').toString(), 'Città – 東京');
+});
+
 test('an error for invalid settings names the field', t => {
   const path = join(mkdtempSync(join(tmpdir(), 'arbutusslip-')), 'file.json');
   t.throws(() => openPlatform({}), {instanceOf: SettingsError});
@@ -164,4 +251,10 @@
     instanceOf: SettingsError,
     message: /listen/,
   });
+  const listen = {front: '127.0.0.1:99999', readiness: '127.0.0.1:1'};
+  writeFileSync(path, JSON.stringify({nodeId: 'one', zone: 'z', listen}));
+  t.throws(() => openPlatform({ARBUTUSSLIP_BOOT: path}), {
+    instanceOf: SettingsError,
+    message: /listen\.front/,
+  });
 });
