Let a complete answer stand when more bytes follow it

Callers got 502 for a request that an endpoint had answered in full, when the endpoint sent further bytes in the same read: node's parser reports them as an error of the request, and the pool passed every error on to the response, complete or not, which destroyed it.

An error after the message is complete now leaves the message alone; node has destroyed the connection already, so it isn't used again.

Evidence: 'endless bytes after a complete answer close the connection, and the answer stands' got 502 for 200 before. The other tests of the file held before: heads of endless status line, header line, header lines and bytes that are no HTTP end at node's limit of a head (502, connection closed), and bodies of endless chunks and of bytes without a length end at the limit of a body.

--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -149,8 +149,10 @@
       sent.once('response', message => {
         stopWatching();
         // Without this, a reset would look like the end of a response that has
-        // no content length.
-        sent.on('error', error => message.destroy(error));
+        // no content length. Bytes after a complete response are no part of it.
+        sent.on('error', error => {
+          if (!message.complete) message.destroy(error);
+        });
         resolve({message, isComplete: completenessCheck(message)});
       });
       sent.on('error', fail);
--- /dev/null
+++ b/test/endless.test.ts
@@ -0,0 +1,113 @@
+/**
+ * Endpoints whose heads and bodies never end: what a request, its caller and the
+ * host's memory get to feel of it (invariants 10 to 12).
+ */
+import test from 'ava';
+
+import {
+  endless,
+  sealedHead,
+  type EndlessBytes,
+  type SentBytes,
+} from './support/endless.js';
+import {ForwarderFixture, type ReceivedRequest} from './support/forwarding.js';
+
+/** The route's timeout, in milliseconds. */
+const TIMEOUT = 1_000;
+/** What the sockets of both ends may buffer. */
+const SOCKET_BUFFERS = 8_388_608;
+const FILLER = 'x'.repeat(65_536);
+
+interface EndlessHead extends EndlessBytes {
+  readonly what: string;
+}
+
+const HEADS: readonly EndlessHead[] = [
+  {what: 'status line', head: 'HTTP/1.1 200 ', part: FILLER, pause: 0},
+  {what: 'header line', head: 'HTTP/1.1 200 OK\r\na: ', part: FILLER, pause: 0},
+  {
+    what: 'header lines',
+    head: 'HTTP/1.1 200 OK\r\n',
+    part: 'name: value\r\n'.repeat(5_000),
+    pause: 0,
+  },
+  {what: 'bytes that are no HTTP', head: '', part: FILLER, pause: 0},
+];
+
+for (const head of HEADS) {
+  test(`endless ${head.what}, fast, in place of a head fail the attempt at once`, async t => {
+    const sent: SentBytes = {count: 0};
+    const fixture = await ForwarderFixture.start(t, {timeout: TIMEOUT}, [
+      endless(() => head, sent),
+    ]);
+    const startedAt = performance.now();
+    const reply = await fixture.send();
+    t.is(reply.status, 502);
+    t.true(performance.now() - startedAt < TIMEOUT);
+    await fixture.until(() => fixture.received[0]?.closed === true);
+    t.true(sent.count < SOCKET_BUFFERS);
+    t.true(fixture.logLines.some(({event}) => event === 'attempt-failed'));
+  });
+}
+
+const CHUNKED = 'transfer-encoding: chunked';
+const CHUNK = `10000\r\n${FILLER}\r\n`;
+
+interface EndlessBody extends Omit<EndlessBytes, 'head'> {
+  readonly what: string;
+  readonly lines: readonly string[];
+  /** First bytes of the body. */
+  readonly begin: string;
+}
+
+function bytesOf(
+  {lines, begin, part, pause}: EndlessBody,
+  received: ReceivedRequest,
+): EndlessBytes {
+  return {head: sealedHead(received, lines) + begin, part, pause};
+}
+
+const BODIES: readonly EndlessBody[] = [
+  {what: 'chunks', lines: [CHUNKED], begin: '', part: CHUNK, pause: 0},
+  {
+    what: 'bytes without a length',
+    lines: ['connection: close'],
+    begin: '',
+    part: FILLER,
+    pause: 0,
+  },
+];
+
+for (const body of BODIES) {
+  test(`a body of endless ${body.what} fails the attempt and closes the connection`, async t => {
+    const sent: SentBytes = {count: 0};
+    const fixture = await ForwarderFixture.start(t, {timeout: TIMEOUT * 4}, [
+      endless(received => bytesOf(body, received), sent),
+    ]);
+    const reply = await fixture.send();
+    t.is(reply.status, 502);
+    await fixture.until(() => fixture.received[0]?.closed === true);
+    t.true(sent.count < 16_777_216 + SOCKET_BUFFERS);
+    t.true(fixture.logLines.some(({event}) => event === 'attempt-failed'));
+  });
+}
+
+test('endless bytes after a complete answer close the connection, and the answer stands', async t => {
+  const sent: SentBytes = {count: 0};
+  const fixture = await ForwarderFixture.start(t, {repeatable: true}, [
+    endless(
+      received => ({
+        head: `${sealedHead(received, ['content-length: 2'])}ok`,
+        part: FILLER,
+        pause: 0,
+      }),
+      sent,
+    ),
+  ]);
+  const reply = await fixture.send();
+  t.is(reply.status, 200);
+  t.is(reply.body, 'ok');
+  t.true(reply.whole);
+  await fixture.until(() => fixture.received[0]?.closed === true);
+  t.true(sent.count < SOCKET_BUFFERS);
+});
