Notice a response that fails in the same turn as its head

A caller waited until its deadline and got 504 where an endpoint's body failed in the same read as its head (chunk extensions or trailers over node's limit, bytes that are no chunk): the response emits 'error' and 'close' on the next tick, and its reader sets its listeners after a promise, which is later. Nothing ended the wait but the deadline, so no other endpoint was tried and the endpoint wasn't judged.

readWhole and the relaying of streams now look at the state of the message once their listeners are set.

Evidence: 'a body of endless chunk extensions', 'a body of endless trailers' got 504 for 502, and 'a stream that becomes no HTTP right after its head' too.

--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -249,6 +249,11 @@
         fail('cut', 'ended'),
       );
       restartIdleTimer();
+      // It may have failed together with its head, before the listeners were
+      // set.
+      if (message.destroyed && !message.complete) {
+        fail('cut', message.errored?.message ?? 'the connection is closed');
+      }
     });
   }
 
--- a/source/relay/whole.ts
+++ b/source/relay/whole.ts
@@ -51,5 +51,9 @@
     body.on('error', error => fail('cut', error.message));
     body.on('close', () => fail('cut', 'connection is closed'));
     const stopWatching = signal.onAbort(() => fail('cut', 'aborted'));
+    // It may have failed together with its head, before the listeners were set.
+    if (body.destroyed && !body.complete) {
+      fail('cut', body.errored?.message ?? 'connection is closed');
+    }
   });
 }
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -76,6 +76,20 @@
     part: FILLER,
     pause: 0,
   },
+  {
+    what: 'chunk extensions',
+    lines: [CHUNKED],
+    begin: '1;',
+    part: FILLER,
+    pause: 0,
+  },
+  {
+    what: 'trailers',
+    lines: [CHUNKED],
+    begin: '1\r\nx\r\n0\r\n',
+    part: 'name: value\r\n'.repeat(5_000),
+    pause: 0,
+  },
 ];
 
 for (const body of BODIES) {
@@ -111,3 +125,17 @@
   await fixture.until(() => fixture.received[0]?.closed === true);
   t.true(sent.count < SOCKET_BUFFERS);
 });
+
+test('a stream that becomes no HTTP right after its head fails at once', async t => {
+  const route = {streaming: true, timeout: TIMEOUT * 4};
+  const fixture = await ForwarderFixture.start(t, route, [
+    endless(received => ({
+      head: sealedHead(received, [CHUNKED]),
+      part: 'no chunk\r\n',
+      pause: 0,
+    })),
+  ]);
+  const reply = await fixture.send();
+  t.is(reply.status, 502);
+  await fixture.until(() => fixture.received[0]?.closed === true);
+});
