Fail an attempt whose endpoint answers 101

A caller got no answer at all, not even at its deadline, and the request kept its place at the endpoint and in the admission queue without end: node hands a 101 to 'upgrade' and, where nobody listens, closes the socket without 'response' or 'error', so the promise of the attempt never settled, and the final answer waits for it.

The pool now takes 'upgrade' for a failure at stage write (it may have run), and a request that is closed in any other way without a response too.

--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -112,6 +112,7 @@
       endpointRequest;
     return new Promise((resolve, reject) => {
       let connected = false;
+      let responded = false;
       let stopTimer: Cancel = () => {};
       const sent = request({
         ...partsOf(address),
@@ -147,6 +148,7 @@
         });
       });
       sent.once('response', message => {
+        responded = true;
         stopWatching();
         // Without this, a reset would look like the end of a response that has
         // no content length. Bytes after a complete response are no part of it.
@@ -155,7 +157,14 @@
         });
         resolve({message, isComplete: completenessCheck(message)});
       });
+      sent.once('upgrade', (_, socket) => {
+        socket.destroy();
+        fail(new Error('the response switches protocols'));
+      });
       sent.on('error', fail);
+      sent.once('close', () => {
+        if (!responded) fail(new Error('the connection is closed'));
+      });
     });
   }
 
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -50,6 +50,19 @@
   });
 }
 
+test('an answer that switches protocols and never ends fails the attempt at once', async t => {
+  const fixture = await ForwarderFixture.start(t, {timeout: TIMEOUT}, [
+    endless(() => ({
+      head: 'HTTP/1.1 101 Switching\r\nupgrade: any\r\nconnection: upgrade\r\n\r\n',
+      part: FILLER,
+      pause: 0,
+    })),
+  ]);
+  const reply = await fixture.send();
+  t.is(reply.status, 502);
+  await fixture.until(() => fixture.received[0]?.closed === true);
+});
+
 const CHUNKED = 'transfer-encoding: chunked';
 const CHUNK = `10000\r\n${FILLER}\r\n`;
 
