Bound the bytes before the head of a response is complete

A caller waited until its deadline (504) while an endpoint sent informational responses or empty lines without end, and a core was busy parsing them: node limits each head, but neither the number of 1xx nor the empty lines before a head.

The pool counts what a connection receives until the head is there, and gives the attempt up at 64 KiB, four of node's largest heads.

Evidence: 'endless informational responses, fast' and 'endless empty lines, fast' got 504 for 502.

--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -19,6 +19,13 @@
 /** Time after which an idle connection is closed. */
 const IDLE_TIMEOUT_MILLISECONDS = 4_000;
 
+/**
+ * Most that an endpoint may send before the head of its response is complete.
+ * Node limits each head, but neither their number, where they are
+ * informational, nor the empty lines before one.
+ */
+const MAX_HEAD_BYTES = 65_536;
+
 /** A request to an endpoint. */
 export interface EndpointRequest {
   /** IP address and port, such as `127.0.0.1:80`. */
@@ -125,6 +132,7 @@
       const fail = (error: Error) => {
         stopTimer();
         stopWatching();
+        stopCounting();
         const stage = connected ? 'write' : 'connect';
         reject(new WireError(stage, `${address} ${error.message}`));
       };
@@ -137,7 +145,11 @@
         connected = true;
         sent.end(body);
       };
+      let stopCounting = () => {};
       sent.once('socket', (socket: Socket) => {
+        stopCounting = limitBytes(socket, MAX_HEAD_BYTES, () =>
+          sent.destroy(new Error('the head of the response is too large')),
+        );
         if (!socket.connecting) return write();
         stopTimer = this.clock.after(CONNECT_TIMEOUT_MILLISECONDS, () =>
           sent.destroy(new Error('does not accept connections')),
@@ -150,6 +162,7 @@
       sent.once('response', message => {
         responded = true;
         stopWatching();
+        stopCounting();
         // Without this, a reset would look like the end of a response that has
         // no content length. Bytes after a complete response are no part of it.
         sent.on('error', error => {
@@ -178,6 +191,27 @@
   }
 }
 
+/**
+ * Calls back once when a connection has received more than `limit` bytes from
+ * now on. Returns a function that stops the count.
+ */
+function limitBytes(
+  socket: Socket,
+  limit: number,
+  onExceeded: () => void,
+): () => void {
+  let received = 0;
+  const count = (bytes: Buffer) => {
+    received += bytes.length;
+    if (received <= limit) return;
+    stop();
+    onExceeded();
+  };
+  const stop = () => socket.removeListener('data', count);
+  socket.on('data', count);
+  return stop;
+}
+
 /** Returns the `isComplete` of a response; call it when its head has come. */
 function completenessCheck(
   message: IncomingMessage,
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -31,6 +31,13 @@
     part: 'name: value\r\n'.repeat(5_000),
     pause: 0,
   },
+  {
+    what: 'informational responses',
+    head: '',
+    part: 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(2_000),
+    pause: 0,
+  },
+  {what: 'empty lines', head: '', part: '\r\n'.repeat(32_768), pause: 0},
   {what: 'bytes that are no HTTP', head: '', part: FILLER, pause: 0},
 ];
 
