Bound the reading of bodies that nobody needs

An endpoint that refused a request (X-Not-Executed) or answered a health check with a body that never ends was read for as long as it sent: the response was resumed and left alone, without a bound of bytes or time, after the timer of the attempt or of the probe had been stopped. Each such answer kept a connection and the processor busy. A health check counted as passed though its answer never ended.

--- a/source/edge/prober.ts
+++ b/source/edge/prober.ts
@@ -7,7 +7,11 @@
 import type {Cancel, Clock} from '../clock/index.js';
 import type {KnownEndpoint} from '../directory/index.js';
 import {WireError} from '../errors/index.js';
-import type {ConnectionPool, Protocol} from '../forward/index.js';
+import {
+  discardBody,
+  type ConnectionPool,
+  type Protocol,
+} from '../forward/index.js';
 import type {Logger} from '../logging/index.js';
 
 const PROBE_INTERVAL_MILLISECONDS = 500;
@@ -73,9 +77,11 @@
     const isOpen = () => true;
     try {
       const {message} = await connections.send({...request, isOpen}, timeout);
-      message.resume();
+      timeout.onAbort(() => message.destroy());
+      const isComplete = await discardBody(message, clock);
       const {status, endpoint: answering} = protocol.parseResponseHead(message);
-      return status === HEALTHY_STATUS && (answering ?? id) === id;
+      const isHealthy = status === HEALTHY_STATUS && isComplete;
+      return isHealthy && (answering ?? id) === id;
     } catch (error) {
       // Not logged: the endpoint was logged when it became unreachable.
       if (error instanceof WireError) return false;
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -12,6 +12,7 @@
 import type {Metrics} from '../metrics/index.js';
 import type {ConnectionPool, EndpointResponse} from './connections.js';
 import type {RequestContext} from './context.js';
+import {discardBody} from './discard.js';
 import {EventSplitter} from './events.js';
 import type {ResponseHead, Protocol} from './protocol.js';
 
@@ -144,7 +145,7 @@
     const head = parts.protocol.parseResponseHead(message);
     if (head.notRun) {
       if (head.misdirected) reservation.unreachable();
-      message.resume();
+      void discardBody(message, parts.clock);
       throw new AttemptFailure('status', `status ${head.status}`, true);
     }
     if (!head.sealed || head.id !== context.request.id) {
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -2,15 +2,28 @@
  * Endpoints whose heads and bodies never end: what a request, its caller and the
  * host's memory get to feel of it (invariants 10 to 12).
  */
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
 import test from 'ava';
 
+import {PlatformProtocol} from '../platform/protocol.js';
+import {EndpointSelector} from '../source/balance/index.js';
+import {SystemClock} from '../source/clock/index.js';
+import {Prober} from '../source/edge/prober.js';
+import {ConnectionPool} from '../source/forward/index.js';
 import {
   endless,
+  sendEndlessly,
   sealedHead,
   type EndlessBytes,
   type SentBytes,
 } from './support/endless.js';
-import {ForwarderFixture, type ReceivedRequest} from './support/forwarding.js';
+import {
+  createEndpoint,
+  ForwarderFixture,
+  type ReceivedRequest,
+} from './support/forwarding.js';
 
 /** The route's timeout, in milliseconds. */
 const TIMEOUT = 1_000;
@@ -159,3 +172,85 @@
   t.is(reply.status, 502);
   await fixture.until(() => fixture.received[0]?.closed === true);
 });
+
+test('a refusal by the endpoint with an endless body is not read on', async t => {
+  const sent: SentBytes = {count: 0};
+  const fixture = await ForwarderFixture.start(t, {}, [
+    endless(
+      received => ({
+        head: sealedHead(received, [CHUNKED, 'x-not-executed: 1'], '503 Full'),
+        part: CHUNK,
+        pause: 0,
+      }),
+      sent,
+    ),
+  ]);
+  const reply = await fixture.send();
+  t.is(reply.status, 503);
+  const startedAt = performance.now();
+  await fixture.until(
+    () =>
+      fixture.received.every(({closed}) => closed) ||
+      performance.now() - startedAt > TIMEOUT,
+  );
+  t.true(fixture.received.every(({closed}) => closed));
+  t.true(sent.count < SOCKET_BUFFERS);
+});
+
+for (const pause of [0, 20]) {
+  const pace = pause === 0 ? 'fast' : 'slow';
+  test(`a health check whose answer never ends, ${pace}, is closed and does not pass`, async t => {
+    const sent: SentBytes = {count: 0};
+    let opened = 0;
+    let closed = 0;
+    const server = createServer((_, {socket}) => {
+      if (!socket) return;
+      opened++;
+      socket.on('close', () => closed++);
+      const head = `HTTP/1.1 200 OK\r\n${CHUNKED}\r\n\r\n`;
+      sendEndlessly(socket, {head, part: CHUNK, pause}, sent);
+    });
+    t.teardown(() => {
+      server.closeAllConnections();
+      server.close();
+    });
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const {port} = server.address() as AddressInfo;
+    const clock = new SystemClock();
+    const selector = new EndpointSelector({
+      host: 'host-1',
+      zone: 'palermo',
+      clock,
+      regions: {},
+    });
+    const service = {name: 'drafting', healthPath: '/health', coldRate: 0};
+    selector.setServices(new Map([['drafting', service]]));
+    const endpoint = createEndpoint('engine-0', `127.0.0.1:${port}`);
+    selector.setDirectory(new Map([['engine-0', endpoint]]));
+    const unreachable = selector.reserve({
+      service: 'drafting',
+      prompt: undefined,
+      failedEndpoints: new Set(),
+    });
+    unreachable?.unreachable();
+    unreachable?.release();
+    const prober = new Prober({
+      selector,
+      connections: new ConnectionPool(clock),
+      protocol: new PlatformProtocol(),
+      clock,
+      logger: {debug() {}, info() {}, warn() {}, error() {}},
+    });
+    prober.start();
+    t.teardown(() => prober.stop());
+    await new Promise(resolve => setTimeout(resolve, 1_600));
+    prober.stop();
+    t.is(selector.unreachableEndpoints().length, 1);
+    t.true(opened >= 2);
+    await new Promise(resolve => setTimeout(resolve, 500));
+    t.is(closed, opened);
+    t.true(sent.count < opened * SOCKET_BUFFERS);
+  });
+}
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -260,7 +260,8 @@
   }
 }
 
-function createEndpoint(id: string, address: string): KnownEndpoint {
+/** Returns an endpoint as a host knows it. */
+export function createEndpoint(id: string, address: string): KnownEndpoint {
   return {
     entry: {
       id,
