Bound an event, and judge a stream by its events

An endpoint that sent an event without end (no blank line) filled the host's memory until the caller's deadline, copied anew with each read; one that sent nothing but comments counted as answering: the caller got a head and comments, and no other endpoint was tried, before the first event or after one.

EventSplitter says when its incomplete event is over 256 KiB, and the attempt fails as malformed; bytes are searched once. What has no field is no event: it isn't counted, doesn't stop the wait for the first event, doesn't restart the 1 s after which a resumable stream goes on elsewhere, and isn't sent on before the first event, since the head goes with it.

Evidence, failed before: 'an event that never ends fails the attempt before it fills the memory' and 'endless comments before the first event' and 'after an event'. Held before: a slow endless event (504 at the route's timeout), endless events (broken off at the route's timeout, connection closed).

--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -2,8 +2,6 @@
  * One attempt of a request at one endpoint. A response that is not a stream is
  * buffered until it is complete; a stream is relayed event by event.
  */
-import type {IncomingMessage} from 'node:http';
-
 import type {Reservation} from '../balance/index.js';
 import {Cancellation, type CancellationSignal} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
@@ -219,14 +217,29 @@
           () => fail('between-events', 'the stream is silent'),
         );
       };
+      /** Pauses the endpoint while the caller lags. */
+      const pause = () => {
+        message.pause();
+        answer.onDrain(() => message.resume());
+      };
       message.on('data', (bytes: Buffer) => {
-        restartIdleTimer();
         const events = splitter.push(bytes);
-        if (events.length === 0 || finished) return;
-        this.relayEvents(events, head, message);
+        if (finished) return;
+        if (splitter.count > 0) {
+          restartIdleTimer();
+          this.recordFirstEvent();
+        }
+        // Comments do not begin a response, so that another endpoint can.
+        if (events.length > 0 && (splitter.count > 0 || answer.isHeadSent)) {
+          answer.sendStreamHead(head);
+          if (!answer.write(events)) pause();
+        }
         context.lastEvent = splitter.lastId;
         context.delivered += splitter.count;
         splitter.count = 0;
+        if (splitter.isEventTooLarge) {
+          fail('malformed', 'an event is too large');
+        }
       });
       const end = (complete: boolean) => {
         if (finished) return;
@@ -258,25 +271,14 @@
     });
   }
 
-  /** Sends events to the caller, pausing the endpoint while the caller lags. */
-  private relayEvents(
-    events: Buffer,
-    head: ResponseHead,
-    message: IncomingMessage,
-  ): void {
-    const {parts} = this;
+  private recordFirstEvent(): void {
+    const {clock, metrics} = this.parts;
     const {context} = this.spec;
-    const {answer} = context;
     this.stopFirstResponseTimer();
-    if (context.firstByteAt === 0) {
-      context.firstByteAt = parts.clock.monotonic();
-      const first = context.firstByteAt - context.arrived;
-      parts.metrics.time('first-event', first, {route: context.route.name});
-    }
-    answer.sendStreamHead(head);
-    if (answer.write(events)) return;
-    message.pause();
-    answer.onDrain(() => message.resume());
+    if (context.firstByteAt !== 0) return;
+    context.firstByteAt = clock.monotonic();
+    const first = context.firstByteAt - context.arrived;
+    metrics.time('first-event', first, {route: context.route.name});
   }
 }
 
--- a/source/forward/events.ts
+++ b/source/forward/events.ts
@@ -4,8 +4,13 @@
  * can resume the stream after the last complete event.
  */
 
-const SEPARATOR = '\n\n';
+const LINE_FEED = 0x0a;
+/** Longest end of an event that can still be incomplete. */
+const MAX_PARTIAL_END_BYTES = 1;
+const COMMENT_PREFIX = ':';
 const ID_FIELD = 'id:';
+/** Largest incomplete event that is buffered. */
+const MAX_EVENT_BYTES = 262_144;
 
 /** Splits one endpoint's stream and tracks the id of its last event. */
 export class EventSplitter {
@@ -14,7 +19,10 @@
    * was given to the constructor.
    */
   lastId: string | undefined;
-  /** Events that were returned since the count was last set to 0. */
+  /**
+   * Events that were returned since the count was last set to 0; comments are
+   * returned, but not counted.
+   */
   count = 0;
   private remainder: Buffer = Buffer.alloc(0);
 
@@ -31,6 +39,11 @@
     return this.remainder.length > 0;
   }
 
+  /** Whether the incomplete event is larger than any that is to be expected. */
+  get isEventTooLarge(): boolean {
+    return this.remainder.length > MAX_EVENT_BYTES;
+  }
+
   /**
    * Takes the next bytes of the stream and returns the events that are now
    * complete. In a resumed stream, leaves out events whose id is not above the
@@ -42,6 +55,7 @@
    * ```
    */
   push(bytes: Buffer): Buffer {
+    const searched = this.remainder.length - MAX_PARTIAL_END_BYTES;
     const all =
       this.remainder.length > 0
         ? Buffer.concat([this.remainder, bytes])
@@ -49,9 +63,8 @@
     const events: Buffer[] = [];
     let begin = 0;
     for (;;) {
-      const found = all.indexOf(SEPARATOR, begin);
-      if (found < 0) break;
-      const end = found + SEPARATOR.length;
+      const end = findEventEnd(all, Math.max(begin, searched));
+      if (end < 0) break;
       const event = all.subarray(begin, end);
       if (this.accept(event)) events.push(event);
       begin = end;
@@ -63,7 +76,8 @@
 
   /** Counts an event; returns false for one that the caller already has. */
   private accept(event: Buffer): boolean {
-    const id = eventId(event);
+    const {id, isComment} = parseEvent(event);
+    if (isComment) return true;
     if (id === undefined) {
       this.count++;
       return true;
@@ -75,11 +89,36 @@
   }
 }
 
-function eventId(event: Buffer): string | undefined {
+/** What decides whether an event is passed on. */
+interface ParsedEvent {
+  readonly id: string | undefined;
+  /** Whether it has no field. */
+  readonly isComment: boolean;
+}
+
+function parseEvent(event: Buffer): ParsedEvent {
+  let isComment = true;
   for (const line of event.toString('latin1').split('\n')) {
-    if (line.startsWith(ID_FIELD)) return line.slice(ID_FIELD.length).trim();
+    if (line.startsWith(ID_FIELD)) {
+      return {id: line.slice(ID_FIELD.length).trim(), isComment: false};
+    }
+    if (!line.startsWith(COMMENT_PREFIX) && line.trim() !== '') {
+      isComment = false;
+    }
+  }
+  return {id: undefined, isComment};
+}
+
+/**
+ * Returns the index after the blank line that ends the first event, or -1.
+ */
+function findEventEnd(bytes: Buffer, from: number): number {
+  let lineEnd = bytes.indexOf(LINE_FEED, from);
+  while (lineEnd >= 0) {
+    if (bytes[lineEnd + 1] === LINE_FEED) return lineEnd + 2;
+    lineEnd = bytes.indexOf(LINE_FEED, lineEnd + 1);
   }
-  return undefined;
+  return -1;
 }
 
 function isLaterId(id: string, last: string | undefined): boolean {
