Recognize events whose lines end with CRLF

A stream whose lines end with a carriage return and a line feed, as the format of event streams allows, had no end of an event for the splitter: the caller got nothing of it, the host kept all of it, and the request failed.

The end of an event is a line feed followed by an empty line with either ending.

Evidence: 'a stream whose lines end with a carriage return and a line feed is relayed event by event' got no event before.

--- a/source/forward/events.ts
+++ b/source/forward/events.ts
@@ -5,8 +5,9 @@
  */
 
 const LINE_FEED = 0x0a;
-/** Longest end of an event that can still be incomplete. */
-const MAX_PARTIAL_END_BYTES = 1;
+const CARRIAGE_RETURN = 0x0d;
+/** Longest end of an event that can still be incomplete: `\n\r`. */
+const MAX_PARTIAL_END_BYTES = 2;
 const COMMENT_PREFIX = ':';
 const ID_FIELD = 'id:';
 /** Largest incomplete event that is buffered. */
@@ -111,11 +112,15 @@
 
 /**
  * Returns the index after the blank line that ends the first event, or -1.
+ * Lines end with a line feed, with or without a carriage return before it.
  */
 function findEventEnd(bytes: Buffer, from: number): number {
   let lineEnd = bytes.indexOf(LINE_FEED, from);
   while (lineEnd >= 0) {
-    if (bytes[lineEnd + 1] === LINE_FEED) return lineEnd + 2;
+    const next = bytes[lineEnd + 1];
+    if (next === LINE_FEED) return lineEnd + 2;
+    const isBlankLine = next === CARRIAGE_RETURN;
+    if (isBlankLine && bytes[lineEnd + 2] === LINE_FEED) return lineEnd + 3;
     lineEnd = bytes.indexOf(LINE_FEED, lineEnd + 1);
   }
   return -1;
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -352,3 +352,16 @@
   t.true(performance.now() - startedAt < RESPONSE_DUE);
   await fixture.until(() => fixture.received[0]?.closed === true);
 });
+
+test('a stream whose lines end with a carriage return and a line feed is relayed event by event', async t => {
+  const fixture = await ForwarderFixture.start(t, STREAM, [
+    (received, response) => {
+      response.writeHead(200, sealHeaders(received));
+      response.write('id: 1\r\ndata: a\r\n\r');
+      setTimeout(() => response.write('\nid: 2\r\ndata: b\r\n\r\n'), 20);
+    },
+  ]);
+  const reply = await fixture.send();
+  t.is(reply.body, 'id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n');
+  t.false(reply.whole);
+});
