Don't take a caller that lags for an endpoint that is silent

While a caller doesn't read, the endpoint is paused, which is right and holds the memory. But the time without data kept running: after 1 s the attempt at a resumable stream failed as silent, the endpoint was counted as failed and the stream was resumed at another, which read the prompt again for a caller that still didn't read.

The timer stops with the pause and starts again with it. The deadline still ends the request and closes both connections.

Evidence: 'a caller that does not read holds the endpoint back, is not taken for its silence, and ends at the route's timeout' failed before.

--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -219,8 +219,13 @@
       };
       /** Pauses the endpoint while the caller lags. */
       const pause = () => {
+        stopIdleTimer();
         message.pause();
-        answer.onDrain(() => message.resume());
+        answer.onDrain(() => {
+          if (finished) return;
+          restartIdleTimer();
+          message.resume();
+        });
       };
       message.on('data', (bytes: Buffer) => {
         const events = splitter.push(bytes);
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -365,3 +365,20 @@
   t.is(reply.body, 'id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n');
   t.false(reply.whole);
 });
+
+test('a caller that does not read holds the endpoint back, is not taken for its silence, and ends at the route’s timeout', async t => {
+  const sent: SentBytes = {count: 0};
+  const route = {...STREAM, timeout: 2_500, resumable: true, attempts: 2};
+  const event = `data: ${FILLER}\n\n`;
+  const fixture = await ForwarderFixture.start(t, route, [
+    endless(streamOf('id: 1\ndata: a\n\n', event, 0), sent),
+    endless(streamOf('id: 1\ndata: a\n\n', event, 0), sent),
+  ]);
+  const startedAt = performance.now();
+  await fixture.sendWithoutReading();
+  const duration = performance.now() - startedAt;
+  t.true(duration > 2_000 && duration < 2_900);
+  t.is(fixture.received.length, 1);
+  t.true(sent.count < 4 * SOCKET_BUFFERS);
+  await fixture.until(() => fixture.received[0]?.closed === true);
+});
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -9,7 +9,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {connect, type AddressInfo} from 'node:net';
 
 import type {ExecutionContext} from 'ava';
 
@@ -169,6 +169,25 @@
     sent.destroy();
   }
 
+  /**
+   * Sends a request and reads nothing of the response. Resolves once the
+   * forwarder has logged its outcome.
+   */
+  async sendWithoutReading(): Promise<void> {
+    const [host = '', port = ''] = this.address.split(':');
+    const socket = connect(Number(port), host);
+    socket.pause();
+    socket.on('error', () => {});
+    socket.write(
+      `GET /drafts/new HTTP/1.1\r\nhost: ${ROUTE.host}\r\n` +
+        `authorization: Bearer ${KEY}\r\nx-attempt-id: idle\r\n\r\n`,
+    );
+    await this.until(() =>
+      this.logLines.some(({event}) => event === 'request'),
+    );
+    socket.destroy();
+  }
+
   /** Resolves when the condition is true; checks it every 5 ms. */
   async until(condition: () => boolean): Promise<void> {
     while (!condition()) await new Promise(resolve => setTimeout(resolve, 5));
