Judge an endpoint that has sent part of an answer by the deadline

An endpoint that sent a head or body a byte at a time without end was never judged: the deadline ended the attempt, and a failure after that was neither recorded nor logged, so that each further request there waited for its whole timeout too, and the record had no line of it.

An attempt now knows whether bytes came that make no response (an incomplete head, a body that hasn't ended, a stream without an event). An endpoint that has sent nothing, or whose stream has events, isn't blamed: it may be waiting in its queue. Bytes that are no response are stage malformed, no longer write.

Evidence, failed before: 'endless status line', 'header line', 'informational responses' and 'empty lines, slow', 'a slow endless body ends at the route's timeout and counts as a failure' and 'a slow event that never ends counts as a failure' had no such line. Held: 'an endpoint that is only late with its response is not counted as failed at the deadline', 'an endpoint whose bodies never end gets two of thirty requests at most' (by its failure rate).

--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -70,12 +70,22 @@
   /** Aborted when the request is over or the first response is overdue. */
   private readonly cancellation = new Cancellation();
   private stopFirstResponseTimer: Cancel = () => {};
+  private partial = false;
 
   constructor(
     private readonly spec: AttemptSpec,
     private readonly parts: AttemptParts,
   ) {}
 
+  /**
+   * Whether the endpoint has sent bytes that do not yet make a response: an
+   * incomplete head or body, or a stream without an event. Waiting for a
+   * response that is late gives none.
+   */
+  get hasPartialResponse(): boolean {
+    return this.partial;
+  }
+
   /**
    * Sends the request and relays the response; resolves when the caller has
    * been sent all of it. Throws an AttemptFailure.
@@ -95,6 +105,7 @@
       context.possibleRuns++;
     } catch (error) {
       const failure = toAttemptFailure(error);
+      if (failure.stage === 'malformed') this.partial = true;
       const provenNotRun = failure.notRun || failure.stage === 'connect';
       if (!provenNotRun) context.possibleRuns++;
       throw failure;
@@ -157,6 +168,7 @@
       return;
     }
     this.stopFirstResponseTimer();
+    message.once('data', () => (this.partial = true));
     await this.relayBuffered(response, head);
   }
 
@@ -175,6 +187,7 @@
     if (!(await isComplete())) {
       throw new AttemptFailure('cut', 'the answer is cut short', false);
     }
+    this.partial = false;
     if (head.status >= MIN_SERVER_ERROR_STATUS) {
       const detail = `status ${head.status}`;
       throw new AttemptFailure('status', detail, false, {head, body});
@@ -230,7 +243,9 @@
       message.on('data', (bytes: Buffer) => {
         const events = splitter.push(bytes);
         if (finished) return;
+        if (context.delivered === 0) this.partial = true;
         if (splitter.count > 0) {
+          this.partial = false;
           restartIdleTimer();
           this.recordFirstEvent();
         }
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -105,7 +105,7 @@
   /**
    * Sends a request and resolves with the response once its head has come.
    * Throws a WireError; its stage is `connect` only if nothing of the request
-   * was sent. The signal is observed until the head has come, not after.
+   * was sent, and `malformed` if bytes came that are no response. The signal is observed until the head has come, not after.
    *
    * ```ts
    * const {message} = await connections.send(endpointRequest, signal);
@@ -132,8 +132,9 @@
       const fail = (error: Error) => {
         stopTimer();
         stopWatching();
-        stopCounting();
-        const stage = connected ? 'write' : 'connect';
+        const hasBytes = stopCounting() > 0;
+        const sentStage = hasBytes ? 'malformed' : 'write';
+        const stage = connected ? sentStage : 'connect';
         reject(new WireError(stage, `${address} ${error.message}`));
       };
       const stopWatching = signal.onAbort(() => sent.destroy());
@@ -145,7 +146,7 @@
         connected = true;
         sent.end(body);
       };
-      let stopCounting = () => {};
+      let stopCounting = () => 0;
       sent.once('socket', (socket: Socket) => {
         stopCounting = limitBytes(socket, MAX_HEAD_BYTES, () =>
           sent.destroy(new Error('the head of the response is too large')),
@@ -193,13 +194,13 @@
 
 /**
  * Calls back once when a connection has received more than `limit` bytes from
- * now on. Returns a function that stops the count.
+ * now on. Returns a function that stops the count and returns it.
  */
 function limitBytes(
   socket: Socket,
   limit: number,
   onExceeded: () => void,
-): () => void {
+): () => number {
   let received = 0;
   const count = (bytes: Buffer) => {
     received += bytes.length;
@@ -207,7 +208,10 @@
     stop();
     onExceeded();
   };
-  const stop = () => socket.removeListener('data', count);
+  const stop = () => {
+    socket.removeListener('data', count);
+    return received;
+  };
   socket.on('data', count);
   return stop;
 }
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -240,7 +240,10 @@
     try {
       await attempt.run();
     } catch (error) {
-      if (error instanceof AttemptFailure && !stop.aborted) {
+      const isOverdue =
+        attempt.hasPartialResponse && !context.callerDisconnected;
+      const isFailure = isOverdue || !stop.aborted;
+      if (error instanceof AttemptFailure && isFailure) {
         failedEndpoints.add(reservation.endpoint.entry.id);
         reportFailure(reservation, error);
         this.logFailure(context, reservation.endpoint.entry.id, error, sentAt);
@@ -398,10 +401,13 @@
     failure: AttemptFailure,
     sentAt: number,
   ): void {
-    this.parts.logger.warn('attempt-failed', {
+    const {logger, metrics} = this.parts;
+    const {stage} = failure;
+    metrics.count('attempt-failure', {stage, route: context.route.name});
+    logger.warn('attempt-failed', {
       request: context.request.id,
       endpoint,
-      stage: failure.stage,
+      stage,
       notRun: failure.notRun,
       detail: failure.message,
       after: Math.round(this.parts.clock.monotonic() - sentAt),
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -22,6 +22,7 @@
 import {
   createEndpoint,
   ForwarderFixture,
+  respondWith,
   sealHeaders,
   type Behaviour,
   type ReceivedRequest,
@@ -382,3 +383,82 @@
   t.true(sent.count < 4 * SOCKET_BUFFERS);
   await fixture.until(() => fixture.received[0]?.closed === true);
 });
+
+const SLOW_HEADS: readonly EndlessHead[] = [
+  {what: 'status line', head: 'HTTP/1.1 200 ', part: 'x', pause: 5},
+  {what: 'header line', head: 'HTTP/1.1 200 OK\r\na: ', part: 'x', pause: 5},
+  {
+    what: 'informational responses',
+    head: '',
+    part: 'HTTP/1.1 103 Early Hints\r\n\r\n',
+    pause: 20,
+  },
+  {what: 'empty lines', head: '', part: '\r\n', pause: 5},
+];
+
+for (const head of SLOW_HEADS) {
+  test(`endless ${head.what}, slow, in place of a head end at the route’s timeout and count as a failure`, async t => {
+    const fixture = await ForwarderFixture.start(t, {timeout: TIMEOUT}, [
+      endless(() => head),
+    ]);
+    const startedAt = performance.now();
+    const reply = await fixture.send({'x-attempt-id': 'slow-head'});
+    t.is(reply.status, 504);
+    t.true(performance.now() - startedAt < RESPONSE_DUE);
+    await fixture.until(() => fixture.received[0]?.closed === true);
+    const line = fixture.logLines.find(({event}) => event === 'attempt-failed');
+    t.is(line?.fields['request'], 'slow-head');
+  });
+}
+
+const SLOW_BODY: EndlessBody = {
+  what: 'chunks',
+  lines: [CHUNKED],
+  begin: '',
+  part: '1\r\nx\r\n',
+  pause: 10,
+};
+
+test('a slow endless body ends at the route’s timeout and counts as a failure', async t => {
+  const fixture = await ForwarderFixture.start(t, {timeout: TIMEOUT}, [
+    endless(received => bytesOf(SLOW_BODY, received)),
+  ]);
+  const startedAt = performance.now();
+  const reply = await fixture.send({'x-attempt-id': 'slow-body'});
+  t.is(reply.status, 504);
+  t.true(performance.now() - startedAt < RESPONSE_DUE);
+  await fixture.until(() => fixture.received[0]?.closed === true);
+  const line = fixture.logLines.find(({event}) => event === 'attempt-failed');
+  t.is(line?.fields['request'], 'slow-body');
+});
+
+test('a slow event that never ends counts as a failure', async t => {
+  const fixture = await ForwarderFixture.start(t, STREAM, [
+    endless(streamOf('', 'x', 10)),
+  ]);
+  const reply = await fixture.send();
+  t.is(reply.status, 504);
+  t.true(fixture.logLines.some(({event}) => event === 'attempt-failed'));
+});
+
+test('an endpoint that is only late with its response is not counted as failed at the deadline', async t => {
+  const fixture = await ForwarderFixture.start(t, {timeout: 200}, [() => {}]);
+  const reply = await fixture.send();
+  t.is(reply.status, 504);
+  t.false(fixture.logLines.some(({event}) => event === 'attempt-failed'));
+});
+
+test('an endpoint whose bodies never end gets two of thirty requests at most', async t => {
+  let endlessBodies = 0;
+  const [extensions] = BODIES.filter(({what}) => what === 'chunk extensions');
+  const never = endless(received => {
+    endlessBodies++;
+    return bytesOf(extensions ?? SLOW_BODY, received);
+  });
+  const fixture = await ForwarderFixture.start(t, {}, [
+    never,
+    respondWith(200, 'done'),
+  ]);
+  for (let round = 0; round < 30; round++) await fixture.send();
+  t.true(endlessBodies <= 2);
+});
