Bound the memory of all buffered responses of a host together

A host's memory grew by up to 16 MiB for each request whose body didn't end: the bound was for one response, and 30 requests at one endpoint took the process to 247 MB where the smallest hosts have 178, so that one bad endpoint could end a host with all requests in progress.

ResponseBuffers counts the bytes of all buffered responses, and those of a large one until its caller has received it. Over 16 MiB the largest is given up: its attempt fails (or its caller's connection is closed), and small ones beside it are not affected.

--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -8,6 +8,7 @@
 import {WireError} from '../errors/index.js';
 import {readWhole} from '../relay/index.js';
 import type {Metrics} from '../metrics/index.js';
+import type {ResponseBuffers} from './buffers.js';
 import type {ConnectionPool, EndpointResponse} from './connections.js';
 import type {RequestContext} from './context.js';
 import {discardBody} from './discard.js';
@@ -16,6 +17,8 @@
 
 /** Largest body of a response that is buffered. */
 const MAX_BUFFERED_BODY_BYTES = 16_777_216;
+/** Body whose memory counts until the caller has received it. */
+const LARGE_BODY_BYTES = 65_536;
 const MIN_SERVER_ERROR_STATUS = 500;
 const MIN_REDIRECT_STATUS = 300;
 /** Time without data after which another endpoint resumes a stream. */
@@ -45,6 +48,7 @@
 export interface AttemptParts {
   readonly protocol: Protocol;
   readonly connections: ConnectionPool;
+  readonly buffers: ResponseBuffers;
   readonly clock: Clock;
   readonly metrics: Metrics;
   /** Called when an endpoint's response shows that it runs a team's request. */
@@ -172,10 +176,35 @@
     await this.relayBuffered(response, head);
   }
 
+  /** Buffers the response within the host's limit, and sends it. */
   private async relayBuffered(
-    {message, isComplete}: EndpointResponse,
+    response: EndpointResponse,
     head: ResponseHead,
   ): Promise<void> {
+    const {message} = response;
+    const {answer} = this.spec.context;
+    let isSent = false;
+    const share = this.parts.buffers.open(() => {
+      this.parts.metrics.count('response-evicted', {});
+      if (isSent) answer.abort();
+      else message.destroy(new Error('too many bytes are buffered'));
+    });
+    message.on('data', (bytes: Buffer) => share.add(bytes.length));
+    try {
+      const body = await this.receive(response, head);
+      answer.sendComplete(head, body);
+      isSent = body.length > LARGE_BODY_BYTES;
+      if (isSent) answer.onClose(() => share.close());
+    } finally {
+      if (!isSent) share.close();
+    }
+  }
+
+  /** Returns the body of a complete response. Throws an AttemptFailure. */
+  private async receive(
+    {message, isComplete}: EndpointResponse,
+    head: ResponseHead,
+  ): Promise<Buffer> {
     const {context} = this.spec;
     const {timeLeft} = context;
     const body = await readWhole(
@@ -196,7 +225,7 @@
       throw new AttemptFailure('malformed', 'no stream to go on with', false);
     }
     context.firstByteAt = this.parts.clock.monotonic();
-    context.answer.sendComplete(head, body);
+    return body;
   }
 
   private relayStream(
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -25,6 +25,7 @@
 import type {RandomSource} from '../random/index.js';
 import {serviceFor, type RoutingTable} from '../routing/index.js';
 import {readBytes} from '../wire/index.js';
+import {ResponseBuffers} from './buffers.js';
 import {CallerResponse} from './response.js';
 import {Attempt, AttemptFailure} from './attempt.js';
 import type {ConnectionPool} from './connections.js';
@@ -32,6 +33,11 @@
 import {refusalStatus, retryAfterSeconds} from './outcome.js';
 import type {Protocol} from './protocol.js';
 
+/**
+ * Most that the buffered responses of a host may take, a tenth of the memory of
+ * the smallest hosts.
+ */
+const MAX_BUFFERED_BYTES = 16_777_216;
 /** Share of the remaining time that a request may wait in the queue. */
 const MAX_QUEUE_TIME_SHARE = 0.6;
 /**
@@ -73,6 +79,7 @@
   retryBudget: RetryBudget;
   /** Recent requests and retries by service. */
   private readonly repeats = new Map<string, RetryHistory>();
+  private readonly buffers = new ResponseBuffers(MAX_BUFFERED_BYTES);
   private readonly activeRequests = new Set<RequestContext>();
   private onIdle: () => void = () => {};
 
@@ -234,7 +241,7 @@
     );
     const attempt = new Attempt(
       {context, reservation, stop, firstResponseTimeout},
-      this.parts,
+      {...this.parts, buffers: this.buffers},
     );
     const sentAt = clock.monotonic();
     try {
--- a/source/forward/index.ts
+++ b/source/forward/index.ts
@@ -2,6 +2,7 @@
  * Forwards callers' requests to endpoints, retries them elsewhere where that is
  * safe, and relays the responses.
  */
+export {ResponseBuffers, type BufferShare} from './buffers.js';
 export {ConnectionPool, type EndpointRequest} from './connections.js';
 export {Forwarder, type ForwarderParts} from './forward.js';
 export {
--- a/source/forward/response.ts
+++ b/source/forward/response.ts
@@ -32,6 +32,12 @@
     });
   }
 
+  /** Calls back once when it has been sent or its connection has closed. */
+  onClose(callback: () => void): void {
+    if (this.response.closed) callback();
+    else this.response.once('close', callback);
+  }
+
   /** Sends an endpoint's complete response unchanged. */
   sendComplete({status, headers}: ResponseHead, body: Buffer): void {
     this.response.writeHead(status, headers as never);
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -11,7 +11,7 @@
 import {EndpointSelector} from '../source/balance/index.js';
 import {SystemClock} from '../source/clock/index.js';
 import {Prober} from '../source/edge/prober.js';
-import {ConnectionPool} from '../source/forward/index.js';
+import {ConnectionPool, ResponseBuffers} from '../source/forward/index.js';
 import {
   endless,
   sendEndlessly,
@@ -462,3 +462,38 @@
   for (let round = 0; round < 30; round++) await fixture.send();
   t.true(endlessBodies <= 2);
 });
+
+test('where the buffered responses exceed their limit, the largest is given up', t => {
+  const evicted: string[] = [];
+  const buffers = new ResponseBuffers(100);
+  const small = buffers.open(() => evicted.push('small'));
+  const large = buffers.open(() => evicted.push('large'));
+  small.add(30);
+  large.add(60);
+  small.add(11);
+  t.deepEqual(evicted, ['large']);
+  large.add(90);
+  large.close();
+  small.add(59);
+  t.deepEqual(evicted, ['large']);
+  small.add(1);
+  t.deepEqual(evicted, ['large', 'small']);
+});
+
+test('a small answer is served while endless bodies fill the buffers', async t => {
+  const [chunks] = BODIES;
+  const fixture = await ForwarderFixture.start(t, {timeout: 3_000}, [
+    (received, response, count) => {
+      const isSmall = received.message.url === '/drafts/small';
+      const behave = isSmall
+        ? respondWith(200, 'small')
+        : endless(() => bytesOf(chunks ?? SLOW_BODY, received));
+      behave(received, response, count);
+    },
+  ]);
+  const large = Array.from({length: 6}, () => fixture.send());
+  await fixture.until(() => fixture.received.length === 6);
+  const small = await fixture.send({}, '', '/drafts/small');
+  t.is(small.body, 'small');
+  for (const {status} of await Promise.all(large)) t.is(status, 502);
+});
