--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -2,21 +2,23 @@
  * One attempt of a request at one endpoint. A response that is not a stream is
  * buffered until it is complete; a stream is relayed event by event.
  */
-import type {IncomingMessage} from 'node:http';
-
 import type {Reservation} from '../balance/index.js';
 import {Cancellation, type CancellationSignal} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import {WireError} from '../errors/index.js';
 import {readWhole} from '../relay/index.js';
 import type {Metrics} from '../metrics/index.js';
+import type {ResponseBuffers} from './buffers.js';
 import type {ConnectionPool, EndpointResponse} from './connections.js';
 import type {RequestContext} from './context.js';
+import {discardBody} from './discard.js';
 import {EventSplitter} from './events.js';
 import type {ResponseHead, Protocol} from './protocol.js';
 
 /** Largest body of a response that is buffered. */
 const MAX_BUFFERED_BODY_BYTES = 16_777_216;
+/** Body whose memory counts until the caller has received it. */
+const LARGE_BODY_BYTES = 65_536;
 const MIN_SERVER_ERROR_STATUS = 500;
 const MIN_REDIRECT_STATUS = 300;
 /** Time without data after which another endpoint resumes a stream. */
@@ -46,6 +48,7 @@
 export interface AttemptParts {
   readonly protocol: Protocol;
   readonly connections: ConnectionPool;
+  readonly buffers: ResponseBuffers;
   readonly clock: Clock;
   readonly metrics: Metrics;
   /** Called when an endpoint's response shows that it runs a team's request. */
@@ -71,12 +74,22 @@
   /** Aborted when the request is over or the first response is overdue. */
   private readonly cancellation = new Cancellation();
   private stopFirstResponseTimer: Cancel = () => {};
+  private partial = false;
 
   constructor(
     private readonly spec: AttemptSpec,
     private readonly parts: AttemptParts,
   ) {}
 
+  /**
+   * Whether the endpoint has sent bytes that do not yet make a response: an
+   * incomplete head or body, or a stream without an event. Waiting for a
+   * response that is late gives none.
+   */
+  get hasPartialResponse(): boolean {
+    return this.partial;
+  }
+
   /**
    * Sends the request and relays the response; resolves when the caller has
    * been sent all of it. Throws an AttemptFailure.
@@ -96,6 +109,7 @@
       context.possibleRuns++;
     } catch (error) {
       const failure = toAttemptFailure(error);
+      if (failure.stage === 'malformed') this.partial = true;
       const provenNotRun = failure.notRun || failure.stage === 'connect';
       if (!provenNotRun) context.possibleRuns++;
       throw failure;
@@ -144,7 +158,7 @@
     const head = parts.protocol.parseResponseHead(message);
     if (head.notRun) {
       if (head.misdirected) reservation.unreachable();
-      message.resume();
+      void discardBody(message, parts.clock);
       throw new AttemptFailure('status', `status ${head.status}`, true);
     }
     if (!head.sealed || head.id !== context.request.id) {
@@ -158,13 +172,39 @@
       return;
     }
     this.stopFirstResponseTimer();
+    message.once('data', () => (this.partial = true));
     await this.relayBuffered(response, head);
   }
 
+  /** Buffers the response within the host's limit, and sends it. */
   private async relayBuffered(
-    {message, isComplete}: EndpointResponse,
+    response: EndpointResponse,
     head: ResponseHead,
   ): Promise<void> {
+    const {message} = response;
+    const {answer} = this.spec.context;
+    let isSent = false;
+    const share = this.parts.buffers.open(() => {
+      this.parts.metrics.count('response-evicted', {});
+      if (isSent) answer.abort();
+      else message.destroy(new Error('too many bytes are buffered'));
+    });
+    message.on('data', (bytes: Buffer) => share.add(bytes.length));
+    try {
+      const body = await this.receive(response, head);
+      answer.sendComplete(head, body);
+      isSent = body.length > LARGE_BODY_BYTES;
+      if (isSent) answer.onClose(() => share.close());
+    } finally {
+      if (!isSent) share.close();
+    }
+  }
+
+  /** Returns the body of a complete response. Throws an AttemptFailure. */
+  private async receive(
+    {message, isComplete}: EndpointResponse,
+    head: ResponseHead,
+  ): Promise<Buffer> {
     const {context} = this.spec;
     const {timeLeft} = context;
     const body = await readWhole(
@@ -176,6 +216,7 @@
     if (!(await isComplete())) {
       throw new AttemptFailure('cut', 'the answer is cut short', false);
     }
+    this.partial = false;
     if (head.status >= MIN_SERVER_ERROR_STATUS) {
       const detail = `status ${head.status}`;
       throw new AttemptFailure('status', detail, false, {head, body});
@@ -184,7 +225,7 @@
       throw new AttemptFailure('malformed', 'no stream to go on with', false);
     }
     context.firstByteAt = this.parts.clock.monotonic();
-    context.answer.sendComplete(head, body);
+    return body;
   }
 
   private relayStream(
@@ -218,14 +259,36 @@
           () => fail('between-events', 'the stream is silent'),
         );
       };
+      /** Pauses the endpoint while the caller lags. */
+      const pause = () => {
+        stopIdleTimer();
+        message.pause();
+        answer.onDrain(() => {
+          if (finished) return;
+          restartIdleTimer();
+          message.resume();
+        });
+      };
       message.on('data', (bytes: Buffer) => {
-        restartIdleTimer();
         const events = splitter.push(bytes);
-        if (events.length === 0 || finished) return;
-        this.relayEvents(events, head, message);
+        if (finished) return;
+        if (context.delivered === 0) this.partial = true;
+        if (splitter.count > 0) {
+          this.partial = false;
+          restartIdleTimer();
+          this.recordFirstEvent();
+        }
+        // Comments do not begin a response, so that another endpoint can.
+        if (events.length > 0 && (splitter.count > 0 || answer.isHeadSent)) {
+          answer.sendStreamHead(head);
+          if (!answer.write(events)) pause();
+        }
         context.lastEvent = splitter.lastId;
         context.delivered += splitter.count;
         splitter.count = 0;
+        if (splitter.isEventTooLarge) {
+          fail('malformed', 'an event is too large');
+        }
       });
       const end = (complete: boolean) => {
         if (finished) return;
@@ -249,28 +312,22 @@
         fail('cut', 'ended'),
       );
       restartIdleTimer();
+      // It may have failed together with its head, before the listeners were
+      // set.
+      if (message.destroyed && !message.complete) {
+        fail('cut', message.errored?.message ?? 'the connection is closed');
+      }
     });
   }
 
-  /** Sends events to the caller, pausing the endpoint while the caller lags. */
-  private relayEvents(
-    events: Buffer,
-    head: ResponseHead,
-    message: IncomingMessage,
-  ): void {
-    const {parts} = this;
+  private recordFirstEvent(): void {
+    const {clock, metrics} = this.parts;
     const {context} = this.spec;
-    const {answer} = context;
     this.stopFirstResponseTimer();
-    if (context.firstByteAt === 0) {
-      context.firstByteAt = parts.clock.monotonic();
-      const first = context.firstByteAt - context.arrived;
-      parts.metrics.time('first-event', first, {route: context.route.name});
-    }
-    answer.sendStreamHead(head);
-    if (answer.write(events)) return;
-    message.pause();
-    answer.onDrain(() => message.resume());
+    if (context.firstByteAt !== 0) return;
+    context.firstByteAt = clock.monotonic();
+    const first = context.firstByteAt - context.arrived;
+    metrics.time('first-event', first, {route: context.route.name});
   }
 }
 
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -19,6 +19,13 @@
 /** Time after which an idle connection is closed. */
 const IDLE_TIMEOUT_MILLISECONDS = 4_000;
 
+/**
+ * Most that an endpoint may send before the head of its response is complete.
+ * Node limits each head, but neither their number, where they are
+ * informational, nor the empty lines before one.
+ */
+const MAX_HEAD_BYTES = 65_536;
+
 /** A request to an endpoint. */
 export interface EndpointRequest {
   /** IP address and port, such as `127.0.0.1:80`. */
@@ -98,7 +105,7 @@
   /**
    * Sends a request and resolves with the response once its head has come.
    * Throws a WireError; its stage is `connect` only if nothing of the request
-   * was sent. The signal is observed until the head has come, not after.
+   * was sent, and `malformed` if bytes came that are no response. The signal is observed until the head has come, not after.
    *
    * ```ts
    * const {message} = await connections.send(endpointRequest, signal);
@@ -112,6 +119,7 @@
       endpointRequest;
     return new Promise((resolve, reject) => {
       let connected = false;
+      let responded = false;
       let stopTimer: Cancel = () => {};
       const sent = request({
         ...partsOf(address),
@@ -124,7 +132,9 @@
       const fail = (error: Error) => {
         stopTimer();
         stopWatching();
-        const stage = connected ? 'write' : 'connect';
+        const hasBytes = stopCounting() > 0;
+        const sentStage = hasBytes ? 'malformed' : 'write';
+        const stage = connected ? sentStage : 'connect';
         reject(new WireError(stage, `${address} ${error.message}`));
       };
       const stopWatching = signal.onAbort(() => sent.destroy());
@@ -136,7 +146,11 @@
         connected = true;
         sent.end(body);
       };
+      let stopCounting = () => 0;
       sent.once('socket', (socket: Socket) => {
+        stopCounting = limitBytes(socket, MAX_HEAD_BYTES, () =>
+          sent.destroy(new Error('the head of the response is too large')),
+        );
         if (!socket.connecting) return write();
         stopTimer = this.clock.after(CONNECT_TIMEOUT_MILLISECONDS, () =>
           sent.destroy(new Error('does not accept connections')),
@@ -147,13 +161,24 @@
         });
       });
       sent.once('response', message => {
+        responded = true;
         stopWatching();
+        stopCounting();
         // Without this, a reset would look like the end of a response that has
-        // no content length.
-        sent.on('error', error => message.destroy(error));
+        // no content length. Bytes after a complete response are no part of it.
+        sent.on('error', error => {
+          if (!message.complete) message.destroy(error);
+        });
         resolve({message, isComplete: completenessCheck(message)});
       });
+      sent.once('upgrade', (_, socket) => {
+        socket.destroy();
+        fail(new Error('the response switches protocols'));
+      });
       sent.on('error', fail);
+      sent.once('close', () => {
+        if (!responded) fail(new Error('the connection is closed'));
+      });
     });
   }
 
@@ -167,6 +192,30 @@
   }
 }
 
+/**
+ * Calls back once when a connection has received more than `limit` bytes from
+ * now on. Returns a function that stops the count and returns it.
+ */
+function limitBytes(
+  socket: Socket,
+  limit: number,
+  onExceeded: () => void,
+): () => number {
+  let received = 0;
+  const count = (bytes: Buffer) => {
+    received += bytes.length;
+    if (received <= limit) return;
+    stop();
+    onExceeded();
+  };
+  const stop = () => {
+    socket.removeListener('data', count);
+    return received;
+  };
+  socket.on('data', count);
+  return stop;
+}
+
 /** Returns the `isComplete` of a response; call it when its head has come. */
 function completenessCheck(
   message: IncomingMessage,
--- a/source/forward/index.ts
+++ b/source/forward/index.ts
@@ -3,6 +3,7 @@
  * safe, and relays the responses.
  */
 export {admissionRequestFor, type WaitingRequest} from './admission.js';
+export {ResponseBuffers, type BufferShare} from './buffers.js';
 export {ConnectionPool, type EndpointRequest} from './connections.js';
 export {Forwarder, type ForwarderParts} from './forward.js';
 export {
@@ -11,6 +12,7 @@
   type CallerRequest,
   type ForwardingInfo,
 } from './protocol.js';
+export {discardBody} from './discard.js';
 export {EventSplitter} from './events.js';
 export {
   refusalStatus,
