Test what becomes of requests on kept connections as a host ends

Real host processes before the stand-in store, callers that keep their connection, and each reason to end that callers can meet: SIGTERM before, in and beside other work, SIGHUP with seven invalid files, pauses, a store that is away or busy, a log that nobody reads, no sockets left, resets.

--- a/standins/site.ts
+++ b/standins/site.ts
@@ -1,8 +1,8 @@
 /**
  * A stand-in for the users' platform, written from their pages: the store with
  * its topics, conditional appends, long reads and groups, and the duties'
- * interface. Faults: it is away, turns calls away, loses answers, or forgets its
- * history. Tests drive it in their own process.
+ * interface. Faults: it is away or slow, turns calls away, loses answers, or
+ * forgets its history. Tests drive it in their own process.
  */
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
@@ -20,6 +20,8 @@
   busy: boolean;
   /** Appends that are carried out and not answered. */
   loseAppends: number;
+  /** Milliseconds by which each call is carried out late. */
+  delay: number;
 }
 
 interface Topic {
@@ -43,7 +45,12 @@
 
 /** The users' platform. */
 export class Site {
-  readonly faults: SiteFaults = {away: false, busy: false, loseAppends: 0};
+  readonly faults: SiteFaults = {
+    away: false,
+    busy: false,
+    loseAppends: 0,
+    delay: 0,
+  };
   readonly duties: DutyCall[] = [];
   address = '';
   private readonly topics = new Map<string, Topic>();
@@ -118,10 +125,16 @@
   }
 
   private take(received: Received): void {
-    const {path, response} = received;
+    const {response} = received;
     if (this.faults.away) return void response.destroy();
     if (this.faults.busy) return reply(response, 503, {});
-    switch (path) {
+    const {delay} = this.faults;
+    if (delay === 0) return this.carryOut(received);
+    setTimeout(() => this.carryOut(received), delay);
+  }
+
+  private carryOut(received: Received): void {
+    switch (received.path) {
       case '/-/log-append':
         return this.takeAppend(received);
       case '/-/log-read':
--- /dev/null
+++ b/test/kept.test.ts
@@ -0,0 +1,326 @@
+/**
+ * Requests on kept connections to host processes that end, for each reason: a
+ * request that was passed on gets an answer.
+ */
+import {writeFileSync, rmSync} from 'node:fs';
+import {connect} from 'node:net';
+
+import test, {type ExecutionContext} from 'ava';
+import PQueue from 'p-queue';
+
+import {partsOf} from '../source/wire/index.js';
+import {
+  EdgeFleet,
+  sealed,
+  statusOf,
+  until,
+  type EndpointAnswer,
+  type HostProcess,
+} from './support/edgeprocess.js';
+import {KeptCaller, type KeptAnswer} from './support/keptcaller.js';
+
+/** Milliseconds after SIGTERM by which a host accepts no new connections. */
+const CLOSED_MILLISECONDS = 2_900;
+
+/** Deployments that run at once. */
+const places = new PQueue({concurrency: 5});
+
+const wait = (duration: number) =>
+  new Promise<void>(resolve => setTimeout(resolve, duration));
+
+/** Answers after the milliseconds in the query. */
+const answerAfterWait: EndpointAnswer = (message, response) => {
+  const {searchParams} = new URL(message.url ?? '', 'http://endpoint');
+  setTimeout(
+    () => {
+      response.writeHead(200, sealed(message));
+      response.end('answer');
+    },
+    Number(searchParams.get('wait') ?? 0),
+  );
+};
+
+interface Scene {
+  readonly fleet: EdgeFleet;
+  readonly host: HostProcess;
+  /** Requests that the endpoint got. */
+  readonly passedOn: () => number;
+  /** A caller that has already been answered on its connection. */
+  readonly caller: () => Promise<KeptCaller>;
+}
+
+/** Resolves when the test may start its deployment. */
+function takePlace(t: ExecutionContext): Promise<void> {
+  return new Promise(resolve => {
+    void places.add(async () => {
+      await new Promise<void>(release => {
+        t.teardown(release);
+        resolve();
+      });
+    });
+  });
+}
+
+async function start(
+  t: ExecutionContext,
+  answer: EndpointAnswer = answerAfterWait,
+  prepare: (fleet: EdgeFleet) => void = () => {},
+): Promise<Scene> {
+  await takePlace(t);
+  const fleet = await EdgeFleet.start(t);
+  fleet.routeTimeoutMilliseconds = 6_000;
+  prepare(fleet);
+  await fleet.endpoint('register-1', answer);
+  fleet.configure(['key']);
+  const host = await fleet.host('host-1');
+  await fleet.ready(host);
+  const passedOn = () => fleet.seen.get('register-1') ?? 0;
+  const caller = async () => {
+    const kept = new KeptCaller(host.callers);
+    t.teardown(() => kept.stop());
+    t.is((await kept.ask({path: '/read/1'})).status, 200);
+    return kept;
+  };
+  return {fleet, host, passedOn, caller};
+}
+
+function isAnswered(t: ExecutionContext, answer: KeptAnswer): void {
+  t.is(answer.status, 200);
+  t.true(answer.whole);
+  t.true(answer.reused);
+}
+
+test('a request in progress at SIGTERM is answered on its kept connection', async t => {
+  const {host, caller} = await start(t);
+  const kept = await caller();
+  const answer = kept.ask({path: '/record/1?wait=3200'});
+  await wait(100);
+  host.child.kill('SIGTERM');
+  isAnswered(t, await answer);
+  t.is(await host.ended, 0);
+});
+
+test('requests that keep coming on kept connections through a drain are answered', async t => {
+  const {host, caller, passedOn} = await start(t);
+  const callers = await Promise.all(Array.from({length: 20}, caller));
+  const before = passedOn();
+  let answered = 0;
+  let isOver = false;
+  void host.ended.then(() => (isOver = true));
+  const asking = callers.map(async kept => {
+    while (!isOver) {
+      const {status, whole} = await kept.ask({path: '/read/1?wait=30'});
+      if (status === 200 && whole) answered++;
+      if (status === 0) await wait(5);
+    }
+  });
+  host.child.kill('SIGTERM');
+  t.is(await host.ended, 0);
+  await Promise.all(asking);
+  t.is(passedOn() - before, answered);
+});
+
+test('a request whose body still comes when the host closes idle connections is answered', async t => {
+  const {host, caller} = await start(t);
+  const kept = await caller();
+  host.child.kill('SIGTERM');
+  await wait(CLOSED_MILLISECONDS - 1_000);
+  const body = ['some ', 'of ', 'the ', 'body'];
+  const answer = await kept.ask({
+    path: '/record/1?wait=300',
+    body,
+    bodyDelay: 500,
+  });
+  isAnswered(t, answer);
+  t.is(await host.ended, 0);
+});
+
+for (const fault of ['away', 'busy'] as const) {
+  test(`a drain ends with code 0 though the store is ${fault}`, async t => {
+    const {fleet, host, caller} = await start(t);
+    const kept = await caller();
+    fleet.site.faults[fault] = true;
+    const answer = kept.ask({path: '/record/1?wait=3200'});
+    await wait(100);
+    host.child.kill('SIGTERM');
+    isAnswered(t, await answer);
+    t.is(await host.ended, 0, host.errors.join(''));
+  });
+}
+
+test('SIGTERM while a host has no configuration ends it with code 0', async t => {
+  await takePlace(t);
+  const fleet = await EdgeFleet.start(t);
+  const host = await fleet.host('host-1');
+  await until(() =>
+    host.lines.some(({fields}) => fields['state'] === 'catching-up'),
+  );
+  const kept = new KeptCaller(host.callers);
+  host.child.kill('SIGTERM');
+  t.is((await kept.ask({path: '/read/1'})).status, 503);
+  t.is(await host.ended, 0);
+});
+
+test('SIGTERM while a host is still loading ends it by that signal or with code 0', async t => {
+  await takePlace(t);
+  const fleet = await EdgeFleet.start(t);
+  for (const delay of [0, 40, 80, 120, 160, 200]) {
+    const host = await fleet.host(`host-${delay}`);
+    await wait(delay);
+    host.child.kill('SIGTERM');
+    const code = await host.ended;
+    t.true(code === 0 || host.child.signalCode === 'SIGTERM', `${code}`);
+  }
+});
+
+test('a request in progress is answered though the settings file becomes invalid', async t => {
+  const {host, caller} = await start(t);
+  const kept = await caller();
+  const answer = kept.ask({path: '/record/1?wait=3200'});
+  const reloads = () =>
+    host.lines.filter(({event}) => event === 'reload').length;
+  const files = ['{', 'null', '[]', '{"nodeId":7}', '"text"', ''];
+  for (const [index, file] of files.entries()) {
+    writeFileSync(host.settings, file);
+    host.child.kill('SIGHUP');
+    await until(() => reloads() > index || host.child.exitCode !== null);
+  }
+  rmSync(host.settings);
+  host.child.kill('SIGHUP');
+  await until(() => reloads() > files.length || host.child.exitCode !== null);
+  isAnswered(t, await answer);
+  host.child.kill('SIGTERM');
+  t.is(await host.ended, 0);
+});
+
+test('requests in progress are answered though a configuration changes in a drain', async t => {
+  const {fleet, host, caller} = await start(t);
+  const kept = await Promise.all(Array.from({length: 5}, caller));
+  const answers = kept.map(one => one.ask({path: '/record/1?wait=3200'}));
+  await wait(100);
+  host.child.kill('SIGTERM');
+  fleet.configure(['other']);
+  await wait(200);
+  fleet.configure(['key']);
+  for (const answer of answers) isAnswered(t, await answer);
+  t.is(await host.ended, 0);
+});
+
+test('requests in progress are answered though the host is paused before and in its drain', async t => {
+  const {host, caller} = await start(t);
+  const kept = await Promise.all(Array.from({length: 5}, caller));
+  const answers = kept.map(one => one.ask({path: '/record/1?wait=3200'}));
+  await wait(100);
+  host.child.kill('SIGSTOP');
+  host.child.kill('SIGTERM');
+  await wait(300);
+  host.child.kill('SIGCONT');
+  await wait(300);
+  host.child.kill('SIGSTOP');
+  await wait(300);
+  host.child.kill('SIGCONT');
+  for (const answer of answers) isAnswered(t, await answer);
+  t.is(await host.ended, 0);
+});
+
+test('requests on kept connections are answered after a pause longer than their idle timeout', async t => {
+  const {host, caller, passedOn} = await start(t, answerAfterWait, fleet => {
+    fleet.idleTimeoutMilliseconds = 1_000;
+  });
+  const kept = await Promise.all(Array.from({length: 10}, caller));
+  const before = passedOn();
+  host.child.kill('SIGSTOP');
+  const answers = kept.map(one => one.ask({path: '/read/1?wait=50'}));
+  await wait(1_300);
+  host.child.kill('SIGCONT');
+  const got = await Promise.all(answers);
+  const answered = got.filter(({status}) => status !== 0).length;
+  t.is(passedOn() - before, answered);
+  t.is(await statusOf(host.readiness, '/'), 200);
+});
+
+test('requests that arrive as their kept connection becomes idle too long are answered or not passed on', async t => {
+  const {caller, passedOn} = await start(t, answerAfterWait, fleet => {
+    fleet.idleTimeoutMilliseconds = 400;
+  });
+  const kept: KeptCaller[] = [];
+  while (kept.length < 40) kept.push(await caller());
+  const before = passedOn();
+  let answered = 0;
+  await Promise.all(
+    kept.map(async (one, index) => {
+      for (let round = 0; round < 6; round++) {
+        await wait(390 + index / 2);
+        const {status} = await one.ask({path: '/read/1?wait=20'});
+        if (status !== 0) answered++;
+      }
+    }),
+  );
+  t.is(passedOn() - before, answered);
+});
+
+test('a host serves on and drains though nobody reads its log any more', async t => {
+  const {host, caller} = await start(t);
+  const kept = await caller();
+  host.child.stdout?.destroy();
+  host.child.stderr?.destroy();
+  for (let round = 0; round < 50; round++) {
+    t.is((await kept.ask({path: '/read/1'})).status, 200);
+  }
+  const answer = kept.ask({path: '/record/1?wait=1000'});
+  await wait(200);
+  host.child.kill('SIGTERM');
+  isAnswered(t, await answer);
+  t.is(await host.ended, 0);
+});
+
+test('a host exits after its drain though the reader of its log has stalled', async t => {
+  const {host, caller} = await start(t);
+  const kept = await caller();
+  host.child.stdout?.pause();
+  const began = performance.now();
+  while (performance.now() - began < 3_000) {
+    t.is((await kept.ask({path: '/read/1'})).status, 200);
+  }
+  const answer = kept.ask({path: '/record/1?wait=1000'});
+  await wait(200);
+  host.child.kill('SIGTERM');
+  isAnswered(t, await answer);
+  const code = await Promise.race([host.ended, wait(8_000).then(() => 'runs')]);
+  t.is(code, 0);
+});
+
+test('callers that reset their connections end no host', async t => {
+  const {host, caller, passedOn} = await start(t);
+  const kept = await caller();
+  const before = passedOn();
+  for (let round = 0; round < 30; round++) {
+    const socket = connect(partsOf(host.callers));
+    socket.on('error', () => {});
+    socket.write(
+      'GET /draft/1?wait=50 HTTP/1.1\r\nHost: register.example\r\n' +
+        `Authorization: Bearer key\r\nX-Attempt-Id: reset-${round}\r\n\r\n`,
+    );
+    await wait(round * 3);
+    socket.resetAndDestroy();
+  }
+  t.true(passedOn() > before);
+  isAnswered(t, await kept.ask({path: '/read/1'}));
+});
+
+test('a host that runs out of sockets answers what it has passed on and serves again', async t => {
+  const {host, passedOn} = await start(t, answerAfterWait, fleet => {
+    fleet.openFilesLimit = 64;
+  });
+  const callers = Array.from({length: 150}, () => new KeptCaller(host.callers));
+  const before = passedOn();
+  const answers = await Promise.all(
+    callers.map(kept => kept.ask({path: '/record/1?wait=100', method: 'POST'})),
+  );
+  const served = answers.filter(({status}) => status === 200).length;
+  t.true(served < callers.length);
+  t.is(passedOn() - before, served);
+  for (const kept of callers) kept.stop();
+  await until(async () => (await statusOf(host.readiness, '/')) === 200);
+  t.is(host.child.exitCode, null);
+});
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -1,13 +1,20 @@
 /** Host processes on a stand-in of the users' platform, as scenarios need them. */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
-import {createServer, request, type Server} from 'node:http';
+import {
+  createServer,
+  request,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 
 import type {ExecutionContext} from 'ava';
 
+import {partsOf} from '../../source/wire/index.js';
 import {freeAddress} from '../../tools/ports.js';
 import {Site} from '../../standins/site.js';
 
@@ -25,6 +32,7 @@
   readonly name: string;
   readonly callers: string;
   readonly readiness: string;
+  readonly metrics: string;
   /** Path of the settings file. */
   readonly settings: string;
 }
@@ -33,10 +41,18 @@
 export interface HostProcess extends HostPlace {
   readonly child: ChildProcess;
   readonly lines: Line[];
+  /** What it has written to standard error. */
+  readonly errors: string[];
   /** Resolves with the exit code. */
   readonly ended: Promise<number | null>;
 }
 
+/** Answers one request as an endpoint. */
+export type EndpointAnswer = (
+  message: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
 /** A platform with endpoints and hosts. */
 export class EdgeFleet {
   readonly site = new Site();
@@ -47,6 +63,14 @@
   private readonly seeds: string[] = [];
   /** The version of the newest configuration. */
   configured = 0;
+  /** Timeout of every route, in the next configuration. */
+  routeTimeoutMilliseconds = 2_000;
+  /** Time for which callers may keep a connection, in the next configuration. */
+  idleTimeoutMilliseconds = 15_000;
+  /** Files and sockets that a host may have open; undefined for no limit. */
+  openFilesLimit: number | undefined;
+  /** Seconds between SIGTERM and the kill, for hosts that are started next. */
+  graceSeconds = 8;
 
   static async start(t: ExecutionContext): Promise<EdgeFleet> {
     const fleet = new EdgeFleet();
@@ -55,17 +79,19 @@
     return fleet;
   }
 
-  /** Starts an endpoint and enters it in the store. */
-  async endpoint(id: string): Promise<void> {
+  /** Starts an endpoint, which answers with its id, and enters it in the store. */
+  async endpoint(
+    id: string,
+    answer: EndpointAnswer = (message, response) => {
+      response.writeHead(200, sealed(message));
+      response.end(id);
+    },
+  ): Promise<void> {
     const server = createServer((message, response) => {
       message.resume();
       message.on('end', () => {
         this.seen.set(id, (this.seen.get(id) ?? 0) + 1);
-        response.writeHead(200, {
-          'x-attempt-id': String(message.headers['x-attempt-id']),
-          'x-response-seal': 'seal',
-        });
-        response.end(id);
+        answer(message, response);
       });
     });
     this.servers.push(server);
@@ -97,9 +123,9 @@
     this.site.put('keyed.op', 'config', {
       version: this.configured,
       routes: [
-        routeOf('read', 'idempotent'),
-        routeOf('record', 'non_idempotent'),
-        routeOf('draft', 'streaming'),
+        routeOf('read', 'idempotent', this.routeTimeoutMilliseconds),
+        routeOf('record', 'non_idempotent', this.routeTimeoutMilliseconds),
+        routeOf('draft', 'streaming', this.routeTimeoutMilliseconds),
       ],
       services: [
         {
@@ -116,7 +142,7 @@
         maxHeaderBytes: 16_384,
         maxBodyBytes: 4_194_304,
         headerTimeoutMs: 3_000,
-        idleTimeoutMs: 15_000,
+        idleTimeoutMs: this.idleTimeoutMilliseconds,
       },
       tenants: [
         {name: 'guides', apiKeys: keys, priority: 1, allowedRegions: homes},
@@ -135,25 +161,28 @@
     file?: string,
     store = this.site.address,
   ): Promise<HostProcess> {
-    const [callers, readiness, control] = await Promise.all(
-      [0, 1, 2].map(() => freeAddress()),
+    const [callers, readiness, control, metrics] = await Promise.all(
+      [0, 1, 2, 3].map(() => freeAddress()),
     );
-    if (!callers || !readiness || !control) throw new Error('no free ports');
+    if (!callers || !readiness || !control || !metrics)
+      throw new Error('no free ports');
     const folder = mkdtempSync(join(tmpdir(), 'arbutusslip-'));
     const path = join(folder, 'settings.json');
     const settings = this.settingsOf(name, callers, readiness, control, store);
     writeFileSync(path, file ?? JSON.stringify(settings));
     this.seeds.push(control);
-    return this.launch({name, callers, readiness, settings: path});
+    return this.launch({name, callers, readiness, metrics, settings: path});
   }
 
   /** Starts a host anew on the settings that it had. */
-  restart({name, callers, readiness, settings}: HostProcess): HostProcess {
-    return this.launch({name, callers, readiness, settings});
+  restart(host: HostProcess): HostProcess {
+    const {name, callers, readiness, metrics, settings} = host;
+    return this.launch({name, callers, readiness, metrics, settings});
   }
 
   private launch(place: HostPlace): HostProcess {
-    const child = spawn(process.execPath, [PROGRAM], {
+    const [program = '', ...flags] = this.commandOf(place);
+    const child = spawn(program, flags, {
       env: {PATH: process.env['PATH'], ARBUTUSSLIP_BOOT: place.settings},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -164,14 +193,24 @@
       rest = texts.pop() ?? '';
       for (const text of texts) lines.push(JSON.parse(text) as Line);
     });
+    const errors: string[] = [];
+    child.stderr?.on('data', (part: Buffer) => errors.push(part.toString()));
     const ended = new Promise<number | null>(resolve => {
       child.once('exit', code => resolve(code));
     });
-    const host = {...place, child, lines, ended};
+    const host = {...place, child, lines, errors, ended};
     this.hosts.push(host);
     return host;
   }
 
+  private commandOf({metrics}: HostPlace): string[] {
+    const {port} = partsOf(metrics);
+    const command = [process.execPath, PROGRAM, `--metrics-port=${port}`];
+    const limit = this.openFilesLimit;
+    if (limit === undefined) return command;
+    return ['/bin/sh', '-c', `ulimit -n ${limit}; exec "$0" "$@"`, ...command];
+  }
+
   /** Resolves when a host says that it is ready. */
   async ready(host: HostProcess): Promise<void> {
     await until(async () => (await statusOf(host.readiness, '/')) === 200);
@@ -217,7 +256,7 @@
       seedNodes: this.seeds.slice(0, 3),
       limits: {memoryMb: 200},
       bounds: {
-        graceS: 8,
+        graceS: this.graceSeconds,
         drainMs: 2_000,
         retryRatio: 0.2,
         retryWindowS: 10,
@@ -243,13 +282,21 @@
   }
 }
 
-function routeOf(name: string, kind: string): object {
+/** The headers of an endpoint's own answer to a request. */
+export function sealed({headers}: IncomingMessage): Record<string, string> {
+  return {
+    'x-attempt-id': String(headers['x-attempt-id']),
+    'x-response-seal': 'seal',
+  };
+}
+
+function routeOf(name: string, kind: string, timeoutMs: number): object {
   return {
     name,
     host: 'register.example',
     pathPrefix: `/${name}/`,
     kind,
-    timeoutMs: 2_000,
+    timeoutMs,
     sloMs: 500,
     priority: 1,
     service: 'register',
@@ -269,7 +316,8 @@
   }
 }
 
-function statusOf(address: string, path: string): Promise<number> {
+/** Status of a GET; 0 where the connection ends without an answer. */
+export function statusOf(address: string, path: string): Promise<number> {
   return new Promise(resolve => {
     const sent = request(`http://${address}${path}`, message => {
       message.resume();
