Test that a second SIGTERM cuts no request in progress

The second call of drain() in source/edge/host.ts returns at once, since the chart allows no drain while draining, and run.ts then exits the process.

--- a/test/kept.test.ts
+++ b/test/kept.test.ts
@@ -324,3 +324,16 @@
   await until(async () => (await statusOf(host.readiness, '/')) === 200);
   t.is(host.child.exitCode, null);
 });
+
+test('a second SIGTERM does not cut requests in progress', async t => {
+  const {host, caller, passedOn} = await start(t);
+  const kept = await caller();
+  const before = passedOn();
+  const answer = kept.ask({path: '/record/1?wait=1500'});
+  await until(() => passedOn() > before);
+  host.child.kill('SIGTERM');
+  await wait(300);
+  host.child.kill('SIGTERM');
+  isAnswered(t, await answer);
+  t.is(await host.ended, 0);
+});
