Test that a request is answered that comes as usage is stored

A caller whose answer had no `Connection: close`, since it had asked before the signal, sends its next request on the open connection; it is passed on, and the exit cuts it.

--- a/test/kept.test.ts
+++ b/test/kept.test.ts
@@ -337,3 +337,18 @@
   isAnswered(t, await answer);
   t.is(await host.ended, 0);
 });
+
+test('a request that comes while usage is stored at the end of a drain is answered', async t => {
+  const {fleet, host, caller, passedOn} = await start(t);
+  const kept = await caller();
+  const first = kept.ask({path: '/record/1?wait=3200'});
+  await wait(100);
+  host.child.kill('SIGTERM');
+  await wait(CLOSED_MILLISECONDS);
+  fleet.site.faults.delay = 1_000;
+  isAnswered(t, await first);
+  const before = passedOn();
+  const {status} = await kept.ask({path: '/record/1?wait=1500'});
+  if (passedOn() > before) t.is(status, 200);
+  t.is(await host.ended, 0);
+});
