--- a/test/kept.test.ts
+++ b/test/kept.test.ts
@@ -352,3 +352,18 @@
   if (passedOn() > before) t.is(status, 200);
   t.is(await host.ended, 0);
 });
+
+test('a request in progress at the time limit of a drain gets a final answer', async t => {
+  const {host, caller, passedOn} = await start(t, answerAfterWait, fleet => {
+    fleet.graceSeconds = 4;
+    fleet.routeTimeoutMilliseconds = 20_000;
+  });
+  const kept = await caller();
+  const before = passedOn();
+  const answer = kept.ask({path: '/read/1?wait=15000', deadline: 20_000});
+  await until(() => passedOn() > before);
+  host.child.kill('SIGTERM');
+  const {status, whole} = await answer;
+  t.true(status >= 500 && whole, `status ${status}`);
+  t.is(await host.ended, 0);
+});
