--- a/test/kept.test.ts
+++ b/test/kept.test.ts
@@ -367,3 +367,20 @@
   t.true(status >= 500 && whole, `status ${status}`);
   t.is(await host.ended, 0);
 });
+
+test('a request that waits for an endpoint at the time limit of a drain gets a final answer', async t => {
+  const {fleet, host, caller} = await start(t, answerAfterWait, site => {
+    site.graceSeconds = 4;
+    site.routeTimeoutMilliseconds = 20_000;
+  });
+  const kept = await caller();
+  fleet.remove('register-1');
+  await until(() => host.lines.some(({event}) => event === 'endpoint'));
+  await wait(300);
+  const answer = kept.ask({path: '/read/1', deadline: 20_000});
+  await wait(100);
+  host.child.kill('SIGTERM');
+  const {status, whole} = await answer;
+  t.true(status === 503 && whole, `status ${status}`);
+  t.is(await host.ended, 0);
+});
