Test that a slow reader gets all of an answer in a drain

An answer of 12 MB ends after 3,919,872 bytes: Node's closeIdleConnections takes a connection for idle whose answer has been ended but not yet written. And whenIdle() counts such a request as over, so that the process exits before it is written.

--- a/test/kept.test.ts
+++ b/test/kept.test.ts
@@ -384,3 +384,56 @@
   t.true(status === 503 && whole, `status ${status}`);
   t.is(await host.ended, 0);
 });
+
+const LARGE_BYTES = 12_000_000;
+const SLOW_READER_MILLISECONDS = 1_500;
+
+/** Sends a request on a connection of its own and reads the answer late. */
+async function readLate(
+  host: HostProcess,
+  path: string,
+  keepAlive: boolean,
+): Promise<number> {
+  const socket = connect(partsOf(host.callers));
+  socket.on('error', () => {});
+  const connection = keepAlive ? 'keep-alive' : 'close';
+  socket.write(
+    `GET ${path} HTTP/1.1\r\nHost: register.example\r\n` +
+      'Authorization: Bearer key\r\nX-Attempt-Id: late\r\n' +
+      `X-Deadline-Ms: 6000\r\nConnection: ${connection}\r\n\r\n`,
+  );
+  let length = 0;
+  socket.pause();
+  await wait(SLOW_READER_MILLISECONDS);
+  socket.on('data', (part: Buffer) => (length += part.length));
+  socket.resume();
+  await new Promise(resolve => socket.once('close', resolve));
+  return length;
+}
+
+const answerLargely: EndpointAnswer = (message, response) => {
+  response.writeHead(200, sealed(message));
+  response.end('x'.repeat(LARGE_BYTES));
+};
+
+test('a slow reader gets all of an answer though the host closes idle connections', async t => {
+  const {host} = await start(t, answerLargely);
+  host.child.kill('SIGTERM');
+  await wait(CLOSED_MILLISECONDS - 1_000);
+  // One request in progress, so that the drain goes on meanwhile.
+  const other = new KeptCaller(host.callers);
+  const [length] = await Promise.all([
+    readLate(host, '/read/1', true),
+    other.ask({path: '/record/1', body: ['a', 'b', 'c'], bodyDelay: 600}),
+  ]);
+  t.true(length > LARGE_BYTES, `${length} bytes`);
+  t.is(await host.ended, 0);
+});
+
+test('a slow reader gets all of an answer though no request is left in progress', async t => {
+  const {host} = await start(t, answerLargely);
+  host.child.kill('SIGTERM');
+  await wait(CLOSED_MILLISECONDS - 1_000);
+  t.true((await readLate(host, '/read/1', false)) > LARGE_BYTES);
+  t.is(await host.ended, 0);
+});
