--- a/test/kept.test.ts
+++ b/test/kept.test.ts
@@ -437,3 +437,24 @@
   t.true((await readLate(host, '/read/1', false)) > LARGE_BYTES);
   t.is(await host.ended, 0);
 });
+
+test('each of two pipelined requests that were passed on in a drain is answered', async t => {
+  const {host, passedOn} = await start(t);
+  host.child.kill('SIGTERM');
+  await wait(200);
+  const before = passedOn();
+  const socket = connect(partsOf(host.callers));
+  socket.on('error', () => {});
+  let text = '';
+  socket.on('data', (part: Buffer) => (text += part.toString()));
+  for (const id of ['one', 'two']) {
+    socket.write(
+      'GET /read/1?wait=200 HTTP/1.1\r\nHost: register.example\r\n' +
+        `Authorization: Bearer key\r\nX-Attempt-Id: ${id}\r\n` +
+        'X-Deadline-Ms: 6000\r\n\r\n',
+    );
+  }
+  await new Promise(resolve => socket.once('close', resolve));
+  t.is(text.split('HTTP/1.1 200').length - 1, passedOn() - before);
+  t.is(await host.ended, 0);
+});
