Test that an endpoint's odd status ends no host

ERR_HTTP_INVALID_STATUS_CODE is thrown by writeHead in sendStreamHead of source/forward/response.ts, in a listener of `data` (attempt.ts, relayStream), where nobody catches it. Requests of other callers in progress are cut with it.

--- a/test/kept.test.ts
+++ b/test/kept.test.ts
@@ -458,3 +458,24 @@
   t.is(text.split('HTTP/1.1 200').length - 1, passedOn() - before);
   t.is(await host.ended, 0);
 });
+
+for (const status of ['000', '099']) {
+  test(`an endpoint that answers a stream with status ${status} ends no host`, async t => {
+    const {host, caller} = await start(t, (message, response) => {
+      if (!message.url?.startsWith('/draft/'))
+        return answerAfterWait(message, response);
+      const head = Object.entries(sealed(message)).map(
+        ([name, value]) => `${name}: ${value}\r\n`,
+      );
+      response.socket?.end(
+        `HTTP/1.1 ${status} Odd\r\n${head.join('')}\r\nid: 1\ndata: 1\n\n`,
+      );
+    });
+    const kept = await caller();
+    const other = kept.ask({path: '/record/1?wait=500'});
+    const stream = new KeptCaller(host.callers);
+    t.is((await stream.ask({path: '/draft/1'})).status, 502);
+    isAnswered(t, await other);
+    t.is(host.child.exitCode, null, host.errors.join(''));
+  });
+}
