Soak under overload, with metrics scraped and a second signal to stop

The soak had no phase in which requests queue at the hosts, nobody fetched the metrics, and a host that ended by itself was seen only as requests that failed. Now endpoints have slots, phases of overload ask for more, each host is scraped once a second, some stops come with a second SIGTERM, and bodies come in two parts. New promises: a request that was passed on is answered unless its host was killed or its caller gave up; a process ends only when it was told to; usage is not above what has run. The plan of a seed is as before; the new phases come from a generator of their own.

--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -5,6 +5,8 @@
 
 const CALLER_MILLISECONDS = 3_000;
 const PATIENCE_MILLISECONDS = 2_000;
+/** Between the two parts of a body. */
+const BODY_GAP_MILLISECONDS = 60;
 
 /** What came back. */
 export interface Reply extends Pick<Got, 'status' | 'body' | 'whole'> {
@@ -15,7 +17,7 @@
 /** Asks the host at an address; never throws. */
 export function askHost(
   address: string,
-  {route, key, id}: Asked,
+  {route, key, id, work}: Asked,
   agent: Agent,
 ): Promise<Reply> {
   let body = '';
@@ -26,7 +28,7 @@
       resolve({status, body, whole, overdue});
     };
     const sent = request(
-      `http://${address}/${route}/1`,
+      `http://${address}/${route}/1?work=${work}`,
       {
         agent,
         method: route === 'record' ? 'POST' : 'GET',
@@ -50,6 +52,8 @@
       sent.destroy();
     }, CALLER_MILLISECONDS);
     sent.on('error', () => end(0, false));
-    sent.end();
+    if (route !== 'record') return void sent.end();
+    sent.write('first part, ');
+    setTimeout(() => sent.end('second part'), BODY_GAP_MILLISECONDS);
   });
 }
--- a/soak/endpoint.ts
+++ b/soak/endpoint.ts
@@ -9,13 +9,15 @@
 
 import {answerTo, eventOf, STREAM_EVENTS, type Arrived} from './ledger.js';
 
-const WORK_MILLISECONDS = 20;
+/** Requests that an endpoint works on at once. */
+export const SLOTS = 6;
 const EVENT_MILLISECONDS = 15;
 
 /** One endpoint. */
 export class SoakEndpoint {
   address = '';
   private readonly server: Server;
+  private running = 0;
 
   constructor(
     readonly id: string,
@@ -56,13 +58,22 @@
       response.end();
       return;
     }
+    if (this.running >= SLOTS) {
+      response.writeHead(503, {'x-not-executed': '1', 'x-attempt-id': id});
+      response.end();
+      return;
+    }
+    this.running++;
+    response.once('close', () => this.running--);
     const team = String(headers['x-tenant']);
     const text = `${url} ${rawHeaders.join(' ')}`;
     this.arrived({id, endpoint: this.id, team, headers: text});
     response.writeHead(200, {'x-attempt-id': id, 'x-response-seal': 'seal'});
     if (!url.startsWith('/draft/')) {
       const body = answerTo({id, route: 'read'});
-      setTimeout(() => response.end(body), WORK_MILLISECONDS);
+      const {searchParams} = new URL(url, 'http://endpoint');
+      const work = Number(searchParams.get('work'));
+      setTimeout(() => response.end(body), work);
       return;
     }
     stream(response, id, Number(headers['last-event-id'] ?? 0));
--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -17,6 +17,9 @@
     | 'window-reported-once'
     | 'fences-grow'
     | 'nothing-cut-at-a-stop'
+    | 'passed-on-is-answered'
+    | 'ends-only-when-told'
+    | 'usage-was-run'
     | 'served-again';
   readonly detail: string;
 }
@@ -29,6 +32,8 @@
   readonly key: string;
   /** Whether the host had said that it knows the key to be withdrawn. */
   readonly withdrawn: boolean;
+  /** Milliseconds that an endpoint works on it. */
+  readonly work: number;
 }
 
 /** What a caller got. */
@@ -39,6 +44,8 @@
   readonly whole: boolean;
   /** Whether the host was only stopping, and nothing else was wrong with it. */
   readonly plannedOnly: boolean;
+  /** Whether the host was killed, or the caller itself gave up. */
+  readonly excused: boolean;
 }
 
 /** A request as an endpoint got it. */
@@ -77,10 +84,14 @@
   readonly violations: Violation[] = [];
   /** Answers of success that callers got. */
   served = 0;
+  /** Answers that promise that the request has not run. */
+  turnedAway = 0;
   asked = 0;
   private readonly open = new Map<string, Asked>();
   private readonly runs = new Map<string, number>();
   private readonly refused = new Set<string>();
+  /** Requests whose connection was closed without an answer, and no excuse. */
+  private readonly unanswered = new Set<string>();
   private readonly reports = new Map<number, string>();
   private readonly fences = new Map<string, number>();
 
@@ -104,20 +115,27 @@
     const once = asked.route === 'record';
     if (once && runs > 1) this.broken('runs-at-most-once', id);
     if (once && this.refused.has(id)) this.broken('refused-is-not-run', id);
+    if (this.unanswered.has(id)) this.broken('passed-on-is-answered', id);
   }
 
   get(asked: Asked, got: Got): void {
     const {id, route} = asked;
-    const {status, body, whole, plannedOnly} = got;
+    const {status, body, whole, plannedOnly, excused} = got;
     if (status === 200 && whole && body === answerTo(asked)) {
       this.served++;
       return;
     }
     if (status === 200 && whole) this.broken('whole-own-answer', id);
+    if (PROMISES_NOT_RUN.has(status)) this.turnedAway++;
     if (PROMISES_NOT_RUN.has(status) && route === 'record') {
       this.refused.add(id);
       if (this.runs.has(id)) this.broken('refused-is-not-run', id);
     }
+    if (status === 0 && !excused) {
+      this.unanswered.add(id);
+      if (this.runs.has(id)) this.broken('passed-on-is-answered', id);
+      return;
+    }
     const cut = status === 0 || (status === 200 && !whole);
     // A request that crosses the close of its connection reaches no endpoint.
     if (cut && plannedOnly && this.runs.has(id))
@@ -132,6 +150,18 @@
     this.broken('window-reported-once', `${window}: ${before}, then ${counts}`);
   }
 
+  /** Compares the usage that was reported with the runs. */
+  checkUsage(reported: number): void {
+    const runs = [...this.runs.values()].reduce((sum, count) => sum + count, 0);
+    if (reported <= runs) return;
+    this.broken('usage-was-run', `${reported} reported, ${runs} run`);
+  }
+
+  /** Notes that a host process ended which nobody had told to. */
+  ended(host: string, how: string): void {
+    this.broken('ends-only-when-told', `${host} ${how}`);
+  }
+
   /** Notes the fence of a call. */
   fence(subject: string, fence: number): void {
     const before = this.fences.get(subject) ?? fence;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -34,9 +34,10 @@
   const report = await soak.play();
   process.off('SIGTERM', end);
   process.off('SIGINT', end);
-  const {asked, served, violations, faults} = report;
+  const {asked, served, turnedAway, scrapes, violations, faults} = report;
   console.log(
     `seed ${seed}: ${faults.length} faults, ${served} of ${asked} served, ` +
+      `${turnedAway} turned away, ${scrapes} scrapes, ` +
       `${violations.length} promises broken`,
   );
   if (violations.length === 0) continue;
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -31,7 +31,14 @@
       readonly kind: 'endpoint-leaves' | 'endpoint-crashes';
       readonly endpoint: number;
     }
-  | {readonly kind: 'keys-change'};
+  | {readonly kind: 'keys-change'}
+  | {
+      readonly kind: 'stop-twice';
+      readonly host: number;
+      /** Milliseconds from the first signal to the second. */
+      readonly gap: number;
+    }
+  | {readonly kind: 'overload'; readonly lasts: number};
 
 /** A fault with its time, in milliseconds from the start. */
 export interface PlannedFault {
@@ -53,6 +60,9 @@
 const LASTS_MILLISECONDS_LEAST = 300;
 const LASTS_MILLISECONDS_MOST = 2_500;
 const SERIES_SHARE = 0.25;
+const SECOND_SIGNAL_MILLISECONDS_MOST = 4_000;
+const LOAD_GAP_MILLISECONDS_MOST = 5_000;
+const OVERLOAD_SHARE = 0.6;
 
 /**
  * The faults of a run.
@@ -74,6 +84,33 @@
   return plan;
 }
 
+/**
+ * Phases of overload, and stops with a second signal, beside the faults of a run.
+ *
+ * ```ts
+ * const plan = loadPlanOf(seededRandom(8), {hosts: 3, endpoints: 4, lasts: 8_000});
+ * ```
+ */
+export function loadPlanOf(
+  random: RandomSource,
+  {hosts, lasts: end}: SoakSize,
+): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let at = FIRST_MILLISECONDS;
+  while (at < end) {
+    const isOverload = random.next() < OVERLOAD_SHARE;
+    const host = Math.floor(random.next() * hosts);
+    const gap = random.next() * SECOND_SIGNAL_MILLISECONDS_MOST;
+    const lasts = random.next() * LASTS_MILLISECONDS_MOST;
+    const fault: Fault = isOverload
+      ? {kind: 'overload', lasts}
+      : {kind: 'stop-twice', host, gap};
+    plan.push({at, fault});
+    at += random.next() * LOAD_GAP_MILLISECONDS_MOST;
+  }
+  return plan;
+}
+
 function faultOf(random: RandomSource, {hosts, endpoints}: SoakSize): Fault {
   const pick = (count: number) => Math.floor(random.next() * count);
   const host = pick(hosts);
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -9,13 +9,14 @@
 import {seededRandom, type RandomSource} from '../source/random/index.js';
 import {
   EdgeFleet,
+  statusOf,
   until,
   type HostProcess,
 } from '../test/support/edgeprocess.js';
 import {askHost} from './caller.js';
 import {SoakEndpoint} from './endpoint.js';
-import {Ledger, type Asked, type Got, type Violation} from './ledger.js';
-import {planOf, type Fault, type SoakSize} from './plan.js';
+import {Ledger, TEAM, type Asked, type Got, type Violation} from './ledger.js';
+import {loadPlanOf, planOf, type Fault, type SoakSize} from './plan.js';
 import {FaultyProxy} from './proxy.js';
 
 /** What a soak is. */
@@ -31,6 +32,10 @@
   readonly faults: readonly string[];
   readonly asked: number;
   readonly served: number;
+  /** Requests that were turned away with the promise not to run. */
+  readonly turnedAway: number;
+  /** Answers of the hosts with their metrics. */
+  readonly scrapes: number;
   readonly violations: readonly Violation[];
 }
 
@@ -57,6 +62,14 @@
 const OLD_KEY_SHARE = 0.2;
 /** Keeps what callers do apart from the plan of the faults. */
 const CALLERS_SEED = 1_000_003;
+/** Keeps the phases of overload apart from the plan of the faults. */
+const LOAD_SEED = 2_000_003;
+const SCRAPE_MILLISECONDS = 1_000;
+const WORK_MILLISECONDS = 20;
+const OVERLOAD_WORK_MILLISECONDS = 150;
+/** Callers that an overload adds for each host. */
+const OVERLOAD_CALLERS = 16;
+const ERROR_LENGTH = 400;
 const RESTART_MILLISECONDS = 300;
 const LEAVE_MILLISECONDS = 2_500;
 const RETRY_MILLISECONDS = 40;
@@ -85,6 +98,9 @@
   private endpointCount = 0;
   private over = false;
   private attempts = 0;
+  private scrapes = 0;
+  /** Host processes that were told to end, and by which signal. */
+  private readonly told = new Map<HostProcess, 'SIGKILL' | 'SIGTERM'>();
   /** Disturbances of the whole deployment, and how many have ended. */
   private troubles = 0;
   private calmed = 0;
@@ -103,17 +119,19 @@
       const asking = this.stations.flatMap((_, index) =>
         Array.from({length: callers}, () => this.call(index)),
       );
+      const scraping = this.stations.map(station => this.scrape(station));
       await this.disturb();
       await Promise.all(this.repairs);
       await this.recover();
       this.over = true;
-      await Promise.all(asking);
+      await Promise.all([...asking, ...scraping]);
       this.readDuties();
     } finally {
       this.end();
     }
-    const {asked, served, violations} = this.ledger;
-    return {seed, faults: this.faults, asked, served, violations};
+    const {ledger, faults, scrapes} = this;
+    const {asked, served, turnedAway, violations} = ledger;
+    return {seed, faults, asked, served, turnedAway, scrapes, violations};
   }
 
   private async begin(): Promise<void> {
@@ -128,7 +146,9 @@
       await store.start();
       const name = `host-${index}`;
       const process = await this.fleet.host(name, undefined, store.address);
-      this.stations.push({process, store, ...UNDISTURBED});
+      const station = {process, store, ...UNDISTURBED};
+      this.stations.push(station);
+      this.watch(station);
     }
     for (const {process} of this.stations) await this.fleet.ready(process);
   }
@@ -148,7 +168,11 @@
   private async disturb(): Promise<void> {
     const began = performance.now();
     const {seed} = this.options;
-    for (const {at, fault} of planOf(seededRandom(seed), this.options)) {
+    const plan = [
+      ...planOf(seededRandom(seed), this.options),
+      ...loadPlanOf(seededRandom(seed + LOAD_SEED), this.options),
+    ].sort((one, other) => one.at - other.at);
+    for (const {at, fault} of plan) {
       await wait(Math.max(began + at - performance.now(), 0));
       this.faults.push(`${Math.round(at)} ${JSON.stringify(fault)}`);
       this.repairs.push(this.carryOut(fault));
@@ -160,6 +184,10 @@
       case 'kill':
       case 'stop':
         return this.restart(this.station(fault.host), fault.kind);
+      case 'stop-twice':
+        return this.restart(this.station(fault.host), 'stop', fault.gap);
+      case 'overload':
+        return this.overload(fault.lasts);
       case 'reload':
         return void this.signal(this.station(fault.host), 'SIGHUP');
       case 'freeze':
@@ -190,20 +218,77 @@
     }
   }
 
-  private async restart(station: Station, how: 'kill' | 'stop'): Promise<void> {
+  private async restart(
+    station: Station,
+    how: 'kill' | 'stop',
+    /** Milliseconds after which it is told a second time. */
+    gap?: number,
+  ): Promise<void> {
     if (!station.up) return;
     station.up = false;
     if (how === 'kill') station.disturbed++;
     else station.stopping = true;
-    station.process.child.kill(how === 'kill' ? 'SIGKILL' : 'SIGTERM');
+    const signal = how === 'kill' ? 'SIGKILL' : 'SIGTERM';
+    const {child, ended} = station.process;
+    this.told.set(station.process, signal);
+    child.kill(signal);
+    if (gap !== undefined) {
+      await Promise.race([wait(gap), ended]);
+      child.kill(signal);
+    }
     // A host that is frozen as well ends when it wakes.
-    await station.process.ended;
+    await ended;
     await wait(RESTART_MILLISECONDS);
+    this.launch(station);
+    await this.fleet.ready(station.process);
+    if (how === 'kill') station.calmed++;
+  }
+
+  private launch(station: Station): void {
     station.process = this.fleet.restart(station.process);
     station.up = true;
     station.stopping = false;
-    await this.fleet.ready(station.process);
-    if (how === 'kill') station.calmed++;
+    this.watch(station);
+  }
+
+  /** Checks how a process ends, and starts one anew that ended by itself. */
+  private watch(station: Station): void {
+    const {process} = station;
+    void process.ended.then(async code => {
+      if (this.over) return;
+      const {signalCode} = process.child;
+      const signal = this.told.get(process);
+      const isLoading = signalCode === 'SIGTERM';
+      const isStopped = signal === 'SIGTERM' && (code === 0 || isLoading);
+      if (signal === 'SIGKILL' || isStopped) return;
+      const error = process.errors.join('').slice(-ERROR_LENGTH);
+      this.ledger.ended(process.name, `${code} ${signalCode} ${error}`);
+      if (signal) return;
+      await wait(RESTART_MILLISECONDS);
+      if (station.process === process && station.up) this.launch(station);
+    });
+  }
+
+  /** Reads the metrics of a host once a second. */
+  private async scrape(station: Station): Promise<void> {
+    while (!this.over) {
+      void statusOf(station.process.metrics, '/metrics').then(status => {
+        if (status === 200) this.scrapes++;
+      });
+      await wait(SCRAPE_MILLISECONDS);
+    }
+  }
+
+  /** More requests at once than the endpoints have slots. */
+  private async overload(lasts: number): Promise<void> {
+    const end = performance.now() + lasts;
+    const isOver = () => this.over || performance.now() > end;
+    const asking = this.stations.flatMap((_, index) =>
+      Array.from({length: OVERLOAD_CALLERS}, () =>
+        this.callUntil(index, isOver, OVERLOAD_WORK_MILLISECONDS),
+      ),
+    );
+    await Promise.all(asking);
   }
 
   private signal({process: {child}, up}: Station, name: NodeJS.Signals): void {
@@ -289,14 +374,24 @@
     return known?.fields['version'] === this.fleet.configured;
   }
 
-  private async call(index: number): Promise<void> {
+  private call(index: number): Promise<void> {
+    return this.callUntil(index, () => this.over, WORK_MILLISECONDS);
+  }
+
+  /** Asks on one kept connection, again and again. */
+  private async callUntil(
+    index: number,
+    isOver: () => boolean,
+    work: number,
+  ): Promise<void> {
     const agent = new Agent({keepAlive: true, maxSockets: 1});
-    while (!this.over) {
+    while (!isOver()) {
       const known = Math.floor(this.random.next() * this.keyCount);
       const old = this.random.next() < OLD_KEY_SHARE;
       const key = old ? `key-${known}` : this.newestKey;
       const route = ROUTES[Math.floor(this.random.next() * ROUTES.length)];
-      const got = await this.askFor(index, key, route ?? 'read', agent);
+      const asked = {key, route: route ?? 'read', work};
+      const got = await this.askFor(index, asked, agent);
       const pause = this.random.next() * PAUSE_MILLISECONDS_MOST;
       await wait(got.status === 0 ? RETRY_MILLISECONDS : pause);
     }
@@ -309,16 +404,15 @@
 
   private async askFor(
     index: number,
-    key: string,
-    route: Asked['route'],
+    spec: Pick<Asked, 'key' | 'route' | 'work'>,
     agent: Agent,
   ): Promise<Got> {
     const station = this.station(index);
+    const {key} = spec;
     const asked = {
+      ...spec,
       id: `${index}.${this.attempts++}.${this.options.seed}`,
       host: station.process.name,
-      route,
-      key,
       withdrawn: !this.keys.includes(key) && this.isCurrent(station),
     };
     this.ledger.ask(asked);
@@ -343,7 +437,8 @@
       this.isCalm(station) &&
       this.disturbancesOf(station) === before;
     const plannedOnly = stopped && undisturbed && !reply.overdue;
-    return {...reply, plannedOnly};
+    const excused = reply.overdue || this.told.get(process) === 'SIGKILL';
+    return {...reply, plannedOnly, excused};
   }
 
   private disturbancesOf({disturbed}: Station): number {
@@ -362,7 +457,10 @@
     const agent = new Agent({keepAlive: false});
     for (const index of this.stations.keys()) {
       await until(async () => {
-        const got = await this.askFor(index, this.newestKey, 'read', agent);
+        const {newestKey: key} = this;
+        const work = WORK_MILLISECONDS;
+        const asked = {key, route: 'read', work} as const;
+        const got = await this.askFor(index, asked, agent);
         return got.status === 200 || performance.now() > end;
       });
     }
@@ -371,12 +469,16 @@
   }
 
   private readDuties(): void {
+    const runs = new Map<number, number>();
     for (const {path, fence, body} of this.fleet.site.duties) {
       this.ledger.fence(path, fence);
       if (path !== '/usage') continue;
       const window = Number(body['windowId']);
       this.ledger.report(window, JSON.stringify(body['counts']));
+      const counts = body['counts'] as Record<string, number>;
+      runs.set(window, counts[TEAM] ?? 0);
     }
+    this.ledger.checkUsage([...runs.values()].reduce((a, b) => a + b, 0));
   }
 
   private station(index: number): Station {
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -6,7 +6,7 @@
 import test from 'ava';
 
 import {answerTo, Ledger, TEAM, type Asked} from '../soak/ledger.js';
-import {planOf} from '../soak/plan.js';
+import {loadPlanOf, planOf} from '../soak/plan.js';
 import {REGRESSIONS} from '../soak/seeds.js';
 import {Soak} from '../soak/soak.js';
 import {seededRandom} from '../source/random/index.js';
@@ -20,6 +20,7 @@
     const report = await new Soak({...SIZE, seed}).play();
     for (const fault of report.faults) t.log(fault);
     t.true(report.served > 0);
+    t.true(report.scrapes > 0);
     t.deepEqual(report.violations, []);
   });
 }
@@ -29,6 +30,9 @@
   t.deepEqual(plan(7), plan(7));
   t.notDeepEqual(plan(7), plan(8));
   t.true(plan(7).every(({at}) => at < SIZE.lasts + 100));
+  const load = (seed: number) => loadPlanOf(seededRandom(seed), SIZE);
+  t.deepEqual(load(7), load(7));
+  t.notDeepEqual(load(7), load(8));
 });
 
 const ASKED: Asked = {
@@ -37,6 +41,7 @@
   route: 'record',
   key: 'key-0',
   withdrawn: false,
+  work: 0,
 };
 const ARRIVED = {
   id: ASKED.id,
@@ -50,6 +55,7 @@
   body: answerTo(ASKED),
   whole: true,
   plannedOnly: false,
+  excused: false,
 };
 
 function promisesBroken(play: (ledger: Ledger) => void): string[] {
@@ -146,9 +152,40 @@
       ledger => {
         ledger.ask(ASKED);
         ledger.arrive(ARRIVED);
-        ledger.get(ASKED, {...WHOLE, status: 0, plannedOnly: true});
+        ledger.get(ASKED, {
+          ...WHOLE,
+          status: 0,
+          plannedOnly: true,
+          excused: true,
+        });
       },
     ],
+    [
+      'nothing-cut-at-a-stop',
+      ledger => {
+        ledger.ask(ASKED);
+        ledger.arrive(ARRIVED);
+        ledger.get(ASKED, {...WHOLE, whole: false, plannedOnly: true});
+      },
+    ],
+    [
+      'passed-on-is-answered',
+      ledger => {
+        ledger.ask(ASKED);
+        ledger.arrive(ARRIVED);
+        ledger.get(ASKED, {...WHOLE, status: 0});
+      },
+    ],
+    [
+      'passed-on-is-answered',
+      ledger => {
+        ledger.ask(ASKED);
+        ledger.get(ASKED, {...WHOLE, status: 0});
+        ledger.arrive(ARRIVED);
+      },
+    ],
+    ['ends-only-when-told', ledger => ledger.ended('host-0', 'code 1')],
+    ['usage-was-run', ledger => ledger.checkUsage(1)],
   ];
   for (const [promise, play] of cases) {
     t.deepEqual(promisesBroken(play), [promise]);
