--- a/source/daemon/run.ts
+++ b/source/daemon/run.ts
@@ -4,6 +4,7 @@
 import {createLogger} from '../logging/index.js';
 import {Metrics} from '../metrics/index.js';
 import {HttpPlatform} from '../platform/index.js';
+import {endOnUncaughtError, LoadReporter} from '../process/index.js';
 import {
   readSettings,
   settingsSchema,
@@ -12,6 +13,11 @@
 import {Host} from './host.js';
 
 const EXIT_SETTINGS = 2;
+/**
+ * Longest time that a host goes on with the requests that it holds after an
+ * error that nothing caught.
+ */
+const MAX_DRAIN_AFTER_ERROR_MILLISECONDS = 10_000;
 
 /**
  * Runs the daemon until a signal ends it.
@@ -40,7 +46,18 @@
   const metrics = await Metrics.withStatsd(settings.metrics);
   const platform = new HttpPlatform(settings.platform);
   const host = new Host({settings, clock, logger, metrics, platform});
+  const load = () => host.load;
+  endOnUncaughtError({
+    source: process,
+    logger,
+    load,
+    end: code => {
+      clock.after(MAX_DRAIN_AFTER_ERROR_MILLISECONDS, () => process.exit(code));
+      void host.drain().finally(() => process.exit(code));
+    },
+  });
   await host.start();
+  new LoadReporter({clock, logger, load}).start();
   const leave = () => void host.drain().then(() => process.exit(0));
   process.on('SIGTERM', leave);
   process.on('SIGINT', leave);
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -24,6 +24,7 @@
 } from '../gossip/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
+import type {Load} from '../process/index.js';
 import type {RandomSource} from '../random/index.js';
 import {listen} from '../wire/index.js';
 import {PlatformView} from './platformview.js';
@@ -80,6 +81,7 @@
   private readonly readiness: Server;
   private readonly metricsServer: Server;
   private state = hostChart.initial;
+  private draining: Promise<void> = Promise.resolve();
   private cancelPulseBatch: Cancel | undefined;
   private cancelRedispatch: Cancel | undefined;
 
@@ -136,7 +138,7 @@
     this.feeder = this.gossip && this.createFeeder(this.gossip);
     this.callers = this.createCallerServer();
     this.readiness = createReadinessServer(() => this.state === 'serving');
-    this.metricsServer = createMetricsServer(metrics);
+    this.metricsServer = createMetricsServer(metrics, logger);
   }
 
   /**
@@ -159,6 +161,14 @@
     this.feeder?.start();
   }
 
+  /** The requests that this host holds. */
+  get load(): Load {
+    return {
+      active: this.forwarder.activeCount,
+      queued: this.admission.waiting,
+    };
+  }
+
   /** Applies the settings that can change at run time: the retry budget. */
   reload({repeats}: EdgeSettings): void {
     this.forwarder.retryBudget = repeats;
@@ -169,10 +179,16 @@
    * no more, then waits for the requests in progress, seals the usage and
    * leaves the leader election. Resolves when that is done, or shortly before
    * the platform kills the process, even if requests are still in progress.
-   * Does nothing while the host is starting or if it is draining or stopped.
+   * Further calls resolve with the first. Does nothing while the host is starting.
    */
-  async drain(): Promise<void> {
-    if (!hostChart.allows(this.state, 'drain')) return;
+  drain(): Promise<void> {
+    if (hostChart.allows(this.state, 'drain')) {
+      this.draining = this.drainAndStop();
+    }
+    return this.draining;
+  }
+
+  private async drainAndStop(): Promise<void> {
     this.transition('drain');
     this.gossip?.sendPulses();
     const {settings, clock} = this.parts;
--- a/source/edge/run.ts
+++ b/source/edge/run.ts
@@ -6,6 +6,7 @@
 import {SettingsError} from '../errors/index.js';
 import {BoundedSink, createLogger} from '../logging/index.js';
 import {Metrics} from '../metrics/index.js';
+import {endOnUncaughtError, LoadReporter} from '../process/index.js';
 import {seededRandom} from '../random/index.js';
 import {EdgeHost} from './host.js';
 import type {PlatformParts} from './platform.js';
@@ -13,6 +14,8 @@
 import type {ReloadSignals} from './signals.js';
 
 const STDOUT_FILE_DESCRIPTOR = 1;
+/** Longest time that the end of the process waits for the reader of its log. */
+const MAX_FLUSH_MILLISECONDS = 500;
 
 /** What differs between host processes. */
 export interface EdgeOptions {
@@ -28,7 +31,10 @@
 
 /**
  * Starts a host. Resolves once it has started; the host then runs until SIGTERM
- * or SIGINT, on which it drains and the process exits. A reload with invalid
+ * or SIGINT, on which it drains and the process exits, with code 0. An error that
+ * nothing caught does the same with code 1: the requests in progress still get
+ * their answers, but the host takes no new connections, since its state may be
+ * inconsistent. A reload with invalid
  * settings is logged and leaves the settings as they were. Throws a
  * SettingsError if the host cannot listen on an address.
  */
@@ -43,14 +49,28 @@
   const random = seededRandom(process.pid ^ Date.now());
   const parts = {settings, platform, clock, logger, metrics, random};
   const host = new EdgeHost(parts);
+  const exit = (code: number) => {
+    clock.after(MAX_FLUSH_MILLISECONDS, () => process.exit(code));
+    void sink.flush().then(() => process.exit(code));
+  };
+  const drainAndExit = (code: number) => {
+    const failed = (error: unknown) => {
+      const detail = error instanceof Error ? (error.stack ?? '') : 'unknown';
+      logger.error('drain-failed', {detail});
+    };
+    void host
+      .drain()
+      .catch(failed)
+      .then(() => exit(code));
+  };
+  const load = () => host.load;
+  endOnUncaughtError({source: process, logger, load, end: drainAndExit});
   logger.info('start', {host: settings.name, zone: settings.zone});
   await host.start();
-  const drainAndExit = (signal: string) => {
+  new LoadReporter({clock, logger, load}).start();
+  const stop = (signal: string) => {
     logger.info('stop', {signal});
-    void host.drain().then(() => {
-      sink.flush();
-      process.exit(0);
-    });
+    drainAndExit(0);
   };
   const reload = () => {
     try {
@@ -62,6 +82,6 @@
     }
   };
   options.signals.onReload(reload);
-  process.on('SIGTERM', drainAndExit);
-  process.on('SIGINT', drainAndExit);
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
 }
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -27,6 +27,12 @@
   readonly fields: Readonly<Record<string, unknown>>;
 }
 
+/** How a host is started, beside its settings. */
+export interface LaunchFlags {
+  readonly node?: readonly string[];
+  readonly program?: readonly string[];
+}
+
 /** Where a host can be found, over all its starts. */
 export interface HostPlace {
   readonly name: string;
@@ -35,6 +41,7 @@
   readonly metrics: string;
   /** Path of the settings file. */
   readonly settings: string;
+  readonly flags: LaunchFlags;
 }
 
 /** One host process. */
@@ -53,6 +60,14 @@
   response: ServerResponse,
 ) => void;
 
+/** Answers with a text after a delay in milliseconds. */
+function answerAfter(delay: number, text: string): EndpointAnswer {
+  return (message, response) => {
+    response.writeHead(200, sealed(message));
+    setTimeout(() => response.end(text), delay);
+  };
+}
+
 /** A platform with endpoints and hosts. */
 export class EdgeFleet {
   readonly site = new Site();
@@ -79,19 +94,21 @@
     return fleet;
   }
 
-  /** Starts an endpoint, which answers with its id, and enters it in the store. */
+  /**
+   * Starts an endpoint and enters it in the store. It answers with its id after
+   * a delay in milliseconds, or as it is told to.
+   */
   async endpoint(
     id: string,
-    answer: EndpointAnswer = (message, response) => {
-      response.writeHead(200, sealed(message));
-      response.end(id);
-    },
+    answer: EndpointAnswer | number = 0,
   ): Promise<void> {
+    const respond =
+      typeof answer === 'number' ? answerAfter(answer, id) : answer;
     const server = createServer((message, response) => {
       message.resume();
       message.on('end', () => {
         this.seen.set(id, (this.seen.get(id) ?? 0) + 1);
-        answer(message, response);
+        respond(message, response);
       });
     });
     this.servers.push(server);
@@ -160,6 +177,7 @@
     name: string,
     file?: string,
     store = this.site.address,
+    flags: LaunchFlags = {},
   ): Promise<HostProcess> {
     const [callers, readiness, control, metrics] = await Promise.all(
       [0, 1, 2, 3].map(() => freeAddress()),
@@ -171,13 +189,20 @@
     const settings = this.settingsOf(name, callers, readiness, control, store);
     writeFileSync(path, file ?? JSON.stringify(settings));
     this.seeds.push(control);
-    return this.launch({name, callers, readiness, metrics, settings: path});
+    return this.launch({
+      name,
+      callers,
+      readiness,
+      metrics,
+      settings: path,
+      flags,
+    });
   }
 
   /** Starts a host anew on the settings that it had. */
   restart(host: HostProcess): HostProcess {
-    const {name, callers, readiness, metrics, settings} = host;
-    return this.launch({name, callers, readiness, metrics, settings});
+    const {name, callers, readiness, metrics, settings, flags} = host;
+    return this.launch({name, callers, readiness, metrics, settings, flags});
   }
 
   private launch(place: HostPlace): HostProcess {
@@ -203,9 +228,10 @@
     return host;
   }
 
-  private commandOf({metrics}: HostPlace): string[] {
-    const {port} = partsOf(metrics);
-    const command = [process.execPath, PROGRAM, `--metrics-port=${port}`];
+  private commandOf({metrics, flags}: HostPlace): string[] {
+    const {node = [], program = []} = flags;
+    const port = `--metrics-port=${partsOf(metrics).port}`;
+    const command = [process.execPath, ...node, PROGRAM, port, ...program];
     const limit = this.openFilesLimit;
     if (limit === undefined) return command;
     return ['/bin/sh', '-c', `ulimit -n ${limit}; exec "$0" "$@"`, ...command];
