--- a/test/kept.test.ts
+++ b/test/kept.test.ts
@@ -476,6 +476,8 @@
     const stream = new KeptCaller(host.callers);
     t.is((await stream.ask({path: '/draft/1'})).status, 502);
     isAnswered(t, await other);
-    t.is(host.child.exitCode, null, host.errors.join(''));
+    await wait(200);
+    t.is(await statusOf(host.readiness, '/'), 200);
+    t.false(host.lines.some(({event}) => event === 'uncaught-error'));
   });
 }
