--- a/soak/main.ts
+++ b/soak/main.ts
@@ -34,10 +34,11 @@
   const report = await soak.play();
   process.off('SIGTERM', end);
   process.off('SIGINT', end);
-  const {asked, served, turnedAway, scrapes, violations, faults} = report;
+  const {asked, served, violations, faults} = report;
+  const {turnedAway, queued, scrapes} = report;
   console.log(
     `seed ${seed}: ${faults.length} faults, ${served} of ${asked} served, ` +
-      `${turnedAway} turned away, ${scrapes} scrapes, ` +
+      `${turnedAway} turned away, ${queued} queued, ${scrapes} scrapes, ` +
       `${violations.length} promises broken`,
   );
   if (violations.length === 0) continue;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -12,6 +12,7 @@
   statusOf,
   until,
   type HostProcess,
+  type Line,
 } from '../test/support/edgeprocess.js';
 import {askHost} from './caller.js';
 import {SoakEndpoint} from './endpoint.js';
@@ -34,6 +35,8 @@
   readonly served: number;
   /** Requests that were turned away with the promise not to run. */
   readonly turnedAway: number;
+  /** Requests that hosts say they have queued; a host logs not all of them. */
+  readonly queued: number;
   /** Answers of the hosts with their metrics. */
   readonly scrapes: number;
   readonly violations: readonly Violation[];
@@ -70,6 +73,8 @@
 /** Callers that an overload adds for each host. */
 const OVERLOAD_CALLERS = 16;
 const ERROR_LENGTH = 400;
+/** A request that waited longer before it was sent had been queued. */
+const QUEUED_MILLISECONDS = 100;
 const RESTART_MILLISECONDS = 300;
 const LEAVE_MILLISECONDS = 2_500;
 const RETRY_MILLISECONDS = 40;
@@ -131,7 +136,17 @@
     }
     const {ledger, faults, scrapes} = this;
     const {asked, served, turnedAway, violations} = ledger;
-    return {seed, faults, asked, served, turnedAway, scrapes, violations};
+    const {queued} = this;
+    return {
+      seed,
+      faults,
+      asked,
+      served,
+      turnedAway,
+      queued,
+      scrapes,
+      violations,
+    };
   }
 
   private async begin(): Promise<void> {
@@ -468,6 +483,14 @@
     this.ledger.broken('served-again', 'not within a minute of the last fault');
   }
 
+  private get queued(): number {
+    const lines = this.fleet.hosts.flatMap(host => host.lines);
+    const isQueued = ({event, fields}: Line) =>
+      event === 'request-sent' &&
+      Number(fields['waited']) > QUEUED_MILLISECONDS;
+    return lines.filter(isQueued).length;
+  }
+
   private readDuties(): void {
     const runs = new Map<number, number>();
     for (const {path, fence, body} of this.fleet.site.duties) {
