Close unused connections when a host of the own interface stops

A caller that held a connection open without asking kept a host from ending: it ran on until it was killed, with its leases and its last usage not handed over. Node counts a connection on which nothing has come as active, so that closeIdleConnections leaves it, and a closed server applies its header timeout no more. Seen in test/keptdaemon.test.ts: after 12 s the host still ran.

Now such connections are closed in the drain, and the wait for connections is bounded by the time in which a request must arrive.

--- a/source/daemon/host.ts
+++ b/source/daemon/host.ts
@@ -31,6 +31,7 @@
 import {listen} from '../wire/index.js';
 import {createListener} from './listener.js';
 import {createOperatorPort} from './operators.js';
+import {UnusedConnections} from './unused.js';
 import {ZonePlane} from './zone.js';
 
 /** Milliseconds without news of the log after which a host counts as cut off. */
@@ -63,6 +64,7 @@
   identities: Authenticator;
 
   private readonly callers: Server;
+  private readonly unused: UnusedConnections;
   private readonly operators: Server;
   private state = hostChart.initial;
   private leaving: Promise<void> | undefined;
@@ -84,6 +86,7 @@
     this.identities = new Authenticator(this.configuration);
     this.plane = this.createPlane();
     this.callers = createListener(this);
+    this.unused = new UnusedConnections(this.callers);
     this.operators = createOperatorPort(this);
   }
 
@@ -141,8 +144,9 @@
   }
 
   /**
-   * Leaves without cutting a request; resolves when all have ended. Asked
-   * again, it is still the same leaving.
+   * Leaves without cutting a request; resolves when all have ended and, within
+   * the time that a request may take to arrive, all connections are closed.
+   * Asked again, it is still the same leaving.
    */
   drain(): Promise<void> {
     this.leaving ??= this.leave();
@@ -156,10 +160,13 @@
     const closed = new Promise(resolve => this.callers.close(resolve));
     this.callers.closeIdleConnections();
     await this.exchanges.whenEmpty();
-    const stopClosing = this.clock.every(IDLE_CLOSE_MILLISECONDS, () =>
-      this.callers.closeIdleConnections(),
-    );
-    await closed;
+    const stopClosing = this.clock.every(IDLE_CLOSE_MILLISECONDS, () => {
+      this.callers.closeIdleConnections();
+      this.unused.close();
+    });
+    const {requestBoundMilliseconds} = this.settings;
+    await Promise.race([closed, this.wait(requestBoundMilliseconds)]);
+    await this.exchanges.whenEmpty();
     stopClosing();
     await this.zone.leave(HAND_OVER_MILLISECONDS);
     this.stop();
