--- a/soak/main.ts
+++ b/soak/main.ts
@@ -35,8 +35,10 @@
   process.off('SIGTERM', end);
   process.off('SIGINT', end);
   const {asked, served, violations, faults} = report;
+  const {turnedAway, queued, scrapes} = report;
   console.log(
     `seed ${seed}: ${faults.length} faults, ${served} of ${asked} served, ` +
+      `${turnedAway} turned away, ${queued} queued, ${scrapes} scrapes, ` +
       `${violations.length} promises broken`,
   );
   if (violations.length === 0) continue;
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -1,13 +1,20 @@
 /** Host processes on a stand-in of the users' platform, as scenarios need them. */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
-import {createServer, request, type Server} from 'node:http';
+import {
+  createServer,
+  request,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 
 import type {ExecutionContext} from 'ava';
 
+import {partsOf} from '../../source/wire/index.js';
 import {freeAddress} from '../../tools/ports.js';
 import {Site} from '../../standins/site.js';
 
@@ -32,6 +39,7 @@
   readonly callers: string;
   readonly readiness: string;
   readonly control: string;
+  readonly metrics: string;
   /** Path of the settings file. */
   readonly settings: string;
   readonly flags: LaunchFlags;
@@ -41,10 +49,26 @@
 export interface HostProcess extends HostPlace {
   readonly child: ChildProcess;
   readonly lines: Line[];
+  /** What it has written to standard error. */
+  readonly errors: string[];
   /** Resolves with the exit code. */
   readonly ended: Promise<number | null>;
 }
 
+/** Answers one request as an endpoint. */
+export type EndpointAnswer = (
+  message: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
+/** Answers with a text after a delay in milliseconds. */
+function answerAfter(delay: number, text: string): EndpointAnswer {
+  return (message, response) => {
+    response.writeHead(200, sealed(message));
+    setTimeout(() => response.end(text), delay);
+  };
+}
+
 /** A platform with endpoints and hosts. */
 export class EdgeFleet {
   readonly site = new Site();
@@ -55,6 +79,14 @@
   private readonly seeds: string[] = [];
   /** The version of the newest configuration. */
   configured = 0;
+  /** Timeout of every route, in the next configuration. */
+  routeTimeoutMilliseconds = 2_000;
+  /** Time for which callers may keep a connection, in the next configuration. */
+  idleTimeoutMilliseconds = 15_000;
+  /** Files and sockets that a host may have open; undefined for no limit. */
+  openFilesLimit: number | undefined;
+  /** Seconds between SIGTERM and the kill, for hosts that are started next. */
+  graceSeconds = 8;
 
   static async start(t: ExecutionContext): Promise<EdgeFleet> {
     const fleet = new EdgeFleet();
@@ -63,17 +95,21 @@
     return fleet;
   }
 
-  /** Starts an endpoint, which answers after a delay, and enters it in the store. */
-  async endpoint(id: string, delay = 0): Promise<void> {
+  /**
+   * Starts an endpoint and enters it in the store. It answers with its id after
+   * a delay in milliseconds, or as it is told to.
+   */
+  async endpoint(
+    id: string,
+    answer: EndpointAnswer | number = 0,
+  ): Promise<void> {
+    const respond =
+      typeof answer === 'number' ? answerAfter(answer, id) : answer;
     const server = createServer((message, response) => {
       message.resume();
       message.on('end', () => {
         this.seen.set(id, (this.seen.get(id) ?? 0) + 1);
-        response.writeHead(200, {
-          'x-attempt-id': String(message.headers['x-attempt-id']),
-          'x-response-seal': 'seal',
-        });
-        setTimeout(() => response.end(id), delay);
+        respond(message, response);
       });
     });
     this.servers.push(server);
@@ -112,9 +148,9 @@
     this.site.put('keyed.op', 'config', {
       version: this.configured,
       routes: [
-        routeOf('read', 'idempotent'),
-        routeOf('record', 'non_idempotent'),
-        routeOf('draft', 'streaming'),
+        routeOf('read', 'idempotent', this.routeTimeoutMilliseconds),
+        routeOf('record', 'non_idempotent', this.routeTimeoutMilliseconds),
+        routeOf('draft', 'streaming', this.routeTimeoutMilliseconds),
       ],
       services: [
         {
@@ -131,7 +167,7 @@
         maxHeaderBytes: 16_384,
         maxBodyBytes: 4_194_304,
         headerTimeoutMs: 3_000,
-        idleTimeoutMs: 15_000,
+        idleTimeoutMs: this.idleTimeoutMilliseconds,
       },
       tenants: [
         {name: 'guides', apiKeys: keys, priority: 1, allowedRegions: homes},
@@ -152,28 +188,35 @@
     store = this.site.address,
     flags: LaunchFlags = {},
   ): Promise<HostProcess> {
-    const [callers, readiness, control] = await Promise.all(
-      [0, 1, 2].map(() => freeAddress()),
+    const [callers, readiness, control, metrics] = await Promise.all(
+      [0, 1, 2, 3].map(() => freeAddress()),
     );
-    if (!callers || !readiness || !control) throw new Error('no free ports');
+    if (!callers || !readiness || !control || !metrics)
+      throw new Error('no free ports');
     const folder = mkdtempSync(join(tmpdir(), 'arbutusslip-'));
     const path = join(folder, 'settings.json');
     const settings = this.settingsOf(name, callers, readiness, control, store);
     writeFileSync(path, file ?? JSON.stringify(settings));
     this.seeds.push(control);
-    const place = {name, callers, readiness, control, settings: path, flags};
-    return this.launch(place);
+    return this.launch({
+      name,
+      callers,
+      readiness,
+      control,
+      metrics,
+      settings: path,
+      flags,
+    });
   }
 
   /** Starts a host anew on the settings that it had. */
   restart(host: HostProcess): HostProcess {
-    const {name, callers, readiness, control, settings, flags} = host;
-    return this.launch({name, callers, readiness, control, settings, flags});
+    return this.launch(host);
   }
 
   private launch(place: HostPlace): HostProcess {
-    const {node = [], program = []} = place.flags;
-    const child = spawn(process.execPath, [...node, PROGRAM, ...program], {
+    const [program = '', ...flags] = this.commandOf(place);
+    const child = spawn(program, flags, {
       env: {PATH: process.env['PATH'], ARBUTUSSLIP_BOOT: place.settings},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -184,14 +227,25 @@
       rest = texts.pop() ?? '';
       for (const text of texts) lines.push(JSON.parse(text) as Line);
     });
+    const errors: string[] = [];
+    child.stderr?.on('data', (part: Buffer) => errors.push(part.toString()));
     const ended = new Promise<number | null>(resolve => {
       child.once('exit', code => resolve(code));
     });
-    const host = {...place, child, lines, ended};
+    const host = {...place, child, lines, errors, ended};
     this.hosts.push(host);
     return host;
   }
 
+  private commandOf({metrics, flags}: HostPlace): string[] {
+    const {node = [], program = []} = flags;
+    const port = `--metrics-port=${partsOf(metrics).port}`;
+    const command = [process.execPath, ...node, PROGRAM, port, ...program];
+    const limit = this.openFilesLimit;
+    if (limit === undefined) return command;
+    return ['/bin/sh', '-c', `ulimit -n ${limit}; exec "$0" "$@"`, ...command];
+  }
+
   /** Resolves when a host says that it is ready. */
   async ready(host: HostProcess): Promise<void> {
     await until(async () => (await statusOf(host.readiness, '/')) === 200);
@@ -237,7 +291,7 @@
       seedNodes: this.seeds.slice(0, 3),
       limits: {memoryMb: 200},
       bounds: {
-        graceS: 8,
+        graceS: this.graceSeconds,
         drainMs: 2_000,
         retryRatio: 0.2,
         retryWindowS: 10,
@@ -263,13 +317,21 @@
   }
 }
 
-function routeOf(name: string, kind: string): object {
+/** The headers of an endpoint's own answer to a request. */
+export function sealed({headers}: IncomingMessage): Record<string, string> {
+  return {
+    'x-attempt-id': String(headers['x-attempt-id']),
+    'x-response-seal': 'seal',
+  };
+}
+
+function routeOf(name: string, kind: string, timeoutMs: number): object {
   return {
     name,
     host: 'register.example',
     pathPrefix: `/${name}/`,
     kind,
-    timeoutMs: 2_000,
+    timeoutMs,
     sloMs: 500,
     priority: 1,
     service: 'register',
@@ -289,7 +351,8 @@
   }
 }
 
-function statusOf(address: string, path: string): Promise<number> {
+/** Status of a GET; 0 where the connection ends without an answer. */
+export function statusOf(address: string, path: string): Promise<number> {
   return new Promise(resolve => {
     const sent = request(`http://${address}${path}`, message => {
       message.resume();
