Log and count a leader task that throws, and go on

What operators would see: the leader ends with code 1 when one of its tasks, the usage reports or the scaling, throws any other error than a StoreError; the next leader meets the same data.

Cause: the tasks run within a promise that nobody awaits, on the word of a comment that they do not throw.

Evidence: "a leader task that throws ends neither the host nor the other tasks" failed before with unhandled rejections (RangeError).

The elector now catches the error of each task, logs it as duty-failed with its stack, counts it by the error's name and runs the task again at the next tick, as for a failed call.

--- a/source/leader/elector.ts
+++ b/source/leader/elector.ts
@@ -26,7 +26,10 @@
 /** Longest time that a call to the platform may be under way. */
 const MAX_CALL_DELAY_MILLISECONDS = 600;
 
-/** A task that the leader runs periodically; must not throw. */
+/**
+ * A task that the leader runs periodically. An error that it throws is logged
+ * and counted, and the task is run again at the next tick.
+ */
 export type LeaderTask = (leader: Leader) => Promise<void>;
 
 /** Dependencies and settings of a leader elector. */
@@ -157,9 +160,21 @@
       mayAct: () => this.isActiveLeader && this.term.fence === fence,
     };
     try {
-      for (const task of this.options.tasks) await task(leader);
+      for (const task of this.options.tasks) await this.runTask(task, leader);
     } finally {
       this.isRunningTasks = false;
     }
   }
+
+  private async runTask(task: LeaderTask, leader: Leader): Promise<void> {
+    try {
+      await task(leader);
+    } catch (error) {
+      const {logger, metrics} = this.options;
+      const reason = error instanceof Error ? error.name : 'unknown';
+      const detail = error instanceof Error ? (error.stack ?? '') : 'unknown';
+      metrics.count('duty-failed', {reason});
+      logger.error('duty-failed', {reason, detail});
+    }
+  }
 }
