Follow a topic on after a record that the host cannot take

What operators would see: a host ends with code 1 when a configuration or an endpoint's entry makes any part of the host throw as it is applied, and again after each restart, on all hosts alike.

Cause: KeyedFollower.run throws whatever is not a StoreError, and its promise is not awaited.

Evidence: "a topic is followed on after a record that the host cannot take" failed before, as the promise of run was rejected (RangeError).

The follower now logs the error as records-not-taken with its stack, counts it by topic and the error's name, and reads on after a pause. The records of that page count as applied.

--- a/source/store/follower.ts
+++ b/source/store/follower.ts
@@ -101,8 +101,9 @@
   }
 
   /**
-   * Follows the topic until the follower is stopped. Store errors are logged
-   * and retried; any other error is thrown.
+   * Follows the topic until the follower is stopped. All errors are logged, and
+   * the topic is followed on: those of the store, and those that `onChanges`
+   * throws, whose records count as applied.
    */
   async run(): Promise<void> {
     while (!this.stopped) {
@@ -116,8 +117,8 @@
         this.handleSuccess();
         if (this.position > before) await this.waitForBatch();
       } catch (error) {
-        if (!(error instanceof StoreError)) throw error;
-        await this.handleFailure(error);
+        if (error instanceof StoreError) await this.handleFailure(error);
+        else await this.handleUnexpectedError(error);
       }
     }
   }
@@ -192,6 +193,15 @@
     await this.pause(backoff * (0.5 + this.options.random.next() / 2));
   }
 
+  private async handleUnexpectedError(error: unknown): Promise<void> {
+    const {logger, metrics, topic} = this.options;
+    const reason = error instanceof Error ? error.name : 'unknown';
+    const detail = error instanceof Error ? (error.stack ?? '') : 'unknown';
+    metrics.count('records-not-taken', {topic, reason});
+    logger.error('records-not-taken', {topic, reason, detail});
+    await this.pause(MAX_BACKOFF_MILLISECONDS);
+  }
+
   private waitForBatch(): Promise<void> {
     return this.pause(
       this.options.feeds()
