Bound the heap of a fair queue by the number of its teams

What operators would see: memory that grows by an item with each request that ends while its team has others queued, until that team's queue is empty once.

Cause: a counter that may have fallen gets a new item, and the older items of the team leave the heap only when they reach its top.

The growth was not measured on a host.

When there are more than four items for each team on average, the heap is made anew with one item a team, at its present counter. Which team is served next depends only on the lowest item of each team, so the order is the same.

--- a/source/admission/fairqueue.ts
+++ b/source/admission/fairqueue.ts
@@ -1,15 +1,19 @@
 /**
  * The queue of one scheduling group: first come, first served within a team,
  * and between teams the one with the lowest token counter first. The heap
- * holds at least one item for each team with queued requests. An item whose
- * counter has risen since is put back when it reaches the top, so taking a
- * request costs the logarithm of the number of these teams.
+ * holds at least one item for each team with queued requests, and a few more
+ * where counters have fallen. An item whose counter has risen since is put back
+ * when it reaches the top, so taking a request costs the logarithm of the number
+ * of these teams.
  */
 import TinyQueue from 'tinyqueue';
 
 import type {VirtualTokenCounters} from './fairness.js';
 import type {AdmissionRequest} from './request.js';
 
+/** Items of a team in the heap, on average, from which it is made anew. */
+const MAX_ITEMS_PER_TEAM = 4;
+
 interface HeapItem {
   readonly team: string;
   /** The team’s counter when the item was added. */
@@ -20,10 +24,7 @@
 export class FairQueue<T extends AdmissionRequest> {
   /** Queued requests by team, in order of arrival; no team without any. */
   private readonly teams = new Map<string, T[]>();
-  private readonly heap = new TinyQueue<HeapItem>(
-    [],
-    (one, other) => one.counter - other.counter,
-  );
+  private heap = createHeap([]);
   private length = 0;
 
   constructor(private readonly counters: VirtualTokenCounters) {}
@@ -32,6 +33,11 @@
     return this.length;
   }
 
+  /** Items in the heap: at least one for each team with queued requests. */
+  get itemCount(): number {
+    return this.heap.length;
+  }
+
   /** Adds a request to those of its team, in order of arrival. */
   push(request: T): void {
     this.length++;
@@ -90,7 +96,14 @@
   }
 
   private addToHeap(team: string): void {
-    this.heap.push({team, counter: this.counters.counter(team)});
+    this.heap.push(this.itemFor(team));
+    if (this.heap.length <= this.teams.size * MAX_ITEMS_PER_TEAM) return;
+    const teams = [...this.teams.keys()];
+    this.heap = createHeap(teams.map(queued => this.itemFor(queued)));
+  }
+
+  private itemFor(team: string): HeapItem {
+    return {team, counter: this.counters.counter(team)};
   }
 
   /** The team to serve next, whose item is then at the top of the heap. */
@@ -109,6 +122,10 @@
   }
 }
 
+function createHeap(items: HeapItem[]): TinyQueue<HeapItem> {
+  return new TinyQueue(items, (one, other) => one.counter - other.counter);
+}
+
 function insertByArrival<T extends AdmissionRequest>(
   queued: T[],
   request: T,
--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -11,6 +11,8 @@
   expectedWait,
   CapacityProvider,
   AdmissionQueue,
+  FairQueue,
+  VirtualTokenCounters,
   type SchedulingGroup,
   type AdmissionRequest,
 } from '../source/admission/index.js';
@@ -300,3 +302,21 @@
   setup.clock.advance(5_000);
   await Promise.all(requests.map(({done}) => done));
 });
+
+test('the heap of a queue does not grow while its teams stay queued', t => {
+  const counters = new VirtualTokenCounters();
+  const queue = new FairQueue(counters);
+  const group = groupOf(1);
+  for (const team of ['one', 'two']) {
+    queue.push(requestOf(group, team, 0));
+    counters.charge(team, 1_000_000, 1);
+  }
+  for (let settled = 0; settled < 10_000; settled++) {
+    counters.charge('one', -1, 1);
+    queue.refresh('one');
+  }
+  t.true(queue.itemCount <= 8);
+  t.is(queue.shift()?.team, 'one');
+  t.is(queue.shift()?.team, 'two');
+  t.is(queue.shift(), undefined);
+});
