Forget the reports of feeders that are gone

What operators would see: a map that grows by a name with each feeder there ever was, and is copied at each report, several times a second.

Cause: reports were added by the feeder's name and never removed. Reports older than a second were passed over wherever they are read.

Evidence: "reports of feeders that are gone are not kept" (499 feeders) failed with the change of handleReport taken back. The growth was not measured on a host.

Each report now replaces the map by one without the feeders that are silent by the same age, so nothing that is read changes.

--- a/source/gossip/feed.ts
+++ b/source/gossip/feed.ts
@@ -73,12 +73,22 @@
  * based, of feeders that are not silent; -Infinity if there is none.
  */
 export function latestAnsweredAt(reports: FeedReports, now: number): number {
-  const fresh = [...reports.values()].filter(
-    ({heardAt}) => now - heardAt < MAX_REPORT_AGE_MILLISECONDS,
-  );
+  const fresh = [...withoutSilent(reports, now).values()];
   return Math.max(-Infinity, ...fresh.map(report => report.answeredAt));
 }
 
+/** The reports of the feeders that are not silent. */
+export function withoutSilent(
+  reports: FeedReports,
+  now: number,
+): Map<string, FeedReport> {
+  return new Map(
+    [...reports].filter(
+      ([, {heardAt}]) => now - heardAt < MAX_REPORT_AGE_MILLISECONDS,
+    ),
+  );
+}
+
 function selectFeeders(hosts: readonly HostAddress[]): ReadonlySet<string> {
   const zones = new Map<string, string[]>();
   for (const {name, zone} of hosts) {
--- a/source/gossip/feeder.ts
+++ b/source/gossip/feeder.ts
@@ -10,6 +10,7 @@
   latestAnsweredAt,
   planFeed,
   isFeedFresh,
+  withoutSilent,
   type FeedReport,
 } from './feed.js';
 import type {
@@ -85,6 +86,11 @@
     );
   }
 
+  /** Number of feeders whose last report is kept. */
+  get reportCount(): number {
+    return this.reports.size;
+  }
+
   /** Whether this host follows the store for others. */
   get isFeeding(): boolean {
     return this.feeds.length > 0;
@@ -110,7 +116,7 @@
     const {onStoreLost, clock} = this.options;
     const now = clock.monotonic();
     const report = {heardAt: now, answeredAt: now - age};
-    this.reports = new Map(this.reports).set(from.name, report);
+    this.reports = withoutSilent(this.reports, now).set(from.name, report);
     if (lostAgo !== undefined) onStoreLost(now - lostAgo);
     for (const {topic, position} of positions) {
       const known = positionOf(this.options.positions(), topic);
--- a/test/feed.test.ts
+++ b/test/feed.test.ts
@@ -222,3 +222,25 @@
   fleet.end++;
   t.deepEqual(fleet.hostsBehindAfter(1_000), []);
 });
+
+test('reports of feeders that are gone are not kept', t => {
+  const clock = new ManualClock();
+  const [self, ...others] = createAddresses(500);
+  if (!self) throw new Error('no host');
+  const feeder = new Feeder({
+    self,
+    clock,
+    hosts: () => [],
+    send: () => {},
+    positions: () => [],
+    records: () => ({records: [], end: 0, whole: false}),
+    answeredAt: () => 0,
+    storeLostAt: () => -Infinity,
+    onStoreLost: () => {},
+  });
+  for (const from of others) {
+    feeder.handleReport({kind: 'feed', from, positions: [], age: 0});
+    clock.advance(400);
+  }
+  t.true(feeder.reportCount <= 3);
+});
