Remove the usage replicas of hosts that have long been silent

What operators would see: a map that grows by the sheets of each incarnation that was lost before the host counted it as reachable, or that sends its sheets to another host since.

Cause: a replica was removed only when its host is lost, which is reported only for hosts that were reachable at a tick of the gossip.

Evidence: "sheets of hosts that have long been silent are not kept" (100 incarnations, one a window) failed with the removal taken back. The growth was not measured on a host.

A host now drops replicas without a sheet of the last 20 windows, the age at which it drops its own sheets too, and logs usage-replica-removed.

--- a/source/leader/usage.ts
+++ b/source/leader/usage.ts
@@ -107,6 +107,11 @@
     this.replicas.set(host, newestOf(known, sheets));
   }
 
+  /** Number of hosts whose sheets this host keeps. */
+  get replicaCount(): number {
+    return this.replicas.size;
+  }
+
   /** Appends the sheets that this host has kept for a host that was lost. */
   async appendReplicaOf(host: string): Promise<void> {
     const sheets = this.replicas.get(host);
@@ -175,6 +180,7 @@
   private async appendOwnSheets(): Promise<void> {
     this.sheets.sealBefore(this.windowAt(0));
     this.sheets.removeBefore(this.windowAt(0) - RETAINED_WINDOWS);
+    this.removeOldReplicas(this.windowAt(0) - RETAINED_WINDOWS);
     const sheets = this.sheets.takeUpdates(false);
     if (sheets.length === 0) return;
     if (await this.appendSheets(sheets)) return;
@@ -182,6 +188,15 @@
     this.retryAppend(windows);
   }
 
+  /** Removes the sheets of hosts that have sent none since a window. */
+  private removeOldReplicas(oldest: number): void {
+    for (const [host, sheets] of this.replicas) {
+      if (sheets.some(({window}) => window >= oldest)) continue;
+      this.replicas.delete(host);
+      this.options.logger.info('usage-replica-removed', {host, oldest});
+    }
+  }
+
   /**
    * Appends this host's sheets of some windows again, in full, until the store
    * has confirmed them: the earlier append may have been lost.
--- a/test/replicas.test.ts
+++ b/test/replicas.test.ts
@@ -151,3 +151,15 @@
   await usage.appendReplicaOf(OTHER);
   t.deepEqual(store.sheets.map(({window}) => window).sort(), [11, 12]);
 });
+
+test('sheets of hosts that have long been silent are not kept', async t => {
+  const {clock, usage} = setUp(0);
+  usage.start();
+  for (let host = 0; host < 100; host++) {
+    const window = Math.floor(clock.now().getTime() / WINDOW);
+    usage.keepReplica(`host-${host} 2`, [sheetOf(window, 1)]);
+    clock.advance(WINDOW);
+    await settle();
+  }
+  t.true(usage.replicaCount <= 25);
+});
