--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -11,6 +11,8 @@
   expectedWait,
   CapacityProvider,
   AdmissionQueue,
+  FairQueue,
+  VirtualTokenCounters,
   type SchedulingGroup,
   type AdmissionRequest,
 } from '../source/admission/index.js';
@@ -345,3 +347,21 @@
   t.is(runs, 2);
   t.is(admission.waiting, 0);
 });
+
+test('the heap of a queue does not grow while its teams stay queued', t => {
+  const counters = new VirtualTokenCounters();
+  const queue = new FairQueue(counters);
+  const group = groupOf(1);
+  for (const team of ['one', 'two']) {
+    queue.push(requestOf(group, team, 0));
+    counters.charge(team, 1_000_000, 1);
+  }
+  for (let settled = 0; settled < 10_000; settled++) {
+    counters.charge('one', -1, 1);
+    queue.refresh('one');
+  }
+  t.true(queue.itemCount <= 8);
+  t.is(queue.shift()?.team, 'one');
+  t.is(queue.shift()?.team, 'two');
+  t.is(queue.shift(), undefined);
+});
