End a call whose reply switches protocols

A call of the host to the store or the platform never ended, not even at its bound, when the reply was a 101: node closes the socket without 'response' or 'error', and the timer then destroys a request that is closed already, which emits nothing. Whoever waited for the reply (the follower of the configuration, say) waited for good.

exchangeBytes now takes a close without a response for a failure; it is stage cut, since the call may have been carried out.

Held: slow endless heads, informational responses and bodies end at the bound of the call, of a guarded one too, and the connection is closed.

--- a/source/wire/exchange.ts
+++ b/source/wire/exchange.ts
@@ -39,6 +39,7 @@
   const length = body ? {'content-length': body.length} : {};
   return new Promise((resolve, reject) => {
     let connected = false;
+    let responded = false;
     const sent = request({
       ...partsOf(address),
       method,
@@ -60,7 +61,12 @@
       else socket.once('connect', () => (connected = true));
     });
     sent.on('error', fail);
+    // Comes without an error where the reply switches protocols.
+    sent.once('close', () => {
+      if (!responded) fail(new Error('no reply'));
+    });
     sent.once('response', message => {
+      responded = true;
       const parts: Buffer[] = [];
       message.on('data', (part: Buffer) => parts.push(part));
       message.on('error', fail);
--- /dev/null
+++ b/test/endlesscalls.test.ts
@@ -0,0 +1,90 @@
+/** Calls to the store and the platform whose answers never end. */
+import {createServer, type AddressInfo} from 'node:net';
+
+import test, {type ExecutionContext} from 'ava';
+
+import {WireError} from '../source/errors/index.js';
+import {callGuarded, exchangeBytes} from '../source/wire/index.js';
+import {sendEndlessly, type EndlessBytes} from './support/endless.js';
+
+/** Milliseconds for a whole call. */
+const BOUND = 400;
+/** Milliseconds within which a call that is given up must have failed. */
+const GIVEN_UP = 700;
+const HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
+
+interface Peer {
+  readonly address: string;
+  readonly sent: {count: number};
+  isClosed: boolean;
+}
+
+async function startPeer(
+  t: ExecutionContext,
+  bytes: EndlessBytes,
+): Promise<Peer> {
+  const sent = {count: 0};
+  const server = createServer(socket => {
+    socket.once('data', () => sendEndlessly(socket, bytes, sent));
+    socket.resume();
+    socket.on('close', () => (peer.isClosed = true));
+    t.teardown(() => socket.destroy());
+  });
+  t.teardown(() => server.close());
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  const peer: Peer = {address: `127.0.0.1:${port}`, sent, isClosed: false};
+  return peer;
+}
+
+function get(address: string) {
+  return {address, method: 'GET', path: '/', bound: BOUND, headers: {}};
+}
+
+async function untilClosed(peer: Peer): Promise<void> {
+  while (!peer.isClosed) await new Promise(resolve => setTimeout(resolve, 5));
+}
+
+const SLOW: ReadonlyArray<EndlessBytes & {readonly what: string}> = [
+  {what: 'body', head: HEAD, part: 'x', pause: 10},
+  {what: 'head', head: 'HTTP/1.1 200 OK\r\na: ', part: 'x', pause: 10},
+  {
+    what: 'series of informational responses',
+    head: '',
+    part: 'HTTP/1.1 103 Early Hints\r\n\r\n',
+    pause: 10,
+  },
+  {
+    what: 'switch of protocols',
+    head: 'HTTP/1.1 101 Switching\r\nupgrade: any\r\nconnection: upgrade\r\n\r\n',
+    part: 'x',
+    pause: 10,
+  },
+];
+
+for (const bytes of SLOW) {
+  test(`a reply with a slow endless ${bytes.what} ends at the bound of the call`, async t => {
+    const peer = await startPeer(t, bytes);
+    const startedAt = performance.now();
+    const error = await t.throwsAsync(exchangeBytes(get(peer.address)), {
+      instanceOf: WireError,
+    });
+    t.is(error?.stage, 'cut');
+    t.true(performance.now() - startedAt < GIVEN_UP);
+    await untilClosed(peer);
+  });
+
+  test(`a guarded call whose reply has a slow endless ${bytes.what} ends at its bound`, async t => {
+    const peer = await startPeer(t, bytes);
+    const call = {...get(peer.address), method: 'POST', body: {}};
+    const startedAt = performance.now();
+    await t.throwsAsync(
+      callGuarded(call, () => true),
+      {instanceOf: WireError},
+    );
+    t.true(performance.now() - startedAt < GIVEN_UP);
+    await untilClosed(peer);
+  });
+}
