Bound the reply to a call

A reply of the store or the platform that came without end was collected until the bound of the call, which is 30 s for a waiting read: at the speed of a local network that is more than any host's memory.

A reply over 8 MiB fails the call and closes its connection; the largest pages of the store have 1 MB.

Evidence: 'a reply that never ends fails the call before it fills the memory' failed before (the call ran on to its bound of 10 s). 'A store whose page never ends counts as one that gives no answer' held by its bound of time; now it takes milliseconds.

--- a/source/wire/exchange.ts
+++ b/source/wire/exchange.ts
@@ -8,6 +8,9 @@
 import {WireError} from '../errors/index.js';
 import {partsOf} from './listen.js';
 
+/** Largest body of a reply, several times the largest page of the store. */
+const MAX_REPLY_BYTES = 8_388_608;
+
 /** What is asked, in bytes. */
 export interface ByteCall {
   readonly address: string;
@@ -68,7 +71,14 @@
     sent.once('response', message => {
       responded = true;
       const parts: Buffer[] = [];
-      message.on('data', (part: Buffer) => parts.push(part));
+      let length = 0;
+      message.on('data', (part: Buffer) => {
+        parts.push(part);
+        length += part.length;
+        if (length > MAX_REPLY_BYTES) {
+          message.destroy(new Error('the reply is too large'));
+        }
+      });
       message.on('error', fail);
       message.on('end', () => {
         clearTimeout(timer);
--- a/test/endlesscalls.test.ts
+++ b/test/endlesscalls.test.ts
@@ -3,7 +3,9 @@
 
 import test, {type ExecutionContext} from 'ava';
 
+import {PlatformStore} from '../platform/store.js';
 import {WireError} from '../source/errors/index.js';
+import {StoreError} from '../source/store/index.js';
 import {callGuarded, exchangeBytes} from '../source/wire/index.js';
 import {sendEndlessly, type EndlessBytes} from './support/endless.js';
 
@@ -11,6 +13,9 @@
 const BOUND = 400;
 /** Milliseconds within which a call that is given up must have failed. */
 const GIVEN_UP = 700;
+const SOCKET_BUFFERS = 8_388_608;
+const MAX_REPLY_BYTES = 8_388_608;
+const FILLER = 'x'.repeat(65_536);
 const HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
 
 interface Peer {
@@ -47,6 +52,19 @@
   while (!peer.isClosed) await new Promise(resolve => setTimeout(resolve, 5));
 }
 
+test('a reply that never ends fails the call before it fills the memory', async t => {
+  const peer = await startPeer(t, {head: HEAD, part: FILLER, pause: 0});
+  const call = {...get(peer.address), bound: 10_000};
+  const startedAt = performance.now();
+  const error = await t.throwsAsync(exchangeBytes(call), {
+    instanceOf: WireError,
+  });
+  t.is(error?.stage, 'cut');
+  t.true(performance.now() - startedAt < 5_000);
+  await untilClosed(peer);
+  t.true(peer.sent.count < MAX_REPLY_BYTES + SOCKET_BUFFERS);
+});
+
 const SLOW: ReadonlyArray<EndlessBytes & {readonly what: string}> = [
   {what: 'body', head: HEAD, part: 'x', pause: 10},
   {what: 'head', head: 'HTTP/1.1 200 OK\r\na: ', part: 'x', pause: 10},
@@ -88,3 +106,12 @@
     await untilClosed(peer);
   });
 }
+
+test('a store whose page never ends counts as one that gives no answer', async t => {
+  const peer = await startPeer(t, {head: HEAD, part: FILLER, pause: 0});
+  const store = new PlatformStore(peer.address);
+  const reading = store.readNewest('keyed.op', 10_000);
+  const error = await t.throwsAsync(reading, {instanceOf: StoreError});
+  t.is(error?.failure, 'unanswered');
+  await untilClosed(peer);
+});
