Judge a stream of the product's own endpoints by its events

On the product's own interface, an event without end filled the host's memory, bytes after the end marker were read for as long as they came, and comments, events of another attempt or the bytes of an event that never ends counted as signs of life, so that the connection was never doubted and the caller waited for good.

An event is bounded to 262,144 characters; the time of silence counts from the last event that the caller gets; after the end marker the connection is read on for at most 64 KiB and 250 ms (discardBody, which moves to the wire folder).

Evidence, failed before: 'an event that never ends cuts the connection before it fills the memory', 'a connection that sends only comments', 'events of another attempt' and 'bytes of an event is given up as silent', and 'bytes without end after the end marker close the connection'.

--- a/source/edge/prober.ts
+++ b/source/edge/prober.ts
@@ -7,12 +7,9 @@
 import type {Cancel, Clock} from '../clock/index.js';
 import type {KnownEndpoint} from '../directory/index.js';
 import {WireError} from '../errors/index.js';
-import {
-  discardBody,
-  type ConnectionPool,
-  type Protocol,
-} from '../forward/index.js';
+import type {ConnectionPool, Protocol} from '../forward/index.js';
 import type {Logger} from '../logging/index.js';
+import {discardBody} from '../wire/index.js';
 
 const PROBE_INTERVAL_MILLISECONDS = 500;
 const PROBE_TIMEOUT_MILLISECONDS = 400;
--- a/source/engine/events.ts
+++ b/source/engine/events.ts
@@ -4,6 +4,9 @@
  */
 import {createParser} from 'eventsource-parser';
 
+/** Largest incomplete event that is buffered. */
+const MAX_EVENT_LENGTH = 262_144;
+
 /** One event of a stream. */
 export interface StreamEvent {
   readonly attempt: string;
@@ -14,7 +17,8 @@
 
 /**
  * A function that takes the text of a stream in any pieces and calls back for
- * each whole event.
+ * each whole event. It returns false, and takes nothing more, once an event is
+ * too large.
  *
  * ```ts
  * const feed = eventReader(event => relay.take(event));
@@ -23,8 +27,13 @@
  */
 export function eventReader(
   take: (event: StreamEvent) => void,
-): (text: string) => void {
+): (text: string) => boolean {
+  let isReadable = true;
   const parser = createParser({
+    maxBufferSize: MAX_EVENT_LENGTH,
+    onError: ({type}) => {
+      if (type === 'max-buffer-size-exceeded') isReadable = false;
+    },
     onEvent: ({id = '', data}) => {
       const split = id.lastIndexOf(':');
       const attempt = id.slice(0, Math.max(split, 0));
@@ -32,5 +41,8 @@
       take({attempt, sequence, data});
     },
   });
-  return text => parser.feed(text);
+  return text => {
+    if (isReadable) parser.feed(text);
+    return isReadable;
+  };
 }
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -7,11 +7,11 @@
 import type {Cancel, Clock} from '../clock/index.js';
 import {WireError} from '../errors/index.js';
 import {readWhole} from '../relay/index.js';
+import {discardBody} from '../wire/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {ResponseBuffers} from './buffers.js';
 import type {ConnectionPool, EndpointResponse} from './connections.js';
 import type {RequestContext} from './context.js';
-import {discardBody} from './discard.js';
 import {EventSplitter} from './events.js';
 import type {ResponseHead, Protocol} from './protocol.js';
 
--- a/source/forward/index.ts
+++ b/source/forward/index.ts
@@ -11,7 +11,6 @@
   type CallerRequest,
   type ForwardingInfo,
 } from './protocol.js';
-export {discardBody} from './discard.js';
 export {EventSplitter} from './events.js';
 export {
   refusalStatus,
--- a/source/relay/stream.ts
+++ b/source/relay/stream.ts
@@ -7,6 +7,7 @@
 import type {CancellationSignal} from '../cancellation/index.js';
 import {eventReader, type Answer, type StreamEvent} from '../engine/index.js';
 import type {Clock} from '../clock/index.js';
+import {discardBody} from '../wire/index.js';
 import type {CallerAnswer} from './caller.js';
 
 /** The end marker of a chat completion stream. */
@@ -66,7 +67,7 @@
       stopClock();
       stopWatching();
       body.removeAllListeners('data');
-      if (end === 'whole') body.resume();
+      if (end === 'whole') void discardBody(body, clock);
       else body.destroy();
       resolve(end);
     };
@@ -95,15 +96,15 @@
       if (verdict === 'gap') gap = true;
       if (verdict !== 'next') return;
       pending += `data: ${event.data}\n\n`;
+      heardAt = clock.monotonic();
       note(event, progress, clock.monotonic());
     });
     body.setEncoding('utf8');
     body.on('data', (text: string) => {
-      heardAt = clock.monotonic();
-      feed(text);
+      const isReadable = feed(text);
       flush();
       if (progress.whole) finish('whole');
-      else if (gap) finish('cut');
+      else if (gap || !isReadable) finish('cut');
     });
     body.on('end', () => finish(progress.whole ? 'whole' : 'cut'));
     body.on('error', () => finish('cut'));
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -215,3 +215,57 @@
   t.is(await run(last, [cut]), expected(last));
   t.not(await run(last, [cut], true), expected(last));
 });
+
+test('an event that never ends cuts the connection before it fills the memory', async t => {
+  const clock = new ManualClock();
+  const body = new PassThrough();
+  const caller = callerOf(new FakeResponse(), clock);
+  const watch = {clock, silence: 5_000, signal: new Cancellation()};
+  const ended = readStream(answerOf(body), caller, progressOf(), watch);
+  body.write(`id: ${ATTEMPT}:1\ndata: `);
+  for (let part = 0; part < 16 && !body.destroyed; part++) {
+    body.write('x'.repeat(65_536));
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  clock.advance(20_000);
+  t.is(await ended, 'cut');
+  t.true(body.destroyed);
+});
+
+for (const noise of [
+  {what: 'comments', text: ': wait\n\n'},
+  {what: 'events of another attempt', text: eventText('another', 1, 9)},
+  {what: 'bytes of an event', text: 'x'},
+]) {
+  test(`a connection that sends only ${noise.what} is given up as silent`, async t => {
+    const clock = new ManualClock();
+    const body = new PassThrough();
+    const caller = callerOf(new FakeResponse(), clock);
+    const signal = new Cancellation();
+    const watch = {clock, silence: 5_000, signal};
+    const ended = readStream(answerOf(body), caller, progressOf(), watch);
+    body.write(eventText(ATTEMPT, 1, 9));
+    for (let second = 0; second < 10; second++) {
+      body.write(noise.text);
+      await new Promise(resolve => setImmediate(resolve));
+      clock.advance(1_000);
+    }
+    signal.abort();
+    t.is(await ended, 'silent');
+  });
+}
+
+test('bytes without end after the end marker close the connection', async t => {
+  const clock = new ManualClock();
+  const body = new PassThrough();
+  const caller = callerOf(new FakeResponse(), clock);
+  const watch = {clock, silence: 5_000, signal: new Cancellation()};
+  const ended = readStream(answerOf(body), caller, progressOf(), watch);
+  body.write(eventText(ATTEMPT, 1, 1));
+  t.is(await ended, 'whole');
+  for (let part = 0; part < 16 && !body.destroyed; part++) {
+    body.write('x'.repeat(65_536));
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  t.true(body.destroyed);
+});
