--- a/source/wire/exchange.ts
+++ b/source/wire/exchange.ts
@@ -8,6 +8,9 @@
 import {WireError} from '../errors/index.js';
 import {partsOf} from './listen.js';
 
+/** Largest body of a reply, several times the largest page of the store. */
+const MAX_REPLY_BYTES = 8_388_608;
+
 /** What is asked, in bytes. */
 export interface ByteCall {
   readonly address: string;
@@ -39,6 +42,7 @@
   const length = body ? {'content-length': body.length} : {};
   return new Promise((resolve, reject) => {
     let connected = false;
+    let responded = false;
     const sent = request({
       ...partsOf(address),
       method,
@@ -60,9 +64,21 @@
       else socket.once('connect', () => (connected = true));
     });
     sent.on('error', fail);
+    // Comes without an error where the reply switches protocols.
+    sent.once('close', () => {
+      if (!responded) fail(new Error('no reply'));
+    });
     sent.once('response', message => {
+      responded = true;
       const parts: Buffer[] = [];
-      message.on('data', (part: Buffer) => parts.push(part));
+      let length = 0;
+      message.on('data', (part: Buffer) => {
+        parts.push(part);
+        length += part.length;
+        if (length > MAX_REPLY_BYTES) {
+          message.destroy(new Error('the reply is too large'));
+        }
+      });
       message.on('error', fail);
       message.on('end', () => {
         clearTimeout(timer);
