--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -26,6 +26,7 @@
 import {serviceFor, type RoutingTable} from '../routing/index.js';
 import {readBytes} from '../wire/index.js';
 import {admissionRequestFor} from './admission.js';
+import {ResponseBuffers} from './buffers.js';
 import {CallerResponse} from './response.js';
 import {Attempt, AttemptFailure} from './attempt.js';
 import type {ConnectionPool} from './connections.js';
@@ -33,6 +34,11 @@
 import {refusalStatus, retryAfterSeconds} from './outcome.js';
 import type {Protocol} from './protocol.js';
 
+/**
+ * Most that the buffered responses of a host may take, a tenth of the memory of
+ * the smallest hosts.
+ */
+const MAX_BUFFERED_BYTES = 16_777_216;
 /**
  * A request that may be retried goes to another endpoint when there has been no
  * response for this multiple of its route's target plus a multiple of the wait
@@ -68,6 +74,7 @@
   retryBudget: RetryBudget;
   /** Recent requests and retries by service. */
   private readonly repeats = new Map<string, RetryHistory>();
+  private readonly buffers = new ResponseBuffers(MAX_BUFFERED_BYTES);
   private readonly activeRequests = new Set<RequestContext>();
   private onIdle: () => void = () => {};
 
@@ -234,13 +241,16 @@
     );
     const attempt = new Attempt(
       {context, reservation, stop, firstResponseTimeout},
-      this.parts,
+      {...this.parts, buffers: this.buffers},
     );
     const sentAt = clock.monotonic();
     try {
       await attempt.run();
     } catch (error) {
-      if (error instanceof AttemptFailure && !stop.aborted) {
+      const isOverdue =
+        attempt.hasPartialResponse && !context.callerDisconnected;
+      const isFailure = isOverdue || !stop.aborted;
+      if (error instanceof AttemptFailure && isFailure) {
         failedEndpoints.add(reservation.endpoint.entry.id);
         reportFailure(reservation, error);
         this.logFailure(context, reservation.endpoint.entry.id, error, sentAt);
@@ -383,10 +393,13 @@
     failure: AttemptFailure,
     sentAt: number,
   ): void {
-    this.parts.logger.warn('attempt-failed', {
+    const {logger, metrics} = this.parts;
+    const {stage} = failure;
+    metrics.count('attempt-failure', {stage, route: context.route.name});
+    logger.warn('attempt-failed', {
       request: context.request.id,
       endpoint,
-      stage: failure.stage,
+      stage,
       notRun: failure.notRun,
       detail: failure.message,
       after: Math.round(this.parts.clock.monotonic() - sentAt),
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -38,6 +38,7 @@
   readonly name: string;
   readonly callers: string;
   readonly readiness: string;
+  readonly control: string;
   readonly metrics: string;
   /** Path of the settings file. */
   readonly settings: string;
@@ -134,8 +135,15 @@
     });
   }
 
-  /** Publishes a configuration with these keys of the one team, and its homes. */
-  configure(keys: readonly string[], homes: readonly string[] = []): void {
+  /**
+   * Publishes a configuration with these keys of the one team, and its homes.
+   * Changes may replace whole sections of it.
+   */
+  configure(
+    keys: readonly string[],
+    homes: readonly string[] = [],
+    changes: object = {},
+  ): void {
     this.configured += 3;
     this.site.put('keyed.op', 'config', {
       version: this.configured,
@@ -164,6 +172,7 @@
       tenants: [
         {name: 'guides', apiKeys: keys, priority: 1, allowedRegions: homes},
       ],
+      ...changes,
     });
   }
 
@@ -193,6 +202,7 @@
       name,
       callers,
       readiness,
+      control,
       metrics,
       settings: path,
       flags,
@@ -201,8 +211,7 @@
 
   /** Starts a host anew on the settings that it had. */
   restart(host: HostProcess): HostProcess {
-    const {name, callers, readiness, metrics, settings, flags} = host;
-    return this.launch({name, callers, readiness, metrics, settings, flags});
+    return this.launch(host);
   }
 
   private launch(place: HostPlace): HostProcess {
