Measure hosts that queue, and the time of a decision

measure:edge could only play a host whose requests all start at once, and failed without requests. It now takes the slots of an engine (with 2, requests are queued and refused), no requests at all, and lets the other hosts report as many requests as this one has; it prints the bytes read and written too. measure:decision times the calls of the selector in the process.

--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -12,6 +12,7 @@
   cost: 'tools/cost.ts',
   soak: 'soak/main.ts',
   edgecost: 'tools/edgecost.ts',
+  decisioncost: 'tools/decisioncost.ts',
   'standin-fast': 'standins/fast.ts',
   'standin-platform': 'standins/platform.ts',
   'standin-engine': 'standins/engine.ts',
--- a/tools/edgecost.ts
+++ b/tools/edgecost.ts
@@ -28,8 +28,10 @@
 const settingsSchema = z.strictObject({
   hosts: z.coerce.number().default(61),
   endpoints: z.coerce.number().default(98),
-  /** Requests a second. */
+  /** Requests a second; 0 for none. */
   rate: z.coerce.number().default(9.3),
+  /** Slots of an engine; with few, requests are queued at the host. */
+  slots: z.coerce.number().default(16),
   seconds: z.coerce.number().default(20),
   /** Seconds before the first reading. */
   settle: z.coerce.number().default(6),
@@ -42,13 +44,21 @@
 const PLAIN = 'registro';
 const KEY = 'key';
 const TEAM = 'guides';
-const SLOTS = 16;
 const EVENT_MILLISECONDS = 47;
 const EVENT = `data: ${'x'.repeat(70)}\n\n`;
 const PULSE_MILLISECONDS_PER_HOST = 40;
 const SUBJECTS = 2_156;
-/** Parts of prompts that another host names in one pulse. */
+/** Requests a second from which the constants of a pulse are taken. */
+const PULSE_RATE = 9.3;
+/** Parts of prompts that another host names in one pulse, at that rate. */
 const KEPT_TOLD = 27;
+/** Engines at which another host has a request, at that rate. */
+const USES_TOLD = 6;
+/** Milliseconds of engine time that another host's callers ask for, likewise. */
+const LARGE_TOLD = 3_000;
+const SMALL_TOLD = 1_500;
+/** Requests that an engine says it runs, where it has so many slots. */
+const RUNNING_TOLD = 3;
 
 /** One kind of request, as the grown Consorzio sends it. */
 interface Kind {
@@ -101,6 +111,7 @@
   },
 ];
 
+const relativeRate = settings.rate / PULSE_RATE;
 const servers: Server[] = [];
 
 async function listenOn(server: Server): Promise<string> {
@@ -113,6 +124,7 @@
 
 /** An endpoint that answers as many events as the request asks for. */
 function endpoint(): Server {
+  const running = Math.min(RUNNING_TOLD, settings.slots - 1);
   return createServer((message, response) => {
     message.resume();
     message.on('end', () => {
@@ -120,7 +132,7 @@
       response.writeHead(200, {
         'x-attempt-id': String(message.headers['x-attempt-id']),
         'x-response-seal': 'seal',
-        'x-server-load': `3,0,${SLOTS}`,
+        'x-server-load': `${running},0,${settings.slots}`,
         ...(events > 0 ? {'content-type': 'text/event-stream'} : {}),
       });
       if (events > 0) stream(response, 0, events);
@@ -151,7 +163,7 @@
       maxAttempts: 2,
     })),
     services: [
-      {name: MODEL, engine: {slots: SLOTS, kvCapacity: 314_653}},
+      {name: MODEL, engine: {slots: settings.slots, kvCapacity: 314_653}},
       {name: PLAIN},
     ],
     limits: {
@@ -173,7 +185,7 @@
       service: plain ? PLAIN : MODEL,
       address: await listenOn(endpoint()),
       zone: ['palermo', 'catania', 'siracusa'][index % 3],
-      slots: plain ? 6 : SLOTS,
+      slots: plain ? 6 : settings.slots,
       state: 'ready',
       born: 1_000,
     });
@@ -187,7 +199,14 @@
   return `${level}${name.toString(16).padStart(15, '0')}`;
 }
 
-/** The word of another host, as one of its size tells it. */
+/** Requests at engines that another host tells of: its part of the slots. */
+function usesTold(): number {
+  const scaled = Math.round(USES_TOLD * relativeRate);
+  const part = (settings.endpoints * settings.slots) / settings.hosts;
+  return Math.min(scaled, Math.floor(part));
+}
+
+/** What another host reports, which has as many callers as this one. */
 function pulseOf(
   host: number,
   ids: readonly string[],
@@ -212,17 +231,26 @@
       {topic: 'keyed.op', position: 1},
       {topic: 'keyed.servers', position: ids.length},
     ],
-    uses: Array.from({length: 6}, () => ({
+    uses: Array.from({length: usesTold()}, () => ({
       id: engine(),
       requests: 1,
       reading: 0,
     })),
-    work: [{service: MODEL, large: 3_000, small: 1_500}],
+    work: [
+      {
+        service: MODEL,
+        large: LARGE_TOLD * relativeRate,
+        small: SMALL_TOLD * relativeRate,
+      },
+    ],
     unreachable: [],
-    kept: Array.from({length: KEPT_TOLD}, (_, index) => ({
-      part: partOf(subject(), index % 2),
-      endpoint: engine(),
-    })),
+    kept: Array.from(
+      {length: Math.round(KEPT_TOLD * relativeRate)},
+      (_, index) => ({
+        part: partOf(subject(), index % 2),
+        endpoint: engine(),
+      }),
+    ),
     sheets: [],
     hosts: [],
   };
@@ -291,6 +319,8 @@
   sent.end('x'.repeat(kind.body));
 }
 
+const round = (value: number) => Math.round(value * 100) / 100;
+
 const pause = (seconds: number) =>
   new Promise(resolve => setTimeout(resolve, seconds * 1_000));
 
@@ -339,21 +369,24 @@
 const {pid = 0} = host;
 const start = readProcess(pid);
 startPeers(control, ids);
-setInterval(() => ask(callers), 1_000 / settings.rate);
+if (settings.rate > 0) setInterval(() => ask(callers), 1_000 / settings.rate);
 await pause(settings.settle);
 const before = readProcess(pid);
 const answeredBefore = answered;
+const failedBefore = failed;
 await pause(settings.seconds);
 const after = readProcess(pid);
 const processor = after.processor - before.processor;
+const bytes = after.bytes - before.bytes;
 const count = answered - answeredBefore;
 console.log(
   JSON.stringify({
     startSeconds: start.processor,
-    percentOfCore: Math.round((processor / settings.seconds) * 10_000) / 100,
-    millisecondsPerRequest: Math.round((processor / count) * 100_000) / 100,
+    percentOfCore: round((processor / settings.seconds) * 100),
+    millisecondsPerRequest: round((processor / count) * 1_000),
     answered: count,
-    failed,
+    failed: failed - failedBefore,
+    kilobytesPerSecond: round(bytes / settings.seconds / 1_000),
     residentMegabytes: Math.round(after.residentMegabytes),
   }),
 );
