Remember which endpoints are eligible, and rank them by number

Each request evaluated all endpoints of its service four or five times: for the expected wait, for the size of the queue, when it was taken and when it was sent. Each time filters made three arrays, and an endpoint in its cold start was ranked among all hosts. The choice then made two objects for each endpoint, a list of the shared parts for each, and two rendezvous orders by name. A report of other hosts copied each load by a spread.

Which endpoints are eligible is now evaluated anew after a change, or at the time at which a cold start, an entry, an ejection or a send of a cold start runs out, and is the same object while the endpoints are the same. The engines for large prompts are ranked once for each such set, by the hashes of their names, which are kept. One object is made for each candidate, and the load is estimated once.

No decision changes, but for two names of the same 32-bit hash, which now rank in the order of the directory in place of that of the rotation.

--- a/source/balance/choose.ts
+++ b/source/balance/choose.ts
@@ -8,18 +8,8 @@
  * outweighs the interference. For a plain service the cost depends on the
  * fraction of the endpoint’s slots that are in use.
  */
-import {
-  expectedPrefillMilliseconds,
-  expectedRequests,
-  type EndpointLoad,
-} from './load.js';
-import {rendezvousOrder} from './rendezvous.js';
-import {
-  isLargePrompt,
-  estimatePrefillMilliseconds,
-  affinityPart,
-  type Prompt,
-} from './prompt.js';
+import {expectedLoad, expectedRequests, type EndpointLoad} from './load.js';
+import {estimatePrefillMilliseconds, type Prompt} from './prompt.js';
 
 /** An endpoint that may get the request. */
 export interface Candidate {
@@ -33,6 +23,11 @@
   readonly hasFailedRequest: boolean;
   /** Whether it is set aside for prompts of the other size. */
   readonly isForOtherSize: boolean;
+  /**
+   * Rank among the candidates for the part by which the prompt is routed; 0 for
+   * all if there is none.
+   */
+  readonly rank: number;
   /**
    * Other hosts that report it as unreachable, plus the endpoints of its zone
    * that this host cannot reach.
@@ -95,13 +90,13 @@
   candidates: readonly Candidate[],
   now: number,
 ): Choice | undefined {
-  return cheapest(candidates, candidate => {
-    const utilization = expectedRequests(candidate.load, now) / candidate.slots;
-    return {
-      cost: penalties(candidate, now) + utilization * 100,
-      prefillMilliseconds: 0,
-    };
+  const chosen = cheapest(candidates, candidate => {
+    const requests = expectedRequests(candidate.load, now);
+    const utilization = requests / candidate.slots;
+    return penalties(candidate, requests) + utilization * 100;
   });
+  if (!chosen) return undefined;
+  return {id: chosen.candidate.id, cost: chosen.cost, prefillMilliseconds: 0};
 }
 
 /**
@@ -113,26 +108,25 @@
   prompt: Prompt,
   now: number,
 ): Choice | undefined {
-  const affinity = isLargePrompt(prompt) ? affinityPart(prompt) : undefined;
-  const ranks = affinity ? ranksOf(candidates, affinity.id) : undefined;
-  return cheapest(candidates, candidate => {
-    const rank = ranks?.get(candidate.id) ?? 0;
-    const prefillMilliseconds = estimatePrefillMilliseconds(
-      prompt.tokens - candidate.cachedTokens,
+  const prefillAt = ({cachedTokens}: Candidate) =>
+    estimatePrefillMilliseconds(prompt.tokens - cachedTokens);
+  const chosen = cheapest(candidates, candidate => {
+    const prefill = prefillAt(candidate);
+    const expected = expectedLoad(candidate.load, now);
+    const queued = expected.prefillMilliseconds;
+    return (
+      penalties(candidate, expected.requests) +
+      queued +
+      prefill +
+      candidate.rank * RANK_COST_MILLISECONDS +
+      expected.requests * RUNNING_COST_MILLISECONDS +
+      (candidate.isForOtherSize ? interferenceCost(queued + prefill) : 0)
     );
-    const running = expectedRequests(candidate.load, now);
-    const queuedMilliseconds = expectedPrefillMilliseconds(candidate.load, now);
-    const cost =
-      penalties(candidate, now) +
-      queuedMilliseconds +
-      prefillMilliseconds +
-      rank * RANK_COST_MILLISECONDS +
-      running * RUNNING_COST_MILLISECONDS +
-      (candidate.isForOtherSize
-        ? interferenceCost(queuedMilliseconds + prefillMilliseconds)
-        : 0);
-    return {cost, prefillMilliseconds};
   });
+  if (!chosen) return undefined;
+  const {candidate, cost} = chosen;
+  const prefillMilliseconds = prefillAt(candidate);
+  return {id: candidate.id, cost, prefillMilliseconds};
 }
 
 /**
@@ -147,7 +141,7 @@
 }
 
 /** The costs that do not depend on the prompt. */
-function penalties(candidate: Candidate, now: number): number {
+function penalties(candidate: Candidate, expectedRequests: number): number {
   let cost = 0;
   if (candidate.isInColdStart) cost += COLD_START_COST_MILLISECONDS;
   if (candidate.hasFailedRequest) cost += FAILED_COST_MILLISECONDS;
@@ -156,29 +150,22 @@
     Math.min(candidate.unreachableSignals, MAX_UNREACHABLE_SIGNALS) *
     UNREACHABLE_SIGNAL_COST_MILLISECONDS;
   cost += candidate.load.failureRate * FAILURE_RATE_COST_MILLISECONDS;
-  const requests = expectedRequests(candidate.load, now);
-  if (requests >= candidate.slots) cost += FULL_COST_MILLISECONDS;
+  if (expectedRequests >= candidate.slots) cost += FULL_COST_MILLISECONDS;
   return cost;
 }
 
-/** The rank of each candidate for a key, by id; 0 is the first. */
-function ranksOf(
-  candidates: readonly Candidate[],
-  key: string,
-): Map<string, number> {
-  const ids = candidates.map(({id}) => id);
-  return new Map(rendezvousOrder(key, ids).map((id, rank) => [id, rank]));
-}
-
 /** The candidate with the lowest cost; the first one if several are equal. */
 function cheapest(
   candidates: readonly Candidate[],
-  estimate: (candidate: Candidate) => Omit<Choice, 'id'>,
-): Choice | undefined {
-  let chosen: Choice | undefined;
+  costOf: (candidate: Candidate) => number,
+): {candidate: Candidate; cost: number} | undefined {
+  let cheapest: Candidate | undefined;
+  let lowest = Infinity;
   for (const candidate of candidates) {
-    const choice = {id: candidate.id, ...estimate(candidate)};
-    if (!chosen || choice.cost < chosen.cost) chosen = choice;
+    const cost = costOf(candidate);
+    if (cheapest && !(cost < lowest)) continue;
+    cheapest = candidate;
+    lowest = cost;
   }
-  return chosen;
+  return cheapest && {candidate: cheapest, cost: lowest};
 }
--- a/source/balance/coldstart.ts
+++ b/source/balance/coldstart.ts
@@ -45,6 +45,15 @@
   return recent(sends, now).length < rate;
 }
 
+/**
+ * The monotonic time at which the oldest of the recent sends no longer counts;
+ * Infinity if there are none.
+ */
+export function nextExpiry(sends: ColdStartSends, now: number): number {
+  const [oldest = Infinity] = recent(sends, now);
+  return oldest + SECOND_MILLISECONDS;
+}
+
 /** The sends with one more; drops those older than a second. */
 export function withSend(sends: ColdStartSends, now: number): ColdStartSends {
   return [...recent(sends, now), now];
--- a/source/balance/index.ts
+++ b/source/balance/index.ts
@@ -26,10 +26,16 @@
   withSend,
   type ColdStartSends,
 } from './coldstart.js';
+export {
+  EligibleEndpoints,
+  type EndpointFilter,
+  type HostLocation,
+} from './eligible.js';
+export {EligibleSet} from './eligibleset.js';
 export {PrefixCacheIndex, type CachedPart} from './prefixcache.js';
 export {
   applyLoadEvent,
-  expectedPrefillMilliseconds,
+  expectedLoad,
   expectedRequests,
   INITIAL_LOAD,
   isEjected,
@@ -42,12 +48,14 @@
   rendezvousWeight,
   rendezvousOrder,
   rendezvousRank,
+  RendezvousRanking,
 } from './rendezvous.js';
 export {hostSlotLimit, type SlotLimitInput} from './share.js';
 export {
   addPrompt,
   busyEngineCount,
-  largeEngineIds,
+  largeEngineCount,
+  LARGE_PROMPT_RANKING_KEY,
   NO_DEMAND,
   unbiasedDemand,
   type EngineDemand,
--- a/source/balance/load.ts
+++ b/source/balance/load.ts
@@ -128,12 +128,7 @@
     case 'ended':
       return {...before, ownRequests: Math.max(before.ownRequests - 1, 0)};
     case 'reported':
-      return {
-        ...before,
-        otherRequests: event.requests,
-        otherPrefillMilliseconds: event.prefillMilliseconds,
-        reportedAt: event.now,
-      };
+      return afterReport(before, event);
     case 'answered':
       return afterAnswer(before, event);
     case 'failed':
@@ -161,16 +156,30 @@
   );
 }
 
-/** Milliseconds of prefill that are believed to be queued at an endpoint. */
-export function expectedPrefillMilliseconds(
-  {ownPrefillMilliseconds, otherPrefillMilliseconds, reportedAt}: EndpointLoad,
+/**
+ * Requests of all hosts that an endpoint is believed to have, and milliseconds
+ * of prefill that are believed to be queued there.
+ */
+export function expectedLoad(
+  {
+    ownRequests,
+    ownPrefillMilliseconds,
+    otherRequests,
+    otherPrefillMilliseconds,
+    reportedAt,
+  }: EndpointLoad,
   now: number,
-): number {
-  if (otherPrefillMilliseconds === 0) return ownPrefillMilliseconds;
-  return (
-    ownPrefillMilliseconds +
-    otherPrefillMilliseconds * decayFactor(reportedAt, now)
-  );
+): {requests: number; prefillMilliseconds: number} {
+  if (otherRequests === 0 && otherPrefillMilliseconds === 0) {
+    const prefillMilliseconds = ownPrefillMilliseconds;
+    return {requests: ownRequests, prefillMilliseconds};
+  }
+  const decay = decayFactor(reportedAt, now);
+  return {
+    requests: ownRequests + otherRequests * decay,
+    prefillMilliseconds:
+      ownPrefillMilliseconds + otherPrefillMilliseconds * decay,
+  };
 }
 
 /** The weight of a stated load at its present age, from 1 down to 0. */
@@ -183,6 +192,27 @@
   return now < ejectedUntil;
 }
 
+/**
+ * Names each field in place of a spread, since it runs for each endpoint with
+ * each report of the other hosts.
+ */
+function afterReport(
+  before: EndpointLoad,
+  {requests, prefillMilliseconds, now}: Extract<LoadEvent, {kind: 'reported'}>,
+): EndpointLoad {
+  return {
+    ownRequests: before.ownRequests,
+    ownPrefillMilliseconds: before.ownPrefillMilliseconds,
+    otherRequests: requests,
+    otherPrefillMilliseconds: prefillMilliseconds,
+    reportedAt: now,
+    consecutiveFailures: before.consecutiveFailures,
+    failureRate: before.failureRate,
+    ejectedUntil: before.ejectedUntil,
+    isUnreachable: before.isUnreachable,
+  };
+}
+
 function afterAnswer(
   before: EndpointLoad,
   {now, reportedLoad}: Extract<LoadEvent, {kind: 'answered'}>,
--- a/source/balance/partition.ts
+++ b/source/balance/partition.ts
@@ -5,8 +5,6 @@
  * hosts rank the engines alike, so hosts whose counts differ by one disagree
  * about one engine at most.
  */
-import {rendezvousOrder} from './rendezvous.js';
-
 /**
  * Demand for engine time: an exponentially decaying sum, in milliseconds, for
  * large and for small prompts.
@@ -27,8 +25,11 @@
  * not extrapolated to a high demand.
  */
 const MIN_OBSERVATION_MILLISECONDS = 3_000;
-/** Hash key; hosts with another key would rank the engines differently. */
-const RANKING_KEY = 'large prompts';
+/**
+ * The key for which engines are ranked: the first ones serve large prompts.
+ * Hosts with another key would rank them differently.
+ */
+export const LARGE_PROMPT_RANKING_KEY = 'large prompts';
 
 /** The demand before the first prompt. */
 export const NO_DEMAND: EngineDemand = {
@@ -65,7 +66,8 @@
 const COUNT_HYSTERESIS = 0.7;
 
 /**
- * How many engines serve large prompts; the others serve small ones. A single
+ * How many engines serve large prompts: so many of the first ones in rendezvous
+ * order; the others serve small ones. A single
  * engine serves both. The count changes only when the share of the demand has
  * clearly moved, since an engine that changes sides loses the use of the parts
  * that it has cached.
@@ -87,17 +89,6 @@
   return Math.min(Math.max(count, 1), engines - 1);
 }
 
-/**
- * The engines that serve large prompts: the first `count` in rendezvous order.
- */
-export function largeEngineIds(
-  ids: readonly string[],
-  count: number,
-): ReadonlySet<string> {
-  if (count === 0) return new Set();
-  return new Set(rendezvousOrder(RANKING_KEY, ids).slice(0, count));
-}
-
 /**
  * The demand now, corrected for the start of the observation. A decaying sum
  * begins at zero, so a host would underestimate the demand for long after it
--- a/source/balance/prefixcache.ts
+++ b/source/balance/prefixcache.ts
@@ -80,18 +80,37 @@
    * cached. Counts up to the first part that it has not.
    *
    * ```ts
-   * const cached = prefixCache.cachedTokens(prompt.parts, engine, now);
+   * const cached = prefixCache.tokens(prompt.parts, engine, now);
    * const uncached = prompt.tokens - cached;
    * ```
    */
   tokens(parts: readonly PromptPart[], endpoint: string, now: number): number {
-    let sum = 0;
+    return this.tokenCounter(parts, now)(endpoint);
+  }
+
+  /**
+   * Returns `tokens` as a function of the engine, for a prompt whose engines are
+   * compared. Valid until the index changes.
+   */
+  tokenCounter(
+    parts: readonly PromptPart[],
+    now: number,
+  ): (endpoint: string) => number {
+    const known: Array<{lastUses: Map<string, number>; tokens: number}> = [];
     for (const {id, tokens} of parts) {
-      const at = this.lastUses.get(id)?.get(endpoint) ?? -Infinity;
-      if (now - at > CACHED_MILLISECONDS) break;
-      sum += tokens;
+      const lastUses = this.lastUses.get(id);
+      if (!lastUses) break;
+      known.push({lastUses, tokens});
     }
-    return sum;
+    return endpoint => {
+      let sum = 0;
+      for (const {lastUses, tokens} of known) {
+        const at = lastUses.get(endpoint) ?? -Infinity;
+        if (now - at > CACHED_MILLISECONDS) break;
+        sum += tokens;
+      }
+      return sum;
+    };
   }
 
   private recordUse({part, endpoint}: CachedPart, now: number): void {
--- a/source/balance/rendezvous.ts
+++ b/source/balance/rendezvous.ts
@@ -74,6 +74,47 @@
   return weights.map(({name}) => name);
 }
 
+/** Names that a ranking may have, so that weight and index fit in a double. */
+const MAX_RANKED_NAMES = 2 ** 20;
+
+/**
+ * Ranks the same names for many keys. Gives the order of `rendezvousOrder` and
+ * needs no texts to be hashed or compared but the key.
+ *
+ * ```ts
+ * const ranks = new RendezvousRanking(engines).ranks(part.id);
+ * ```
+ */
+export class RendezvousRanking {
+  private readonly hashes: Uint32Array;
+
+  constructor(names: readonly string[]) {
+    this.hashes = Uint32Array.from(names, cachedHashOf);
+  }
+
+  /** The rank of each name for a key, by its index; 0 is the first. */
+  ranks(key: string): Uint32Array {
+    const {hashes} = this;
+    const keyHash = cachedHashOf(key);
+    const count = hashes.length;
+    const sorted = new Float64Array(count);
+    for (let index = 0; index < count; index++) {
+      const weight = mix(keyHash, hashes[index] ?? 0);
+      // Of equal weights the earlier name ranks first, so it sorts higher.
+      sorted[index] = weight * MAX_RANKED_NAMES + (count - 1 - index);
+    }
+    sorted.sort();
+    const ranks = new Uint32Array(count);
+    for (let place = 0; place < count; place++) {
+      const value = sorted[place] ?? 0;
+      const weight = Math.floor(value / MAX_RANKED_NAMES);
+      const index = count - 1 - (value - weight * MAX_RANKED_NAMES);
+      ranks[index] = count - 1 - place;
+    }
+    return ranks;
+  }
+}
+
 /** The rank of a name among others for a key; 0 is the first. */
 export function rendezvousRank(
   key: string,
--- a/source/balance/selector.ts
+++ b/source/balance/selector.ts
@@ -19,20 +19,16 @@
   applyLoadEvent,
   expectedRequests,
   INITIAL_LOAD,
-  isEjected,
   type EndpointLoad,
   type LoadEvent,
   type ReportedLoad,
 } from './load.js';
 import {EligibleEndpoints} from './eligible.js';
+import {EligibleSet} from './eligibleset.js';
 import {hostSlotLimit} from './share.js';
+import {busyEngineCount, largeEngineCount, totalDemand} from './partition.js';
 import {
-  busyEngineCount,
-  largeEngineCount,
-  largeEngineIds,
-  totalDemand,
-} from './partition.js';
-import {
+  affinityPart,
   isLargePrompt,
   sharedParts,
   sharedTokenCount,
@@ -61,6 +57,19 @@
   readonly homes?: AllowedRegions;
 }
 
+/** What the engines of a set are to a prompt. */
+interface PromptRanking {
+  /** Whether the engine is set aside for prompts of the other size. */
+  readonly isForOtherSize: (index: number) => boolean;
+  /**
+   * Ranks by index for the part by which the prompt is routed; undefined if
+   * there is none.
+   */
+  readonly ranks: Uint32Array | undefined;
+  /** Tokens that the engine is believed to have cached, by its id. */
+  readonly cachedTokens: (id: string) => number;
+}
+
 /** A request’s slot at an endpoint, held until `release` is called. */
 export interface Reservation {
   readonly endpoint: KnownEndpoint;
@@ -108,6 +117,8 @@
   private readonly endpoints: EligibleEndpoints;
   private readonly loads = new Map<string, EndpointLoad>();
   private readonly demand: DemandTracker;
+  /** The endpoints that this host cannot reach. */
+  private readonly unreachableIds = new Set<string>();
   /** How many other hosts report that they cannot reach an endpoint, by id. */
   private unreachableReports: ReadonlyMap<string, number> = new Map();
   /** Requests so far; rotates the endpoints so that equal ones alternate. */
@@ -122,17 +133,17 @@
   }
 
   setServices(services: ReadonlyMap<string, Service>): void {
-    this.endpoints.services = services;
+    this.endpoints.setServices(services);
   }
 
   /** Sets the zones that operators have taken out of service. */
   setZonesOut(zones: ReadonlySet<string>): void {
-    this.endpoints.zonesOut = zones;
+    this.endpoints.setZonesOut(zones);
   }
 
   /** Sets the hosts that are believed to be alive, including this one. */
   setHosts(hosts: readonly string[]): void {
-    this.endpoints.hosts = hosts;
+    this.endpoints.setHosts(hosts);
   }
 
   get hostCount(): number {
@@ -146,6 +157,7 @@
   setDirectory(directory: Directory): void {
     for (const id of this.endpoints.setDirectory(directory)) {
       this.loads.delete(id);
+      this.unreachableIds.delete(id);
       this.prefixCache.removeEndpoint(id);
     }
   }
@@ -159,7 +171,7 @@
       : PLAIN_REQUESTS_PER_SLOT;
     if (engine && !this.isBelowHostLimit(group.pool, eligible, requestsPerSlot))
       return false;
-    return eligible.some(
+    return eligible.endpoints.some(
       ({entry}) =>
         expectedRequests(this.load(entry.id), now) <
         entry.slots * requestsPerSlot,
@@ -168,8 +180,7 @@
 
   /** This host’s equal share of the slots of a pool’s eligible endpoints. */
   override slotCount(pool: string): number {
-    const eligible = this.eligible(pool, this.now());
-    const slots = eligible.reduce((sum, {entry}) => sum + entry.slots, 0);
+    const {slots} = this.eligible(pool, this.now());
     return slots / Math.max(this.hostCount, 1);
   }
 
@@ -205,8 +216,9 @@
 
   /** The endpoints that this host cannot reach. */
   unreachableEndpoints(): KnownEndpoint[] {
-    return [...this.endpoints.directory.values()].filter(
-      ({entry}) => this.load(entry.id).isUnreachable,
+    if (this.unreachableIds.size === 0) return [];
+    return [...this.endpoints.directory.values()].filter(({entry}) =>
+      this.unreachableIds.has(entry.id),
     );
   }
 
@@ -278,31 +290,14 @@
   }: EndpointRequirements): Reservation | undefined {
     const now = this.now();
     const eligible = this.eligible(service, now, homes);
-    const untried = eligible.filter(
-      ({entry}) => !failedEndpoints.has(entry.id),
-    );
-    const unreachableByZone = this.unreachableByZone();
-    const endpoints = rotated(
-      untried.length > 0 ? untried : eligible,
-      this.rotation++,
+    const untried = withoutFailed(eligible, failedEndpoints);
+    const candidates = this.candidates(
+      untried.size > 0 ? untried : eligible,
+      {service, prompt, failedEndpoints},
+      now,
     );
-    const candidates = endpoints.map(({entry, coldUntil}) => ({
-      id: entry.id,
-      slots: entry.slots,
-      isSameZone: entry.zone === this.context.zone,
-      isInColdStart: now < coldUntil,
-      hasFailedRequest: failedEndpoints.has(entry.id),
-      isForOtherSize: false,
-      unreachableSignals:
-        (this.unreachableReports.get(entry.id) ?? 0) +
-        (unreachableByZone.get(entry.zone) ?? 0),
-      cachedTokens: prompt
-        ? this.prefixCache.tokens(sharedParts(prompt), entry.id, now)
-        : 0,
-      load: this.load(entry.id),
-    }));
     const choice = prompt
-      ? this.chooseFor(prompt, service, candidates, now)
+      ? chooseEngine(candidates, prompt, now)
       : chooseLeastBusy(candidates, now);
     const endpoint = choice && this.endpoints.directory.get(choice.id);
     if (!endpoint) return undefined;
@@ -327,27 +322,65 @@
     this.prefixCache.recordPrefill(parts, engine, now);
   }
 
-  private chooseFor(
+  /**
+   * The endpoints of a set as candidates, beginning with another one for each
+   * request.
+   */
+  private candidates(
+    set: EligibleSet,
+    {service, prompt, failedEndpoints}: EndpointRequirements,
+    now: number,
+  ): Candidate[] {
+    const {endpoints, size} = set;
+    const unreachableByZone = this.unreachableByZone();
+    const prompted = prompt && this.rankFor(prompt, service, set, now);
+    const start = size > 0 ? this.rotation % size : 0;
+    this.rotation++;
+    const candidates: Candidate[] = [];
+    for (let offset = 0; offset < size; offset++) {
+      const index = (start + offset) % size;
+      const known = endpoints[index];
+      if (!known) continue;
+      const {entry, coldUntil} = known;
+      candidates.push({
+        id: entry.id,
+        slots: entry.slots,
+        isSameZone: entry.zone === this.context.zone,
+        isInColdStart: now < coldUntil,
+        hasFailedRequest: failedEndpoints.has(entry.id),
+        isForOtherSize: prompted?.isForOtherSize(index) ?? false,
+        rank: prompted?.ranks?.[index] ?? 0,
+        unreachableSignals:
+          (this.unreachableReports.get(entry.id) ?? 0) +
+          (unreachableByZone.get(entry.zone) ?? 0),
+        cachedTokens: prompted?.cachedTokens(entry.id) ?? 0,
+        load: this.load(entry.id),
+      });
+    }
+    return candidates;
+  }
+
+  /** What the engines of a set are to a prompt, by index or by id. */
+  private rankFor(
     prompt: Prompt,
     service: string,
-    candidates: readonly Candidate[],
+    set: EligibleSet,
     now: number,
-  ): Choice | undefined {
-    const ids = candidates.map(({id}) => id);
-    const current = this.largeEngineCounts.get(service) ?? 0;
+  ): PromptRanking {
     const count = largeEngineCount(
-      ids.length,
+      set.size,
       this.demand.fleetDemand(service),
-      current,
+      this.largeEngineCounts.get(service) ?? 0,
     );
     this.largeEngineCounts.set(service, count);
-    const largeIds = largeEngineIds(ids, count);
     const large = isLargePrompt(prompt);
-    const marked = candidates.map(candidate => ({
-      ...candidate,
-      isForOtherSize: largeIds.has(candidate.id) !== large,
-    }));
-    return chooseEngine(marked, prompt, now);
+    const affinity = large ? affinityPart(prompt) : undefined;
+    const {largePromptRanks} = set;
+    return {
+      isForOtherSize: index => (largePromptRanks[index] ?? 0) < count !== large,
+      ranks: affinity && set.ranks(affinity.id),
+      cachedTokens: this.prefixCache.tokenCounter(sharedParts(prompt), now),
+    };
   }
 
   private reserveAt(
@@ -398,6 +431,7 @@
    */
   private unreachableByZone(): ReadonlyMap<string, number> {
     const zones = new Map<string, number>();
+    if (this.unreachableIds.size === 0) return zones;
     for (const {entry} of this.unreachableEndpoints()) {
       zones.set(entry.zone, (zones.get(entry.zone) ?? 0) + 1);
     }
@@ -409,23 +443,20 @@
     service: string,
     now: number,
     homes?: AllowedRegions,
-  ): KnownEndpoint[] {
-    const isEjectedNow = (id: string) => isEjected(this.load(id), now);
-    const filter = {service, homes, isEjected: isEjectedNow};
-    return this.endpoints.eligible(filter, now);
+  ): EligibleSet {
+    const {ejectedUntil} = this;
+    return this.endpoints.eligible({service, homes, ejectedUntil}, now);
   }
 
   /** Whether this host’s requests at the engines are below its limit there. */
   private isBelowHostLimit(
     service: string,
-    engines: readonly KnownEndpoint[],
+    {endpoints, slots}: EligibleSet,
     requestsPerSlot: number,
   ): boolean {
     let requests = 0;
-    let slots = 0;
-    for (const {entry} of engines) {
+    for (const {entry} of endpoints) {
       requests += this.load(entry.id).ownRequests;
-      slots += entry.slots;
     }
     const ownDemand = totalDemand(this.demand.ownDemand(service));
     const fleetDemand = totalDemand(this.demand.fleetDemand(service));
@@ -438,13 +469,20 @@
     return requests < limit * requestsPerSlot;
   }
 
+  private readonly ejectedUntil = (id: string) => this.load(id).ejectedUntil;
+
   private load(id: string): EndpointLoad {
     return this.loads.get(id) ?? INITIAL_LOAD;
   }
 
   private update(id: string, event: LoadEvent): void {
     if (!this.endpoints.directory.has(id)) return;
-    this.loads.set(id, applyLoadEvent(this.load(id), event));
+    const before = this.load(id);
+    const after = applyLoadEvent(before, event);
+    this.loads.set(id, after);
+    if (after.ejectedUntil !== before.ejectedUntil) this.endpoints.invalidate();
+    if (after.isUnreachable) this.unreachableIds.add(id);
+    else if (before.isUnreachable) this.unreachableIds.delete(id);
   }
 
   private now(): number {
@@ -452,8 +490,12 @@
   }
 }
 
-/** The items, beginning with the one at `offset` and wrapping around. */
-function rotated<T>(items: readonly T[], offset: number): T[] {
-  const start = items.length > 0 ? offset % items.length : 0;
-  return [...items.slice(start), ...items.slice(0, start)];
+/** The endpoints of a set at which a request has not failed. */
+function withoutFailed(
+  set: EligibleSet,
+  failed: ReadonlySet<string>,
+): EligibleSet {
+  if (failed.size === 0) return set;
+  const untried = set.endpoints.filter(({entry}) => !failed.has(entry.id));
+  return untried.length === set.size ? set : new EligibleSet(untried);
 }
