Add up a host's requests over the few endpoints that have any

While requests are queued the limit on a host's slots is looked at for each group with each dispatch, and added up this host's requests over all engines. It now adds up only the engines at which this host has requests. The loads stand in a class of their own, which also keeps the endpoints that cannot be reached. A report of other hosts made an object and looked up the load four times for each endpoint; it now does so once.

The new test failed with a planted fault (a busy endpoint forgotten).

--- a/source/balance/eligibleset.ts
+++ b/source/balance/eligibleset.ts
@@ -10,6 +10,7 @@
 export class EligibleSet {
   /** Slots of all of them. */
   readonly slots: number;
+  private lazyIds: ReadonlySet<string> | undefined;
   private lazyRanking: RendezvousRanking | undefined;
   private lazyLargeRanks: Uint32Array | undefined;
 
@@ -21,6 +22,11 @@
     return this.endpoints.length;
   }
 
+  has(id: string): boolean {
+    this.lazyIds ??= new Set(this.endpoints.map(({entry}) => entry.id));
+    return this.lazyIds.has(id);
+  }
+
   /** The rank of each endpoint for a key, by index; 0 is the first. */
   ranks(key: string): Uint32Array {
     return this.ranking.ranks(key);
--- a/source/balance/index.ts
+++ b/source/balance/index.ts
@@ -32,6 +32,7 @@
   type HostLocation,
 } from './eligible.js';
 export {EligibleSet} from './eligibleset.js';
+export {EndpointLoads} from './endpointloads.js';
 export {PrefixCacheIndex, type CachedPart} from './prefixcache.js';
 export {
   applyLoadEvent,
--- a/source/balance/selector.ts
+++ b/source/balance/selector.ts
@@ -15,16 +15,10 @@
 } from './choose.js';
 import {DemandTracker, type ServiceDemand} from './demand.js';
 import {PrefixCacheIndex} from './prefixcache.js';
-import {
-  applyLoadEvent,
-  expectedRequests,
-  INITIAL_LOAD,
-  type EndpointLoad,
-  type LoadEvent,
-  type ReportedLoad,
-} from './load.js';
+import {expectedRequests, type LoadEvent, type ReportedLoad} from './load.js';
 import {EligibleEndpoints} from './eligible.js';
 import {EligibleSet} from './eligibleset.js';
+import {EndpointLoads} from './endpointloads.js';
 import {hostSlotLimit} from './share.js';
 import {busyEngineCount, largeEngineCount, totalDemand} from './partition.js';
 import {
@@ -115,10 +109,8 @@
  */
 export class EndpointSelector extends CapacityProvider {
   private readonly endpoints: EligibleEndpoints;
-  private readonly loads = new Map<string, EndpointLoad>();
+  private readonly loads = new EndpointLoads(() => this.endpoints.invalidate());
   private readonly demand: DemandTracker;
-  /** The endpoints that this host cannot reach. */
-  private readonly unreachableIds = new Set<string>();
   /** How many other hosts report that they cannot reach an endpoint, by id. */
   private unreachableReports: ReadonlyMap<string, number> = new Map();
   /** Requests so far; rotates the endpoints so that equal ones alternate. */
@@ -156,8 +148,7 @@
    */
   setDirectory(directory: Directory): void {
     for (const id of this.endpoints.setDirectory(directory)) {
-      this.loads.delete(id);
-      this.unreachableIds.delete(id);
+      this.loads.remove(id);
       this.prefixCache.removeEndpoint(id);
     }
   }
@@ -173,7 +164,7 @@
       return false;
     return eligible.endpoints.some(
       ({entry}) =>
-        expectedRequests(this.load(entry.id), now) <
+        expectedRequests(this.loads.get(entry.id), now) <
         entry.slots * requestsPerSlot,
     );
   }
@@ -203,7 +194,10 @@
   /** The load of this host’s requests at each endpoint, for the other hosts. */
   loadReports(): EndpointLoadReport[] {
     const reports: EndpointLoadReport[] = [];
-    for (const [id, {ownRequests, ownPrefillMilliseconds}] of this.loads) {
+    for (const [
+      id,
+      {ownRequests, ownPrefillMilliseconds},
+    ] of this.loads.entries()) {
       if (ownRequests === 0) continue;
       reports.push({
         id,
@@ -216,9 +210,10 @@
 
   /** The endpoints that this host cannot reach. */
   unreachableEndpoints(): KnownEndpoint[] {
-    if (this.unreachableIds.size === 0) return [];
+    const {unreachableIds} = this.loads;
+    if (unreachableIds.size === 0) return [];
     return [...this.endpoints.directory.values()].filter(({entry}) =>
-      this.unreachableIds.has(entry.id),
+      unreachableIds.has(entry.id),
     );
   }
 
@@ -253,20 +248,13 @@
     demands: readonly ServiceDemand[],
   ): void {
     const now = this.now();
-    const sums = new Map<
-      string,
-      {requests: number; prefillMilliseconds: number}
-    >();
-    for (const {id, requests, reading} of loads) {
-      const sum = sums.get(id) ?? {requests: 0, prefillMilliseconds: 0};
-      sum.requests += requests;
-      sum.prefillMilliseconds += reading;
-      sums.set(id, sum);
-    }
+    const sums = sumByEndpoint(loads);
     for (const id of this.endpoints.directory.keys()) {
-      const sum = sums.get(id) ?? {requests: 0, prefillMilliseconds: 0};
-      if (sum.requests === 0 && this.load(id).otherRequests === 0) continue;
-      this.update(id, {kind: 'reported', ...sum, now});
+      const {requests = 0, reading = 0} = sums.get(id) ?? {};
+      if (requests === 0 && this.loads.get(id).otherRequests === 0) continue;
+      const prefillMilliseconds = reading;
+      const kind = 'reported';
+      this.loads.apply(id, {kind, requests, prefillMilliseconds, now});
     }
     this.demand.setReports(demands);
   }
@@ -354,7 +342,7 @@
           (this.unreachableReports.get(entry.id) ?? 0) +
           (unreachableByZone.get(entry.zone) ?? 0),
         cachedTokens: prompted?.cachedTokens(entry.id) ?? 0,
-        load: this.load(entry.id),
+        load: this.loads.get(entry.id),
       });
     }
     return candidates;
@@ -431,7 +419,6 @@
    */
   private unreachableByZone(): ReadonlyMap<string, number> {
     const zones = new Map<string, number>();
-    if (this.unreachableIds.size === 0) return zones;
     for (const {entry} of this.unreachableEndpoints()) {
       zones.set(entry.zone, (zones.get(entry.zone) ?? 0) + 1);
     }
@@ -451,38 +438,26 @@
   /** Whether this host’s requests at the engines are below its limit there. */
   private isBelowHostLimit(
     service: string,
-    {endpoints, slots}: EligibleSet,
+    eligible: EligibleSet,
     requestsPerSlot: number,
   ): boolean {
-    let requests = 0;
-    for (const {entry} of endpoints) {
-      requests += this.load(entry.id).ownRequests;
-    }
     const ownDemand = totalDemand(this.demand.ownDemand(service));
     const fleetDemand = totalDemand(this.demand.fleetDemand(service));
     const limit = hostSlotLimit({
-      slots,
+      slots: eligible.slots,
       hosts: this.hostCount,
       ownDemand,
       fleetDemand,
     });
-    return requests < limit * requestsPerSlot;
+    return this.loads.ownRequests(eligible) < limit * requestsPerSlot;
   }
 
-  private readonly ejectedUntil = (id: string) => this.load(id).ejectedUntil;
-
-  private load(id: string): EndpointLoad {
-    return this.loads.get(id) ?? INITIAL_LOAD;
-  }
+  private readonly ejectedUntil = (id: string) =>
+    this.loads.get(id).ejectedUntil;
 
   private update(id: string, event: LoadEvent): void {
     if (!this.endpoints.directory.has(id)) return;
-    const before = this.load(id);
-    const after = applyLoadEvent(before, event);
-    this.loads.set(id, after);
-    if (after.ejectedUntil !== before.ejectedUntil) this.endpoints.invalidate();
-    if (after.isUnreachable) this.unreachableIds.add(id);
-    else if (before.isUnreachable) this.unreachableIds.delete(id);
+    this.loads.apply(id, event);
   }
 
   private now(): number {
@@ -490,6 +465,21 @@
   }
 }
 
+/** The sums of the reports about each endpoint. */
+function sumByEndpoint(
+  reports: readonly EndpointLoadReport[],
+): ReadonlyMap<string, {requests: number; reading: number}> {
+  const sums = new Map<string, {requests: number; reading: number}>();
+  for (const {id, requests, reading} of reports) {
+    const sum = sums.get(id);
+    if (sum) {
+      sum.requests += requests;
+      sum.reading += reading;
+    } else sums.set(id, {requests, reading});
+  }
+  return sums;
+}
+
 /** The endpoints of a set at which a request has not failed. */
 function withoutFailed(
   set: EligibleSet,
--- a/test/selection.test.ts
+++ b/test/selection.test.ts
@@ -6,6 +6,8 @@
 import test from 'ava';
 
 import {
+  EligibleSet,
+  EndpointLoads,
   EndpointSelector,
   rendezvousOrder,
   RendezvousRanking,
@@ -27,6 +29,25 @@
 const LARGE_PART_TOKENS = 2_000;
 const SMALL_PART_TOKENS = 60;
 
+function knownEndpoint(id: string, zone = 'palermo'): KnownEndpoint {
+  return {
+    entry: {
+      id,
+      service: ENGINES,
+      address: '127.0.0.1:1',
+      zone,
+      slots: 4,
+      leaving: false,
+      coldFor: 0,
+      born: 1,
+      reclaimable: false,
+    },
+    knownAt: 0,
+    coldUntil: -Infinity,
+    removeAt: undefined,
+  };
+}
+
 /** Both selectors, and the random events that happen to them alike. */
 class Comparison {
   readonly clock = new ManualClock();
@@ -175,20 +196,16 @@
 
   private enter(index: number): void {
     const id = `i-${index}`;
+    const known = knownEndpoint(id, ZONES[index % ZONES.length]);
     const entry = {
-      id,
+      ...known.entry,
       service: index % 4 === 3 ? PLAIN : ENGINES,
-      address: '127.0.0.1:1',
-      zone: ZONES[index % ZONES.length] ?? '',
       slots: 1 + this.below(4),
       leaving: this.below(12) === 0,
-      coldFor: 0,
-      born: 1,
-      reclaimable: false,
     };
     const coldUntil = this.below(3) === 0 ? this.soon(4_000) : -Infinity;
     const knownAt = this.clock.monotonic();
-    this.directory.set(id, {entry, knownAt, coldUntil, removeAt: undefined});
+    this.directory.set(id, {...known, entry, knownAt, coldUntil});
   }
 
   /** Lets entries lapse, or return. */
@@ -293,3 +310,24 @@
   const ranks = new RendezvousRanking(['same', 'same', 'same']).ranks('key');
   t.deepEqual([...ranks], [0, 1, 2]);
 });
+
+test('the requests at a set of endpoints are the sum of those at each', t => {
+  const random = seededRandom(1);
+  const oneOf = <T>(items: readonly T[]) =>
+    items[Math.floor(random.next() * items.length)] as T;
+  const ids = Array.from({length: 6}, (_, index) => `i-${index}`);
+  const set = new EligibleSet(ids.slice(2).map(id => knownEndpoint(id)));
+  const loads = new EndpointLoads(() => {});
+  for (let step = 0; step < 2_000; step++) {
+    const id = oneOf(ids);
+    if (step % 50 === 0) loads.remove(id);
+    else if (random.next() < 0.5)
+      loads.apply(id, {kind: 'sent', prefillMilliseconds: 1});
+    else loads.apply(id, {kind: 'ended'});
+    const each = set.endpoints.map(
+      ({entry}) => loads.get(entry.id).ownRequests,
+    );
+    const sum = each.reduce((total, requests) => total + requests, 0);
+    t.is(loads.ownRequests(set), sum);
+  }
+});
