Find the replica of usage sheets once for all pulses

Each pulse that was sent ranked the reachable hosts, to see whether its receiver keeps the replica of this host's usage sheets. The pulses of one round now share the answer; the set of reachable hosts does not change within a round.

--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -184,7 +184,9 @@
   /** Sends a pulse to all other hosts at once, as when this host leaves. */
   sendPulses(): void {
     const own = this.ownState();
-    for (const name of this.members.keys()) this.sendPulse(name, own);
+    const replicaHost = this.usageReplicaHost();
+    for (const name of this.members.keys())
+      this.sendPulse(name, own, replicaHost);
   }
 
   private get period(): number {
@@ -242,7 +244,12 @@
     return this.options.state(this.period * EVENT_REPEAT_PERIODS);
   }
 
-  private sendPulse(name: string, own: OwnState): void {
+  /** Sends a pulse, with the usage sheets if it goes to `replicaHost`. */
+  private sendPulse(
+    name: string,
+    own: OwnState,
+    replicaHost: string | undefined,
+  ): void {
     const member = this.members.get(name);
     if (!member) return;
     const peer = this.peerFor(member);
@@ -258,8 +265,7 @@
     }
     const heard = member.pulse?.sequence ?? 0;
     const pulse = this.createPulse(own, peer.sequence, heard);
-    const sheets =
-      name === this.usageReplicaHost() ? this.options.sheets() : [];
+    const sheets = name === replicaHost ? this.options.sheets() : [];
     peer.outbound.send({...pulse, sheets: [...sheets]});
   }
 
@@ -365,7 +371,7 @@
     this.members = applyHostList(this.members, pulse.hosts, self.name, now);
     if (before?.host.started !== started || !before.pulse) {
       logger.info('host-found', {name, zone, hosts: this.members.size + 1});
-      this.sendPulse(name, this.ownState());
+      this.sendPulse(name, this.ownState(), this.usageReplicaHost());
     }
     const peer = this.peers.get(name);
     if (peer && pulse.heard > peer.acknowledged) {
