--- a/source/balance/selector.ts
+++ b/source/balance/selector.ts
@@ -15,24 +15,15 @@
 } from './choose.js';
 import {DemandTracker, type ServiceDemand} from './demand.js';
 import {PrefixCacheIndex} from './prefixcache.js';
-import {
-  applyLoadEvent,
-  expectedRequests,
-  INITIAL_LOAD,
-  isEjected,
-  type EndpointLoad,
-  type LoadEvent,
-  type ReportedLoad,
-} from './load.js';
+import {expectedRequests, type LoadEvent, type ReportedLoad} from './load.js';
 import {EligibleEndpoints} from './eligible.js';
+import {EligibleSet} from './eligibleset.js';
+import {EndpointLoads} from './endpointloads.js';
 import {hostPrefillLimit, hostSlotLimit} from './share.js';
+import {busyEngineCount, largeEngineCount, totalDemand} from './partition.js';
+import {ranksAmong} from './rendezvous.js';
 import {
-  busyEngineCount,
-  largeEngineCount,
-  largeEngineIds,
-  totalDemand,
-} from './partition.js';
-import {
+  affinityPart,
   isLargePrompt,
   sharedParts,
   sharedTokenCount,
@@ -61,6 +52,19 @@
   readonly homes?: AllowedRegions;
 }
 
+/** What the engines of a set are to a prompt. */
+interface PromptRanking {
+  /** Whether the engine is set aside for prompts of the other size. */
+  readonly isForOtherSize: (index: number) => boolean;
+  /**
+   * Ranks by index for the part by which the prompt is routed; undefined if
+   * there is none.
+   */
+  readonly ranks: Uint32Array | undefined;
+  /** Tokens that the engine is believed to have cached, by its id. */
+  readonly cachedTokens: (id: string) => number;
+}
+
 /** A request’s slot at an endpoint, held until `release` is called. */
 export interface Reservation {
   readonly endpoint: KnownEndpoint;
@@ -106,7 +110,7 @@
  */
 export class EndpointSelector extends CapacityProvider {
   private readonly endpoints: EligibleEndpoints;
-  private readonly loads = new Map<string, EndpointLoad>();
+  private readonly loads = new EndpointLoads(() => this.endpoints.invalidate());
   private readonly demand: DemandTracker;
   /** How many other hosts report that they cannot reach an endpoint, by id. */
   private unreachableReports: ReadonlyMap<string, number> = new Map();
@@ -122,17 +126,17 @@
   }
 
   setServices(services: ReadonlyMap<string, Service>): void {
-    this.endpoints.services = services;
+    this.endpoints.setServices(services);
   }
 
   /** Sets the zones that operators have taken out of service. */
   setZonesOut(zones: ReadonlySet<string>): void {
-    this.endpoints.zonesOut = zones;
+    this.endpoints.setZonesOut(zones);
   }
 
   /** Sets the hosts that are believed to be alive, including this one. */
   setHosts(hosts: readonly string[]): void {
-    this.endpoints.hosts = hosts;
+    this.endpoints.setHosts(hosts);
   }
 
   get hostCount(): number {
@@ -145,7 +149,7 @@
    */
   setDirectory(directory: Directory): void {
     for (const id of this.endpoints.setDirectory(directory)) {
-      this.loads.delete(id);
+      this.loads.remove(id);
       this.prefixCache.removeEndpoint(id);
     }
   }
@@ -159,17 +163,16 @@
       : PLAIN_REQUESTS_PER_SLOT;
     if (engine && !this.isBelowHostLimit(group.pool, eligible, requestsPerSlot))
       return false;
-    return eligible.some(
+    return eligible.endpoints.some(
       ({entry}) =>
-        expectedRequests(this.load(entry.id), now) <
+        expectedRequests(this.loads.get(entry.id), now) <
         entry.slots * requestsPerSlot,
     );
   }
 
   /** This host’s equal share of the slots of a pool’s eligible endpoints. */
   override slotCount(pool: string): number {
-    const eligible = this.eligible(pool, this.now());
-    const slots = eligible.reduce((sum, {entry}) => sum + entry.slots, 0);
+    const {slots} = this.eligible(pool, this.now());
     return slots / Math.max(this.hostCount, 1);
   }
 
@@ -192,7 +195,10 @@
   /** The load of this host’s requests at each endpoint, for the other hosts. */
   loadReports(): EndpointLoadReport[] {
     const reports: EndpointLoadReport[] = [];
-    for (const [id, {ownRequests, ownPrefillMilliseconds}] of this.loads) {
+    for (const [
+      id,
+      {ownRequests, ownPrefillMilliseconds},
+    ] of this.loads.entries()) {
       if (ownRequests === 0) continue;
       reports.push({
         id,
@@ -205,8 +211,10 @@
 
   /** The endpoints that this host cannot reach. */
   unreachableEndpoints(): KnownEndpoint[] {
-    return [...this.endpoints.directory.values()].filter(
-      ({entry}) => this.load(entry.id).isUnreachable,
+    const {unreachableIds} = this.loads;
+    if (unreachableIds.size === 0) return [];
+    return [...this.endpoints.directory.values()].filter(({entry}) =>
+      unreachableIds.has(entry.id),
     );
   }
 
@@ -241,20 +249,13 @@
     demands: readonly ServiceDemand[],
   ): void {
     const now = this.now();
-    const sums = new Map<
-      string,
-      {requests: number; prefillMilliseconds: number}
-    >();
-    for (const {id, requests, reading} of loads) {
-      const sum = sums.get(id) ?? {requests: 0, prefillMilliseconds: 0};
-      sum.requests += requests;
-      sum.prefillMilliseconds += reading;
-      sums.set(id, sum);
-    }
+    const sums = sumByEndpoint(loads);
     for (const id of this.endpoints.directory.keys()) {
-      const sum = sums.get(id) ?? {requests: 0, prefillMilliseconds: 0};
-      if (sum.requests === 0 && this.load(id).otherRequests === 0) continue;
-      this.update(id, {kind: 'reported', ...sum, now});
+      const {requests = 0, reading = 0} = sums.get(id) ?? {};
+      if (requests === 0 && this.loads.get(id).otherRequests === 0) continue;
+      const prefillMilliseconds = reading;
+      const kind = 'reported';
+      this.loads.apply(id, {kind, requests, prefillMilliseconds, now});
     }
     this.demand.setReports(demands);
   }
@@ -278,31 +279,14 @@
   }: EndpointRequirements): Reservation | undefined {
     const now = this.now();
     const eligible = this.eligible(service, now, homes);
-    const untried = eligible.filter(
-      ({entry}) => !failedEndpoints.has(entry.id),
-    );
-    const unreachableByZone = this.unreachableByZone();
-    const endpoints = rotated(
-      untried.length > 0 ? untried : eligible,
-      this.rotation++,
+    const untried = withoutFailed(eligible, failedEndpoints);
+    const candidates = this.candidates(
+      untried.size > 0 ? untried : eligible,
+      {service, prompt, failedEndpoints},
+      now,
     );
-    const candidates = endpoints.map(({entry, coldUntil}) => ({
-      id: entry.id,
-      slots: entry.slots,
-      isSameZone: entry.zone === this.context.zone,
-      isInColdStart: now < coldUntil,
-      hasFailedRequest: failedEndpoints.has(entry.id),
-      isForOtherSize: false,
-      unreachableSignals:
-        (this.unreachableReports.get(entry.id) ?? 0) +
-        (unreachableByZone.get(entry.zone) ?? 0),
-      cachedTokens: prompt
-        ? this.prefixCache.tokens(sharedParts(prompt), entry.id, now)
-        : 0,
-      load: this.load(entry.id),
-    }));
     const choice = prompt
-      ? this.chooseFor(prompt, service, candidates, now)
+      ? chooseEngine(candidates, prompt, now)
       : chooseLeastBusy(candidates, now);
     const endpoint = choice && this.endpoints.directory.get(choice.id);
     if (!endpoint) return undefined;
@@ -327,27 +311,69 @@
     this.prefixCache.recordPrefill(parts, engine, now);
   }
 
-  private chooseFor(
+  /**
+   * The endpoints of a set as candidates, beginning with another one for each
+   * request.
+   */
+  private candidates(
+    set: EligibleSet,
+    {service, prompt, failedEndpoints}: EndpointRequirements,
+    now: number,
+  ): Candidate[] {
+    const {endpoints, size} = set;
+    const unreachableByZone = this.unreachableByZone();
+    const prompted = prompt && this.rankFor(prompt, service, set, now);
+    const start = size > 0 ? this.rotation % size : 0;
+    this.rotation++;
+    const candidates: Candidate[] = [];
+    for (let offset = 0; offset < size; offset++) {
+      const index = (start + offset) % size;
+      const known = endpoints[index];
+      if (!known) continue;
+      const {entry, coldUntil} = known;
+      candidates.push({
+        id: entry.id,
+        slots: entry.slots,
+        isSameZone: entry.zone === this.context.zone,
+        isInColdStart: now < coldUntil,
+        hasFailedRequest: failedEndpoints.has(entry.id),
+        isForOtherSize: prompted?.isForOtherSize(index) ?? false,
+        rank: prompted?.ranks?.[index] ?? 0,
+        unreachableSignals:
+          (this.unreachableReports.get(entry.id) ?? 0) +
+          (unreachableByZone.get(entry.zone) ?? 0),
+        cachedTokens: prompted?.cachedTokens(entry.id) ?? 0,
+        load: this.loads.get(entry.id),
+      });
+    }
+    return candidates;
+  }
+
+  /** What the engines of a set are to a prompt, by index or by id. */
+  private rankFor(
     prompt: Prompt,
     service: string,
-    candidates: readonly Candidate[],
+    set: EligibleSet,
     now: number,
-  ): Choice | undefined {
-    const ids = candidates.map(({id}) => id);
-    const current = this.largeEngineCounts.get(service) ?? 0;
+  ): PromptRanking {
     const count = largeEngineCount(
-      ids.length,
+      set.size,
       this.demand.fleetDemand(service),
-      current,
+      this.largeEngineCounts.get(service) ?? 0,
     );
     this.largeEngineCounts.set(service, count);
-    const largeIds = largeEngineIds(ids, count);
     const large = isLargePrompt(prompt);
-    const marked = candidates.map(candidate => ({
-      ...candidate,
-      isForOtherSize: largeIds.has(candidate.id) !== large,
-    }));
-    return chooseEngine(marked, prompt, now);
+    const affinity = large ? affinityPart(prompt) : undefined;
+    const {largePromptRanks} = set;
+    const isForOtherSize = (index: number) =>
+      (largePromptRanks[index] ?? 0) < count !== large;
+    return {
+      isForOtherSize,
+      ranks:
+        affinity &&
+        ranksAmong(set.ranks(affinity.id), index => !isForOtherSize(index)),
+      cachedTokens: this.prefixCache.tokenCounter(sharedParts(prompt), now),
+    };
   }
 
   private reserveAt(
@@ -409,10 +435,9 @@
     service: string,
     now: number,
     homes?: AllowedRegions,
-  ): KnownEndpoint[] {
-    const isEjectedNow = (id: string) => isEjected(this.load(id), now);
-    const filter = {service, homes, isEjected: isEjectedNow};
-    return this.endpoints.eligible(filter, now);
+  ): EligibleSet {
+    const {ejectedUntil} = this;
+    return this.endpoints.eligible({service, homes, ejectedUntil}, now);
   }
 
   /**
@@ -421,36 +446,29 @@
    */
   private isBelowHostLimit(
     service: string,
-    engines: readonly KnownEndpoint[],
+    eligible: EligibleSet,
     requestsPerSlot: number,
   ): boolean {
-    let requests = 0;
-    let prefill = 0;
-    let slots = 0;
-    for (const {entry} of engines) {
-      const {ownRequests, ownPrefillMilliseconds} = this.load(entry.id);
-      requests += ownRequests;
-      prefill += ownPrefillMilliseconds;
-      slots += entry.slots;
-    }
     const ownDemand = totalDemand(this.demand.ownDemand(service));
     const fleetDemand = totalDemand(
       this.demand.fleetDemand(service, this.hostCount),
     );
     const demand = {hosts: this.hostCount, ownDemand, fleetDemand};
+    const own = this.loads.ownLoad(eligible);
+    const slotLimit = hostSlotLimit(eligible.slots, demand);
+    const prefillLimit = hostPrefillLimit(eligible.size, demand);
     return (
-      requests < hostSlotLimit(slots, demand) * requestsPerSlot &&
-      prefill < hostPrefillLimit(engines.length, demand) * requestsPerSlot
+      own.requests < slotLimit * requestsPerSlot &&
+      own.prefillMilliseconds < prefillLimit * requestsPerSlot
     );
   }
 
-  private load(id: string): EndpointLoad {
-    return this.loads.get(id) ?? INITIAL_LOAD;
-  }
+  private readonly ejectedUntil = (id: string) =>
+    this.loads.get(id).ejectedUntil;
 
   private update(id: string, event: LoadEvent): void {
     if (!this.endpoints.directory.has(id)) return;
-    this.loads.set(id, applyLoadEvent(this.load(id), event));
+    this.loads.apply(id, event);
   }
 
   private now(): number {
@@ -458,8 +476,27 @@
   }
 }
 
-/** The items, beginning with the one at `offset` and wrapping around. */
-function rotated<T>(items: readonly T[], offset: number): T[] {
-  const start = items.length > 0 ? offset % items.length : 0;
-  return [...items.slice(start), ...items.slice(0, start)];
+/** The sums of the reports about each endpoint. */
+function sumByEndpoint(
+  reports: readonly EndpointLoadReport[],
+): ReadonlyMap<string, {requests: number; reading: number}> {
+  const sums = new Map<string, {requests: number; reading: number}>();
+  for (const {id, requests, reading} of reports) {
+    const sum = sums.get(id);
+    if (sum) {
+      sum.requests += requests;
+      sum.reading += reading;
+    } else sums.set(id, {requests, reading});
+  }
+  return sums;
+}
+
+/** The endpoints of a set at which a request has not failed. */
+function withoutFailed(
+  set: EligibleSet,
+  failed: ReadonlySet<string>,
+): EligibleSet {
+  if (failed.size === 0) return set;
+  const untried = set.endpoints.filter(({entry}) => !failed.has(entry.id));
+  return untried.length === set.size ? set : new EligibleSet(untried);
 }
