Refuse a path that is no URL with 400, not 500

What callers saw on our own interface: status 500 `internal`, outcome `unknown`, for a request whose path is `//`; the host logged request-failed with a stack.

Cause: `new URL` throws on some paths, and the listener takes any error but a Refusal for a fault of its own.

Evidence: "a path that is no URL is refused" failed before with 500.

Such a path is now refused as malformed-request, before anything has run.

--- a/source/daemon/listener.ts
+++ b/source/daemon/listener.ts
@@ -109,7 +109,7 @@
   arrived: number,
 ): Promise<void> {
   const body = await readBody(message, host.settings.bodyLimitBytes);
-  const {pathname: path} = new URL(message.url ?? '/', 'http://host');
+  const path = pathOf(message.url ?? '/');
   const bearer = parseBearerToken(message.headers.authorization);
   const arrival = {message, answer, body, path, bearer, arrived};
   if (!host.isReady) {
@@ -128,6 +128,12 @@
   );
 }
 
+function pathOf(url: string): string {
+  const base = 'http://host';
+  if (URL.canParse(url, base)) return new URL(url, base).pathname;
+  throw new Refusal('malformed-request', 'not-run', 'the path is not a URL');
+}
+
 function rejectExposedKey({bearer, message, body}: Arrival): void {
   if (bearer === undefined) return;
   const {rawHeaders, rawTrailers} = message;
--- a/test/input.test.ts
+++ b/test/input.test.ts
@@ -146,6 +146,13 @@
     status: 404,
     code: 'route-unknown',
   },
+  {
+    title: 'a path that is no URL',
+    path: '//',
+    init: () => authorized(),
+    status: 400,
+    code: 'malformed-request',
+  },
   {
     title: 'a method that the route does not take',
     path: '/register/x',
