Give the sender in the test of outbound connections an address

Cause: the test's messages come from a host whose address is empty. No host sends such a message: a node exists only where the host has an address to listen on for others. Only the sender's address changes; what is asserted is the same.

--- a/test/outbound.test.ts
+++ b/test/outbound.test.ts
@@ -16,7 +16,12 @@
 import {listen} from '../source/wire/index.js';
 import {freeAddress} from '../tools/ports.js';
 
-const FROM = {name: 'one', started: 1, address: '', zone: 'palermo'};
+const FROM = {
+  name: 'one',
+  started: 1,
+  address: '127.0.0.1:1',
+  zone: 'palermo',
+};
 
 function recordsRequest(position: number): GossipMessage {
   return {kind: 'wanted', from: FROM, topic: 'endpoints', position};
