Take only offsets for the positions that hosts tell each other

What callers and operators saw: one message of records whose `end` is 1e308 made a host follow its topic from there. It served on with the configuration that it had, a withdrawn key among it, and logged nothing.

Cause: the schema of gossip took any finite number as an offset. A host goes on from the highest end it has heard of, and its own position tells others that it is ahead.

Evidence: "a host follows the store on after records whose end is no offset" (a host process) failed before: 3 s after a configuration without the key, a read with it got 200 in place of 401.

An integer beyond the end of the topic is still believed: a host can't tell it from news.

--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -43,8 +43,14 @@
   small: z.number(),
 });
 
+/** An offset in a topic of the store. */
+const offsetSchema = z.number().int().nonnegative();
+
 /** The offset up to which a host knows a topic. */
-const topicPositionSchema = z.object({topic: z.string(), position: z.number()});
+const topicPositionSchema = z.object({
+  topic: z.string(),
+  position: offsetSchema,
+});
 export type TopicPosition = z.infer<typeof topicPositionSchema>;
 
 /** The heartbeat of a host: what it reports about itself, once per period. */
@@ -83,7 +89,7 @@
   from: hostAddressSchema,
   topic: z.string(),
   /** The first offset that is requested. */
-  position: z.number(),
+  position: offsetSchema,
 });
 
 const bytesSchema = z.custom<Uint8Array>(value => value instanceof Uint8Array);
@@ -96,10 +102,10 @@
     z.object({
       key: z.string(),
       value: bytesSchema.optional(),
-      offset: z.number(),
+      offset: offsetSchema,
     }),
   ),
-  end: z.number(),
+  end: offsetSchema,
   /**
    * Whether these are all records that exist, not only those from an offset.
    */
--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -175,13 +175,24 @@
   });
 }
 
-test('a host goes on after a pulse from an address to which Node connects no socket', async t => {
-  const {host} = await startServing(t);
-  const socket = connect(partsOf(host.control));
+/** Sends a frame to a host as another host would. */
+function sendFrame(
+  t: ExecutionContext,
+  {control}: HostProcess,
+  frame: Buffer,
+): void {
+  const socket = connect(partsOf(control));
   socket.on('error', () => {});
   t.teardown(() => socket.destroy());
+  socket.write(frame);
+}
+
+test('a host goes on after a pulse from an address to which Node connects no socket', async t => {
+  const {host} = await startServing(t);
   const address = '127.0.0.1:99999';
-  socket.write(
+  sendFrame(
+    t,
+    host,
     encodeFrame({
       kind: 'pulse',
       from: {name: 'host-2', started: 1, address, zone: 'palermo'},
@@ -247,3 +258,20 @@
   );
   t.is(host.child.exitCode, null);
 });
+
+test('a host follows the store on after records whose end is no offset', async t => {
+  const {fleet, host} = await startServing(t);
+  const from = {
+    name: 'host-2',
+    started: 1,
+    address: '127.0.0.1:1',
+    zone: 'palermo',
+  };
+  const topic = 'keyed.op';
+  const odd = {kind: 'records', from, topic, records: [], end: 1e308};
+  sendFrame(t, host, encodeFrame({...odd, whole: false}));
+  await setTimeout(GOSSIP_PERIODS_MILLISECONDS);
+  fleet.configure(['other']);
+  await setTimeout(CONFIGURATION_MILLISECONDS);
+  t.is(await statusOf(host), 401);
+});
