Share the parts of attempts, and test an endless answer without a seal

The parts that all attempts share are put together once for a forwarder, not for each attempt. An endless answer without a seal held before: its connection is closed and the caller gets 502.

--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -105,7 +105,8 @@
   /**
    * Sends a request and resolves with the response once its head has come.
    * Throws a WireError; its stage is `connect` only if nothing of the request
-   * was sent, and `malformed` if bytes came that are no response. The signal is observed until the head has come, not after.
+   * was sent, and `malformed` if bytes came that are no response. The signal is
+   * observed until the head has come, not after.
    *
    * ```ts
    * const {message} = await connections.send(endpointRequest, signal);
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -27,7 +27,7 @@
 import {readBytes} from '../wire/index.js';
 import {ResponseBuffers} from './buffers.js';
 import {CallerResponse} from './response.js';
-import {Attempt, AttemptFailure} from './attempt.js';
+import {Attempt, AttemptFailure, type AttemptParts} from './attempt.js';
 import type {ConnectionPool} from './connections.js';
 import {RequestContext} from './context.js';
 import {refusalStatus, retryAfterSeconds} from './outcome.js';
@@ -79,12 +79,14 @@
   retryBudget: RetryBudget;
   /** Recent requests and retries by service. */
   private readonly repeats = new Map<string, RetryHistory>();
-  private readonly buffers = new ResponseBuffers(MAX_BUFFERED_BYTES);
+  private readonly attemptParts: AttemptParts;
   private readonly activeRequests = new Set<RequestContext>();
   private onIdle: () => void = () => {};
 
   constructor(private readonly parts: ForwarderParts) {
     this.retryBudget = parts.retryBudget;
+    const buffers = new ResponseBuffers(MAX_BUFFERED_BYTES);
+    this.attemptParts = {...parts, buffers};
   }
 
   /**
@@ -241,7 +243,7 @@
     );
     const attempt = new Attempt(
       {context, reservation, stop, firstResponseTimeout},
-      {...this.parts, buffers: this.buffers},
+      this.attemptParts,
     );
     const sentAt = clock.monotonic();
     try {
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -497,3 +497,15 @@
   t.is(small.body, 'small');
   for (const {status} of await Promise.all(large)) t.is(status, 502);
 });
+
+test('an endless answer without a seal closes the connection', async t => {
+  const sent: SentBytes = {count: 0};
+  const head = `HTTP/1.1 200 OK\r\n${CHUNKED}\r\n\r\n`;
+  const fixture = await ForwarderFixture.start(t, {}, [
+    endless(() => ({head, part: CHUNK, pause: 0}), sent),
+  ]);
+  const reply = await fixture.send();
+  t.is(reply.status, 502);
+  await fixture.until(() => fixture.received[0]?.closed === true);
+  t.true(sent.count < SOCKET_BUFFERS);
+});
