--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -28,7 +28,7 @@
 import {admissionRequestFor} from './admission.js';
 import {ResponseBuffers} from './buffers.js';
 import {CallerResponse} from './response.js';
-import {Attempt, AttemptFailure} from './attempt.js';
+import {Attempt, AttemptFailure, type AttemptParts} from './attempt.js';
 import type {ConnectionPool} from './connections.js';
 import {RequestContext} from './context.js';
 import {refusalStatus, retryAfterSeconds} from './outcome.js';
@@ -74,13 +74,15 @@
   retryBudget: RetryBudget;
   /** Recent requests and retries by service. */
   private readonly repeats = new Map<string, RetryHistory>();
-  private readonly buffers = new ResponseBuffers(MAX_BUFFERED_BYTES);
+  private readonly attemptParts: AttemptParts;
   private readonly activeRequests = new Set<RequestContext>();
   private isStopped = false;
   private readonly onIdle: Array<() => void> = [];
 
   constructor(private readonly parts: ForwarderParts) {
     this.retryBudget = parts.retryBudget;
+    const buffers = new ResponseBuffers(MAX_BUFFERED_BYTES);
+    this.attemptParts = {...parts, buffers};
   }
 
   /** The number of requests in progress. */
@@ -249,7 +251,7 @@
     );
     const attempt = new Attempt(
       {context, reservation, stop, firstResponseTimeout},
-      {...this.parts, buffers: this.buffers},
+      this.attemptParts,
     );
     const sentAt = clock.monotonic();
     try {
