--- a/test/kept.test.ts
+++ b/test/kept.test.ts
@@ -488,3 +488,24 @@
     t.false(host.lines.some(({event}) => event === 'uncaught-error'));
   });
 }
+
+test('a first request on a connection that is older than the close of the port is answered or not passed on', async t => {
+  const {fleet, host, passedOn} = await start(t);
+  host.child.kill('SIGTERM');
+  await wait(CLOSED_MILLISECONDS - 900);
+  fleet.site.faults.delay = 1_000;
+  const socket = connect(partsOf(host.callers));
+  socket.on('error', () => {});
+  let text = '';
+  socket.on('data', (part: Buffer) => (text += part.toString()));
+  const closed = new Promise(resolve => socket.once('close', resolve));
+  await wait(1_000);
+  socket.write(
+    'GET /record/1?wait=1500 HTTP/1.1\r\nHost: register.example\r\n' +
+      'Authorization: Bearer key\r\nX-Attempt-Id: first\r\n' +
+      'X-Deadline-Ms: 6000\r\n\r\n',
+  );
+  await closed;
+  t.is(text.split('HTTP/1.1 200').length - 1, passedOn());
+  t.is(await host.ended, 0);
+});
