Fail a call, not the host, when Node refuses to send a request

What operators would see: a host that ends because of one endpoint or one answer of the store, where a path, a header or a port holds what Node does not send.

Cause: request() throws TypeErrors and RangeErrors from within the call. They went past every handler of WireErrors, in the prober up to the top of the process.

Evidence: connections › a request that Node refuses to send is a failure at stage connect, failed before with a TypeError.

Change: such a request is a WireError of stage connect, since nothing was sent. A request for which even the refusal fails is logged as request-abandoned and its connection closed; before, the error went to the top of the process.

--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -2,7 +2,7 @@
  * One host on a platform: creates its components, connects them to each other,
  * and takes the host from start through drain to stop.
  */
-import type {Server} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
 
 import {Admission} from '../admission/index.js';
 import {EndpointSelector} from '../balance/index.js';
@@ -139,10 +139,11 @@
     this.leaderElector = this.createLeaderElector();
     this.gossip = this.createGossip();
     this.feeder = this.gossip && this.createFeeder(this.gossip);
-    this.callers = new CallerServer(
-      clock,
-      (message, response) => void this.forwarder.serve(message, response),
-    );
+    this.callers = new CallerServer(clock, (message, response) => {
+      this.forwarder
+        .serve(message, response)
+        .catch((error: unknown) => this.abandon(response, error));
+    });
     this.readiness = createReadinessServer(() => this.state === 'serving');
     this.metricsServer = createMetricsServer(metrics, logger);
   }
@@ -355,6 +356,13 @@
     );
   }
 
+  /** Closes the connection of a request that could not even be refused. */
+  private abandon(response: ServerResponse, error: unknown): void {
+    const detail = error instanceof Error ? (error.stack ?? '') : 'unknown';
+    this.parts.logger.error('request-abandoned', {detail});
+    response.destroy();
+  }
+
   private applyPlatformView(): void {
     const {routingTable: table, directory, zonesOut} = this.platformView;
     this.selector.setDirectory(directory);
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -5,14 +5,14 @@
  * of its own, because a reset of a reused connection does not tell whether the
  * request ran.
  */
-import {Agent, request, type IncomingMessage} from 'node:http';
+import {Agent, type IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 
 import type {CancellationSignal} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import {WireError} from '../errors/index.js';
-import {partsOf} from '../wire/index.js';
+import {createRequest, partsOf} from '../wire/index.js';
 
 /** Time within which an endpoint must accept a connection. */
 const CONNECT_TIMEOUT_MILLISECONDS = 250;
@@ -122,7 +122,7 @@
       let connected = false;
       let responded = false;
       let stopTimer: Cancel = () => {};
-      const sent = request({
+      const sent = createRequest({
         ...partsOf(address),
         method,
         path: url,
--- a/source/wire/exchange.ts
+++ b/source/wire/exchange.ts
@@ -3,10 +3,11 @@
  * caller's request: its bound, its failures by stage, and whether it can have
  * been carried out.
  */
-import {request, type Agent} from 'node:http';
+import type {Agent} from 'node:http';
 
 import {WireError} from '../errors/index.js';
 import {partsOf} from './listen.js';
+import {createRequest} from './request.js';
 
 /** Largest body of a reply, several times the largest page of the store. */
 const MAX_REPLY_BYTES = 8_388_608;
@@ -43,7 +44,7 @@
   return new Promise((resolve, reject) => {
     let connected = false;
     let responded = false;
-    const sent = request({
+    const sent = createRequest({
       ...partsOf(address),
       method,
       path,
--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -159,3 +159,16 @@
   const error = await t.throwsAsync(sending, {instanceOf: WireError});
   t.is(error.stage, 'write');
 });
+
+test('a request that Node refuses to send is a failure at stage connect', async t => {
+  const unsendable = [
+    {...requestTo('127.0.0.1:80'), url: '/a b'},
+    {...requestTo('127.0.0.1:80'), headers: ['name', 'a\nb']},
+    requestTo('127.0.0.1:99999'),
+  ];
+  for (const endpointRequest of unsendable) {
+    const sending = createPool().send(endpointRequest, new Cancellation());
+    const error = await t.throwsAsync(sending, {instanceOf: WireError});
+    t.is(error.stage, 'connect');
+  }
+});
