Let late requests and a slow engine starve nobody

Now one engine counts 160 ms at the most, and nothing a second after the last send to it. - a request was refused as late for others that could only run in another region; and a retry, since it counts from its first arrival. Neither is now.

--- a/source/admission/admission.ts
+++ b/source/admission/admission.ts
@@ -268,7 +268,10 @@
     const isServing =
       now - (this.lastStarts.get(pool) ?? -Infinity) <
       MAX_START_AGE_MILLISECONDS;
-    if (isServing && this.queue.isOvertaken(queued.group)) {
+    const {className, floorShare} = queued.group;
+    const floors = this.queue.floorTracker(pool);
+    const isOwed = floors.shortfall(className, floorShare, now) > 0;
+    if (isServing && !isOwed && this.queue.isOvertaken(queued.group)) {
       const detail = `too late for its target after ${Math.round(this.age(queued))} ms`;
       return this.drop(
         queued,
--- a/source/admission/queue.ts
+++ b/source/admission/queue.ts
@@ -1,8 +1,8 @@
 /**
  * The order in which queued requests start. A class that is short of its floor
  * goes first; then strictly by tier; within a tier those that can still meet
- * their target; between the groups that are left the one with the most queued
- * requests; within a group by team. Groups without capacity
+ * their target, the one that is due first; where there are no targets, the group
+ * with the most queued requests; within a group by team. Groups without capacity
  * are skipped, so one full pool holds up no other.
  */
 import {FairQueue} from './fairqueue.js';
@@ -146,7 +146,7 @@
   /** Whether requests of other groups are queued that start before a late one. */
   isOvertaken(group: SchedulingGroup): boolean {
     for (const {group: other, queue} of this.queues.values()) {
-      const isAhead = other.pool === group.pool && startsAfter(group, other);
+      const isAhead = competes(group, other) && startsAfter(group, other);
       if (isAhead && queue.size > 0) return true;
     }
     return false;
@@ -236,15 +236,39 @@
   }
 }
 
+/**
+ * Monotonic milliseconds by which the next request of a group has to start to
+ * meet its target; undefined if it can no longer, or has none.
+ */
+function targetTime<T extends AdmissionRequest>({
+  group,
+  queue,
+}: GroupQueue<T>): number | undefined {
+  const next = group.isLate ? undefined : queue.peek();
+  return next?.targetBound && next.arrived + next.targetBound;
+}
+
 function precedes<T extends AdmissionRequest>(
   one: GroupQueue<T>,
   other: GroupQueue<T>,
 ): boolean {
   if (startsAfter(one.group, other.group)) return false;
   if (startsAfter(other.group, one.group)) return true;
+  const due = targetTime(one);
+  const otherDue = targetTime(other);
+  if (due !== undefined && otherDue !== undefined && due !== otherDue)
+    return due < otherDue;
   return one.queue.size > other.queue.size;
 }
 
+/** Whether requests of both groups may run at the same endpoints. */
+function competes(group: SchedulingGroup, other: SchedulingGroup): boolean {
+  if (group.pool !== other.pool) return false;
+  const {homes} = other;
+  if (!group.homes || !homes) return true;
+  return group.homes.some(region => homes.includes(region));
+}
+
 /** Whether the requests of a group start after all those of another. */
 function startsAfter(group: SchedulingGroup, other: SchedulingGroup): boolean {
   if (group.tier !== other.tier) return group.tier > other.tier;
--- a/source/balance/choose.ts
+++ b/source/balance/choose.ts
@@ -50,6 +50,8 @@
    * with the costs of the other candidates for the same request.
    */
   readonly cost: number;
+  /** Expected milliseconds to the first event, without penalties. */
+  readonly waitMilliseconds: number;
   /** Milliseconds of prefill that the request adds at the endpoint. */
   readonly prefillMilliseconds: number;
 }
@@ -85,6 +87,8 @@
 const RANK_COST_PREFILL_FACTOR = 3;
 /** Places after which a further one costs no more. */
 const MAX_COSTED_RANK = 3;
+/** Most that a place costs; an engine without a free slot costs more. */
+const MAX_RANK_COST_MILLISECONDS = 900;
 
 /**
  * Chooses the endpoint for a request without a prompt; undefined if there are
@@ -104,7 +108,9 @@
     return penalties(candidate, requests) + utilization * 100;
   });
   if (!chosen) return undefined;
-  return {id: chosen.candidate.id, cost: chosen.cost, prefillMilliseconds: 0};
+  const {candidate, cost} = chosen;
+  const waitMilliseconds = cost;
+  return {id: candidate.id, cost, prefillMilliseconds: 0, waitMilliseconds};
 }
 
 /**
@@ -122,7 +128,12 @@
   const rankCost =
     estimatePrefillMilliseconds(shared) * RANK_COST_PREFILL_FACTOR;
   const rankCostAt = ({cachedTokens, rank}: Candidate) =>
-    cachedTokens >= shared ? 0 : Math.min(rank, MAX_COSTED_RANK) * rankCost;
+    cachedTokens >= shared
+      ? 0
+      : Math.min(
+          Math.min(rank, MAX_COSTED_RANK) * rankCost,
+          MAX_RANK_COST_MILLISECONDS,
+        );
   const chosen = cheapest(candidates, candidate => {
     const prefill = prefillAt(candidate);
     const expected = expectedLoad(candidate.load, now);
@@ -139,7 +150,9 @@
   if (!chosen) return undefined;
   const {candidate, cost} = chosen;
   const prefillMilliseconds = prefillAt(candidate);
-  return {id: candidate.id, cost, prefillMilliseconds};
+  const queued = expectedLoad(candidate.load, now).prefillMilliseconds;
+  const waitMilliseconds = queued + prefillMilliseconds;
+  return {id: candidate.id, cost, prefillMilliseconds, waitMilliseconds};
 }
 
 /**
--- a/source/balance/demand.ts
+++ b/source/balance/demand.ts
@@ -96,7 +96,7 @@
         service,
         large: (sum?.large ?? 0) + large,
         small: (sum?.small ?? 0) + small,
-        hosts: (sum?.hosts ?? 0) + 1,
+        hosts: (sum?.hosts ?? 0) + (large + small > 0 ? 1 : 0),
       });
     }
     this.others = others;
--- a/source/balance/endpointloads.ts
+++ b/source/balance/endpointloads.ts
@@ -10,6 +10,11 @@
   type LoadEvent,
 } from './load.js';
 
+/** Most of the prefill at one endpoint that counts towards the host's limit. */
+const MAX_COUNTED_PREFILL_MILLISECONDS = 160;
+/** Time after the last send to an endpoint for which its prefill counts. */
+const MAX_COUNTED_WAIT_MILLISECONDS = 1_000;
+
 /** What this host has at some endpoints. */
 export interface OwnLoad {
   readonly requests: number;
@@ -23,6 +28,8 @@
   /** The endpoints at which this host has requests. */
   private readonly busyIds = new Set<string>();
   private readonly unreachable = new Set<string>();
+  /** Monotonic milliseconds of the last send, by endpoint. */
+  private readonly sentAt = new Map<string, number>();
 
   /** `onEjectionChange` is called when the end of an ejection has changed. */
   constructor(private readonly onEjectionChange: () => void) {}
@@ -56,19 +63,34 @@
   /** Discards what is known of an endpoint that has left or restarted. */
   remove(id: string): void {
     this.loads.delete(id);
+    this.sentAt.delete(id);
     this.busyIds.delete(id);
     this.unreachable.delete(id);
   }
 
-  /** The load that this host itself puts on the endpoints of a set. */
-  ownLoad(set: EligibleSet): OwnLoad {
+  /** Records when this host has sent a request to an endpoint. */
+  recordSend(id: string, now: number): void {
+    this.sentAt.set(id, now);
+  }
+
+  /**
+   * The load that this host itself puts on the endpoints of a set. Of one
+   * endpoint only so much prefill counts, and none where the last request has
+   * waited for long: a slow endpoint must not keep requests from the others.
+   */
+  ownLoad(set: EligibleSet, now: number): OwnLoad {
     let requests = 0;
     let prefillMilliseconds = 0;
     for (const id of this.busyIds) {
       if (!set.has(id)) continue;
       const load = this.get(id);
       requests += load.ownRequests;
-      prefillMilliseconds += load.ownPrefillMilliseconds;
+      const waited = now - (this.sentAt.get(id) ?? now);
+      if (waited > MAX_COUNTED_WAIT_MILLISECONDS) continue;
+      prefillMilliseconds += Math.min(
+        load.ownPrefillMilliseconds,
+        MAX_COUNTED_PREFILL_MILLISECONDS,
+      );
     }
     return {requests, prefillMilliseconds};
   }
--- a/source/balance/partition.ts
+++ b/source/balance/partition.ts
@@ -14,7 +14,7 @@
   readonly small: number;
   /** Monotonic milliseconds up to which the decay has been applied. */
   readonly decayedAt: number;
-  /** Monotonic milliseconds of the first prompt. */
+  /** Monotonic milliseconds of the first prompt, or of the first after a lull. */
   readonly since: number;
 }
 
@@ -31,6 +31,9 @@
  */
 export const LARGE_PROMPT_RANKING_KEY = 'large prompts';
 
+/** Demand below which the next prompt counts as the first one. */
+const NEGLIGIBLE_MILLISECONDS = 1;
+
 /** The demand before the first prompt. */
 export const NO_DEMAND: EngineDemand = {
   large: 0,
@@ -49,11 +52,14 @@
   now: number,
 ): EngineDemand {
   const decay = decayFactor(now - before.decayedAt);
+  const large = before.large * decay;
+  const small = before.small * decay;
+  const isFirst = duration > 0 && large + small < NEGLIGIBLE_MILLISECONDS;
   return {
-    large: before.large * decay + (isLarge ? duration : 0),
-    small: before.small * decay + (isLarge ? 0 : duration),
+    large: large + (isLarge ? duration : 0),
+    small: small + (isLarge ? 0 : duration),
     decayedAt: now,
-    since: Math.min(before.since, now),
+    since: isFirst ? now : Math.min(before.since, now),
   };
 }
 
--- a/source/balance/selector.ts
+++ b/source/balance/selector.ts
@@ -384,6 +384,7 @@
     const {id} = choice;
     const {prefillMilliseconds} = choice;
     this.endpoints.recordSend(endpoint, now);
+    this.loads.recordSend(id, now);
     this.update(id, {kind: 'sent', prefillMilliseconds});
     let isPrefillPending = true;
     let isHeld = true;
@@ -454,7 +455,7 @@
       this.demand.fleetDemand(service, this.hostCount),
     );
     const demand = {hosts: this.hostCount, ownDemand, fleetDemand};
-    const own = this.loads.ownLoad(eligible);
+    const own = this.loads.ownLoad(eligible, this.now());
     const slotLimit = hostSlotLimit(eligible.slots, demand);
     const prefillLimit = hostPrefillLimit(eligible.size, demand);
     return (
--- a/source/balance/share.ts
+++ b/source/balance/share.ts
@@ -27,7 +27,7 @@
  */
 const MAX_WAITING_PREFILL_MILLISECONDS = 160;
 /** Prefill that a host may always leave waiting at a service. */
-const MIN_WAITING_PREFILL_MILLISECONDS = 160;
+const MIN_WAITING_PREFILL_MILLISECONDS = 320;
 
 /**
  * Requests that this host may have at engines that have so many slots.
--- a/source/edge/callers.ts
+++ b/source/edge/callers.ts
@@ -68,6 +68,10 @@
   /** From now on, each response announces the end of its connection. */
   announceClose(): void {
     this.isClosing = true;
+    for (const {lastResponse} of this.connections.values()) {
+      if (lastResponse && !lastResponse.headersSent)
+        lastResponse.shouldKeepAlive = false;
+    }
   }
 
   /**
@@ -87,18 +91,18 @@
   }
 
   /**
-   * Closes all connections that carry no request; resolves when what was sent on
-   * them has left the process.
+   * Closes all connections as they become idle; resolves when what was sent on
+   * them has left the process. Call `closeIdle` first.
    *
    * ```ts
    * await Promise.race([callers.flush(), drainTimeout]);
    * ```
    */
   async flush(): Promise<void> {
-    this.stopClosingIdle();
     this.closeIdleConnections();
     const sockets = [...this.connections.keys()];
     await Promise.all(sockets.map(socket => whenFlushed(socket)));
+    this.stopClosingIdle();
   }
 
   private addConnection(socket: Socket): void {
--- a/source/edge/run.ts
+++ b/source/edge/run.ts
@@ -33,8 +33,8 @@
  * Starts a host. Resolves once it has started; the host then runs until SIGTERM
  * or SIGINT, on which it drains and the process exits, with code 0. An error that
  * nothing caught does the same with code 1: the requests in progress still get
- * their answers, but the host takes no new connections, since its state may be
- * inconsistent. A reload with invalid
+ * their answers, but the host says at once that it is not ready, since its state
+ * may be inconsistent. A reload with invalid
  * settings is logged and leaves the settings as they were. Throws a
  * SettingsError if the host cannot listen on an address.
  */
--- a/source/forward/admission.ts
+++ b/source/forward/admission.ts
@@ -30,6 +30,8 @@
   readonly prompt: Prompt | undefined;
   /** Monotonic milliseconds. */
   readonly arrived: number;
+  /** Whether it was sent to an endpoint before; such a request is never late. */
+  readonly isRetry: boolean;
   /** Monotonic milliseconds at which its final response is due. */
   readonly deadline: number;
 }
@@ -65,7 +67,9 @@
       : PROMPTLESS_REQUEST_TOKENS,
     arrived,
     bound: elapsed + timeLeft * MAX_QUEUE_TIME_SHARE,
-    targetBound: route.target * TARGET_QUEUE_TIME_SHARE,
+    ...(waiting.isRetry
+      ? {}
+      : {targetBound: route.target * TARGET_QUEUE_TIME_SHARE}),
     prefix: '',
   };
 }
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -5,13 +5,18 @@
  * of its own, because a reset of a reused connection does not tell whether the
  * request ran.
  */
-import {Agent, type IncomingMessage} from 'node:http';
+import {
+  Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  type RequestOptions,
+} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 
 import type {CancellationSignal} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
-import {WireError} from '../errors/index.js';
+import {Refusal, WireError} from '../errors/index.js';
 import {createRequest, partsOf} from '../wire/index.js';
 
 /** Time within which an endpoint must accept a connection. */
@@ -104,7 +109,8 @@
 
   /**
    * Sends a request and resolves with the response once its head has come.
-   * Throws a WireError; its stage is `connect` only if nothing of the request
+   * Throws a Refusal for a request that cannot be sent to any endpoint, otherwise
+   * a WireError; its stage is `connect` only if nothing of the request
    * was sent, and `malformed` if bytes came that are no response. The signal is
    * observed until the head has come, not after.
    *
@@ -122,7 +128,7 @@
       let connected = false;
       let responded = false;
       let stopTimer: Cancel = () => {};
-      const sent = createRequest({
+      const sent = openRequest({
         ...partsOf(address),
         method,
         path: url,
@@ -217,6 +223,19 @@
   return stop;
 }
 
+/**
+ * Creates a request. Throws a Refusal where Node refuses to send it, which is no
+ * failure of the endpoint.
+ */
+function openRequest(options: RequestOptions): ClientRequest {
+  try {
+    return createRequest(options);
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : 'unknown';
+    throw new Refusal('internal', 'not-run', detail);
+  }
+}
+
 /** Returns the `isComplete` of a response; call it when its head has come. */
 function completenessCheck(
   message: IncomingMessage,
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -247,7 +247,7 @@
     this.logSend(context, reservation.choice, reservation.endpoint.entry.zone);
     const firstResponseTimeout = this.firstResponseTimeout(
       context,
-      reservation.choice.cost,
+      reservation.choice.waitMilliseconds,
     );
     const attempt = new Attempt(
       {context, reservation, stop, firstResponseTimeout},
@@ -354,11 +354,22 @@
   }
 
   private createAdmissionRequest(context: RequestContext): AdmissionRequest {
-    const {route, service, tier, homes, arrived, deadline} = context;
+    const {route, service, tier, homes, arrived, deadline, sends} = context;
+    const isRetry = sends > 0;
     const {prompt} = context.request;
     const team = context.team?.name ?? '';
     return admissionRequestFor(
-      {route, service, team, tier, homes, prompt, arrived, deadline},
+      {
+        route,
+        service,
+        team,
+        tier,
+        homes,
+        prompt,
+        arrived,
+        deadline,
+        isRetry,
+      },
       this.parts.clock.monotonic(),
     );
   }
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -207,6 +207,7 @@
       homes: undefined,
       prompt,
       arrived,
+      isRetry: false,
       deadline: arrived + DEADLINE_MILLISECONDS,
     };
     let firstAt = Infinity;
