Log each crash of an endpoint with the requests it cut and their prompt parts

The logs could not tell a crash from a broken connection, nor which parts of prompts the cut requests had. A host now checks, when an endpoint closes a connection before its answer is complete, whether the endpoint still accepts connections, and writes one line a crash.

--- a/source/directory/entry.ts
+++ b/source/directory/entry.ts
@@ -26,3 +26,8 @@
   reclaimable: z.boolean(),
 });
 export type EndpointEntry = z.infer<typeof endpointEntrySchema>;
+
+/** Returns a text that identifies one incarnation of an endpoint. */
+export function endpointIncarnation({id, born}: EndpointEntry): string {
+  return `${id} ${born ?? ''}`;
+}
--- a/source/directory/index.ts
+++ b/source/directory/index.ts
@@ -1,5 +1,9 @@
 /** The directory of endpoints that a host may use, from the store. */
-export {endpointEntrySchema, type EndpointEntry} from './entry.js';
+export {
+  endpointEntrySchema,
+  endpointIncarnation,
+  type EndpointEntry,
+} from './entry.js';
 export {
   applyEntryChanges,
   removeLapsed,
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -25,6 +25,7 @@
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Load} from '../process/index.js';
+import {Quarantine} from '../quarantine/index.js';
 import type {RandomSource} from '../random/index.js';
 import {listen} from '../wire/index.js';
 import {CallerServer} from './callers.js';
@@ -73,6 +74,7 @@
   private readonly platformView: PlatformView;
   private readonly selector: EndpointSelector;
   private readonly admission: Admission;
+  private readonly quarantine: Quarantine;
   private readonly forwarder: Forwarder;
   private readonly prober: Prober;
   private readonly usage: UsageMeter | undefined;
@@ -111,11 +113,13 @@
       clock,
       logger,
     });
+    this.quarantine = new Quarantine({clock, logger});
     this.forwarder = new Forwarder({
       protocol,
       connections,
       admission: this.admission,
       book: this.selector,
+      quarantine: this.quarantine,
       clock,
       logger,
       metrics,
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -93,6 +93,15 @@
     return this.partial;
   }
 
+  /**
+   * Whether a failure means that the endpoint closed the connection before its
+   * answer was complete, not this host.
+   */
+  wasCutByEndpoint({stage}: AttemptFailure): boolean {
+    if (this.cancellation.aborted) return false;
+    return stage === 'write' || stage === 'cut';
+  }
+
   /**
    * Sends the request and relays the response; resolves when the caller has
    * been sent all of it. Throws an AttemptFailure.
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -12,6 +12,7 @@
   mayRetry,
   EMPTY_RETRY_HISTORY,
   hashToUnitInterval,
+  sharedParts,
   type EndpointSelector,
   type Reservation,
   type RetryBudget,
@@ -19,9 +20,11 @@
 } from '../balance/index.js';
 import {Cancellation} from '../cancellation/index.js';
 import type {Clock} from '../clock/index.js';
+import type {KnownEndpoint} from '../directory/index.js';
 import {Refusal} from '../errors/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
+import type {Quarantine} from '../quarantine/index.js';
 import type {RandomSource} from '../random/index.js';
 import {serviceFor, type RoutingTable} from '../routing/index.js';
 import {readBytes} from '../wire/index.js';
@@ -56,6 +59,7 @@
   readonly connections: ConnectionPool;
   readonly admission: Admission;
   readonly book: EndpointSelector;
+  readonly quarantine: Quarantine;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -263,6 +267,8 @@
       if (error instanceof AttemptFailure && isFailure) {
         failedEndpoints.add(reservation.endpoint.entry.id);
         reportFailure(reservation, error);
+        if (attempt.wasCutByEndpoint(error))
+          this.recordCut(context, reservation.endpoint, sentAt);
         this.logFailure(context, reservation.endpoint.entry.id, error, sentAt);
       }
       throw error;
@@ -271,6 +277,19 @@
     }
   }
 
+  /** Tells the quarantine of a prompt whose connection an endpoint closed. */
+  private recordCut(
+    {request, delivered}: RequestContext,
+    endpoint: KnownEndpoint,
+    sentAt: number,
+  ): void {
+    const {id, prompt} = request;
+    if (!prompt) return;
+    const parts = sharedParts(prompt).map(part => part.id);
+    const cut = {endpoint, request: id, parts, sentAt, events: delivered};
+    this.parts.quarantine.recordCut(cut);
+  }
+
   /**
    * Returns the milliseconds to wait for a first response before another
    * endpoint is tried; undefined where none may be. `expected` is the wait in
--- /dev/null
+++ b/source/quarantine/detector.ts
@@ -0,0 +1,95 @@
+/**
+ * Tells a crash of an endpoint from a connection that broke for another reason.
+ * An endpoint that closes a connection without having finished its answer may
+ * have crashed; if it then accepts no connection, it has. The requests that
+ * were cut at the same endpoint are gathered into one crash.
+ */
+import type {Clock} from '../clock/index.js';
+import {endpointIncarnation, type KnownEndpoint} from '../directory/index.js';
+
+/** Milliseconds within which an endpoint that is alive accepts a connection. */
+const ACCEPT_TIMEOUT_MILLISECONDS = 250;
+/** Milliseconds after a crash within which its requests are noticed. */
+const LATE_NOTICE_MILLISECONDS = 2_000;
+/** Crashes that are remembered for that. */
+const MAX_KNOWN_CRASHES = 64;
+
+/** A request whose connection an endpoint closed before the end of the answer. */
+export interface CutRequest {
+  readonly endpoint: KnownEndpoint;
+  /** Id of the caller's attempt. */
+  readonly request: string;
+  /** Ids of the parts of its prompt that other requests may share. */
+  readonly parts: readonly string[];
+  /** Monotonic milliseconds at which it was sent to the endpoint. */
+  readonly sentAt: number;
+  /** Events of its answer that this host has received, from any endpoint. */
+  readonly events: number;
+}
+
+/** The end of one incarnation of an endpoint, as one host sees it. */
+export interface EndpointCrash {
+  /** Identifies the incarnation of the endpoint. */
+  readonly endpoint: string;
+  /** Monotonic milliseconds. */
+  readonly at: number;
+  /** Requests of this host that were cut by it. */
+  readonly requests: readonly CutRequest[];
+}
+
+/** Dependencies of a detector. */
+export interface CrashDetectorOptions {
+  readonly clock: Clock;
+  /** Resolves with whether an address accepts a connection in time. */
+  readonly accepts: (address: string, timeout: number) => Promise<boolean>;
+  /**
+   * Called with each crash, and once more with each request that is found later
+   * to have been cut by it.
+   */
+  readonly onCrash: (crash: EndpointCrash) => void;
+}
+
+/** Gathers cut requests by endpoint, and reports those that a crash has cut. */
+export class CrashDetector {
+  /** Cut requests by incarnation, while it is being checked. */
+  private readonly unchecked = new Map<string, CutRequest[]>();
+  /** Monotonic milliseconds of the crashes, by incarnation. */
+  private readonly crashes = new Map<string, number>();
+
+  constructor(private readonly options: CrashDetectorOptions) {}
+
+  /** Records a request that an endpoint has cut. */
+  recordCut(cut: CutRequest): void {
+    const {clock, onCrash} = this.options;
+    const endpoint = endpointIncarnation(cut.endpoint.entry);
+    const now = clock.monotonic();
+    const at = this.crashes.get(endpoint) ?? -Infinity;
+    if (now - at < LATE_NOTICE_MILLISECONDS)
+      return onCrash({endpoint, at, requests: [cut]});
+    const gathered = this.unchecked.get(endpoint);
+    if (gathered) return void gathered.push(cut);
+    this.unchecked.set(endpoint, [cut]);
+    void this.check(endpoint, cut.endpoint.entry.address, now);
+  }
+
+  private async check(
+    endpoint: string,
+    address: string,
+    at: number,
+  ): Promise<void> {
+    const {accepts, onCrash} = this.options;
+    const isUp = await accepts(address, ACCEPT_TIMEOUT_MILLISECONDS);
+    const requests = this.unchecked.get(endpoint) ?? [];
+    this.unchecked.delete(endpoint);
+    if (isUp) return;
+    this.remember(endpoint, at);
+    onCrash({endpoint, at, requests});
+  }
+
+  private remember(endpoint: string, at: number): void {
+    this.crashes.set(endpoint, at);
+    if (this.crashes.size <= MAX_KNOWN_CRASHES) return;
+    const [oldest] = this.crashes.keys();
+    if (oldest !== undefined) this.crashes.delete(oldest);
+  }
+}
--- a/source/wire/index.ts
+++ b/source/wire/index.ts
@@ -1,4 +1,5 @@
 /** The door of the wire folder. */
+export {acceptsConnections} from './accepting.js';
 export {addressSchema, isAddress} from './address.js';
 export {callJson, type Call} from './call.js';
 export {readBytes} from './body.js';
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -21,6 +21,7 @@
 import {ConnectionPool, Forwarder} from '../../source/forward/index.js';
 import type {Fields, Logger} from '../../source/logging/index.js';
 import {Metrics} from '../../source/metrics/index.js';
+import {Quarantine} from '../../source/quarantine/index.js';
 import {seededRandom} from '../../source/random/index.js';
 import {
   RoutingTable,
@@ -216,6 +217,7 @@
       connections: new ConnectionPool(clock),
       admission,
       book,
+      quarantine: new Quarantine({clock, logger: this.logger()}),
       clock,
       logger: this.logger(),
       metrics: new Metrics(),
