Block the parts of prompts on which endpoints crash, on all hosts

Cause: a host that lost a connection counted it against the endpoint and sent the request to the next one, where it crashed that too. No host connected the crashes, and none told the others what it saw. The class: a failure that the request causes is taken for a failure of the endpoint.

The hosts now share what speaks against a part (requests that were cut by a crash before their answer began) and what clears it (an answer with it that has begun). A part with three crashes, one after the other, and no answer since is refused on all hosts; pulses carry the blocked parts to a host that missed the evidence. Crashes at one moment count once, so an outage condemns nothing; of parts with equal evidence the last in the prompt is blocked first, and let go if the crashes go on. At most 32 parts. A request that two endpoints cut before its answer began, or one if its part has two crashes, is not sent again.

--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -113,7 +113,7 @@
       clock,
       logger,
     });
-    this.quarantine = new Quarantine({clock, logger});
+    this.quarantine = this.createQuarantine();
     this.forwarder = new Forwarder({
       protocol,
       connections,
@@ -286,6 +286,24 @@
     });
   }
 
+  private createQuarantine(): Quarantine {
+    const {settings, clock, logger, metrics, random} = this.parts;
+    const from = this.address;
+    return new Quarantine({
+      host: settings.name,
+      hosts: () => this.gossip?.hostsSharingLimits ?? [settings.name],
+      clock,
+      logger,
+      metrics,
+      random,
+      sendCrash: report =>
+        this.gossip?.broadcast({kind: 'crash', from, report}),
+      sendBegun: parts =>
+        this.gossip?.broadcast({kind: 'begun', from, parts: [...parts]}),
+      onBlocked: part => this.forwarder.endRequestsWith(part),
+    });
+  }
+
   private createGossip(): GossipNode | undefined {
     const {settings, clock, logger, metrics} = this.parts;
     if (settings.hosts === undefined) return undefined;
@@ -306,6 +324,7 @@
         kept: this.selector.prefixCache.prefillsSince(
           clock.monotonic() - period,
         ),
+        blocked: this.quarantine.entries,
       }),
       sheets: () => this.usage?.unstoredSheets() ?? [],
       records: (topic, position) =>
@@ -313,6 +332,8 @@
       onRecords: (topic, page) => this.platformView.applyRecords(topic, page),
       onFeedReport: feed => this.feeder?.handleReport(feed),
       onPulse: pulse => this.receivePulse(pulse),
+      onCrashReport: report => this.quarantine.handleCrashReport(report),
+      onBegunParts: parts => this.quarantine.handleBegun(parts),
       onHostLost: lost => void this.usage?.appendReplicaOf(incarnationOf(lost)),
     });
   }
@@ -335,8 +356,9 @@
     });
   }
 
-  private receivePulse({kept, from, sheets}: Pulse): void {
+  private receivePulse({kept, from, sheets, blocked}: Pulse): void {
     const {clock} = this.parts;
+    this.quarantine.handleEntries(blocked);
     if (sheets.length > 0) this.usage?.keepReplica(incarnationOf(from), sheets);
     this.selector.prefixCache.addReports(kept, clock.monotonic());
     this.cancelPulseBatch ??= clock.after(PULSE_BATCH_MILLISECONDS, () => {
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -2,7 +2,7 @@
  * One attempt of a request at one endpoint. A response that is not a stream is
  * buffered until it is complete; a stream is relayed event by event.
  */
-import type {Reservation} from '../balance/index.js';
+import type {Prompt, Reservation} from '../balance/index.js';
 import {Cancellation, type CancellationSignal} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import {WireError} from '../errors/index.js';
@@ -56,6 +56,8 @@
   readonly metrics: Metrics;
   /** Called when an endpoint's response shows that it runs a team's request. */
   readonly onRunStarted: (team: string) => void;
+  /** Called when an endpoint has begun the answer to a prompt. */
+  readonly onAnswerBegun: (prompt: Prompt) => void;
 }
 
 /** What one attempt is to do. */
@@ -78,6 +80,7 @@
   private readonly cancellation = new Cancellation();
   private stopFirstResponseTimer: Cancel = () => {};
   private partial = false;
+  private hasBegun = false;
 
   constructor(
     private readonly spec: AttemptSpec,
@@ -231,6 +234,7 @@
       throw new AttemptFailure('cut', 'the answer is cut short', false);
     }
     this.partial = false;
+    this.recordBegun();
     if (head.status >= MIN_SERVER_ERROR_STATUS) {
       const detail = `status ${head.status}`;
       throw new AttemptFailure('status', detail, false, {head, body});
@@ -290,6 +294,7 @@
         if (splitter.count > 0) {
           this.partial = false;
           restartIdleTimer();
+          this.recordBegun();
           this.recordFirstEvent();
         }
         // Comments do not begin a response, so that another endpoint can.
@@ -334,6 +339,13 @@
     });
   }
 
+  /** Records, once, that the endpoint has begun the answer. */
+  private recordBegun(): void {
+    const {prompt} = this.spec.context.request;
+    if (prompt && !this.hasBegun) this.parts.onAnswerBegun(prompt);
+    this.hasBegun = true;
+  }
+
   private recordFirstEvent(): void {
     const {clock, metrics} = this.parts;
     const {context} = this.spec;
--- a/source/forward/context.ts
+++ b/source/forward/context.ts
@@ -63,6 +63,10 @@
   /** Monotonic milliseconds of the first byte to the caller; 0 before it. */
   firstByteAt = 0;
   callerDisconnected = false;
+  /** Endpoints that closed its connection before the answer had begun. */
+  unbegunCuts = 0;
+  /** Settled when it is known whether the last endpoint to cut it has crashed. */
+  crashCheck: Promise<void> = Promise.resolve();
   private readonly clock: Clock;
   private readonly stopTimer: Cancel;
 
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -14,6 +14,7 @@
   hashToUnitInterval,
   sharedParts,
   type EndpointSelector,
+  type Prompt,
   type Reservation,
   type RetryBudget,
   type RetryHistory,
@@ -21,7 +22,7 @@
 import {Cancellation} from '../cancellation/index.js';
 import type {Clock} from '../clock/index.js';
 import type {KnownEndpoint} from '../directory/index.js';
-import {Refusal} from '../errors/index.js';
+import {Refusal, type Outcome} from '../errors/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Quarantine} from '../quarantine/index.js';
@@ -52,6 +53,11 @@
 const FIRST_RESPONSE_EXPECTED_WAIT_FACTOR = 2;
 /** Sends that one request may make, those that did not run it included. */
 const MAX_SENDS = 4;
+/**
+ * Endpoints that may cut a request before its answer has begun; the request is
+ * not sent to another one after that, since it may be what crashes them.
+ */
+const MAX_UNBEGUN_CUTS = 2;
 
 /** What all requests of a host share. */
 export interface ForwarderParts {
@@ -86,7 +92,12 @@
   constructor(private readonly parts: ForwarderParts) {
     this.retryBudget = parts.retryBudget;
     const buffers = new ResponseBuffers(MAX_BUFFERED_BYTES);
-    this.attemptParts = {...parts, buffers};
+    this.attemptParts = {
+      ...parts,
+      buffers,
+      onAnswerBegun: prompt =>
+        parts.quarantine.recordBegun(sharedPartIds(prompt)),
+    };
   }
 
   /** The number of requests in progress. */
@@ -109,6 +120,21 @@
     for (const context of this.activeRequests) context.end();
   }
 
+  /**
+   * Ends the requests in progress with a part of a prompt that crashes endpoints,
+   * so that those that wait at an endpoint do not crash it. Requests whose
+   * answer has begun go on.
+   */
+  endRequestsWith(part: string): void {
+    for (const context of this.activeRequests) {
+      const {request, delivered, mayHaveRun} = context;
+      const isUnbegun = delivered === 0;
+      if (!isUnbegun || !sharedPartIds(request.prompt).includes(part)) continue;
+      const outcome = mayHaveRun ? 'unknown' : 'not-run';
+      context.cancellation.abort(promptBlocked(part, outcome));
+    }
+  }
+
   /**
    * Serves one request to its end, and logs the result. A request that was
    * refused or failed does not throw.
@@ -192,15 +218,41 @@
       context.cancelled,
     ]);
     context.body = body;
+    this.refuseBlocked(context);
     if (request.prompt) book.recordArrival(service, request.prompt);
     this.count(context, 'request');
     for (;;) {
       const failure = await this.makeAttempt(context);
       if (!failure) return;
+      await Promise.race([context.crashCheck, context.cancelled]);
+      this.refuseSuspect(context);
       this.continueOrRefuse(context, failure);
     }
   }
 
+  /** Refuses a request with a part of a prompt that crashes endpoints. */
+  private refuseBlocked({request}: RequestContext): void {
+    const parts = sharedPartIds(request.prompt);
+    const part = this.parts.quarantine.blockedPart(parts);
+    if (part !== undefined) throw promptBlocked(part, 'not-run');
+  }
+
+  /**
+   * Refuses a request that may have crashed the endpoints that cut it, before it
+   * gets to another one.
+   */
+  private refuseSuspect({request, unbegunCuts}: RequestContext): void {
+    if (unbegunCuts === 0) return;
+    const parts = sharedPartIds(request.prompt);
+    const isSuspect = this.parts.quarantine.isSuspect(parts);
+    if (!isSuspect && unbegunCuts < MAX_UNBEGUN_CUTS) return;
+    throw new Refusal(
+      'endpoint-lost',
+      'unknown',
+      'endpoints crashed before they began the answer',
+    );
+  }
+
   /** Waits for admission and makes an attempt; returns its failure, if any. */
   private async makeAttempt(
     context: RequestContext,
@@ -279,15 +331,17 @@
 
   /** Tells the quarantine of a prompt whose connection an endpoint closed. */
   private recordCut(
-    {request, delivered}: RequestContext,
+    context: RequestContext,
     endpoint: KnownEndpoint,
     sentAt: number,
   ): void {
+    const {request, delivered: events} = context;
     const {id, prompt} = request;
     if (!prompt) return;
-    const parts = sharedParts(prompt).map(part => part.id);
-    const cut = {endpoint, request: id, parts, sentAt, events: delivered};
-    this.parts.quarantine.recordCut(cut);
+    if (events === 0) context.unbegunCuts++;
+    const parts = sharedPartIds(prompt);
+    const cut = {endpoint, request: id, parts, sentAt, events};
+    context.crashCheck = this.parts.quarantine.recordCut(cut);
   }
 
   /**
@@ -491,6 +545,16 @@
   if (!notRun) reservation.failed();
 }
 
+/** The ids of the parts of a prompt that other requests share. */
+function sharedPartIds(prompt: Prompt | undefined): string[] {
+  return prompt ? sharedParts(prompt).map(({id}) => id) : [];
+}
+
+function promptBlocked(part: string, outcome: Outcome): Refusal {
+  const detail = `endpoints crash on the prompt part ${part}`;
+  return new Refusal('prompt-blocked', outcome, detail);
+}
+
 /** Ends a request whose caller was sent the endpoint's own error response. */
 class EndpointErrorRelayed extends Error {
   constructor(readonly status: number) {
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -5,6 +5,11 @@
 import * as z from 'zod';
 
 import {sheetSchema} from '../platform/index.js';
+import {
+  begunPartSchema,
+  blocklistEntrySchema,
+  crashReportSchema,
+} from '../quarantine/index.js';
 import {addressSchema} from '../wire/index.js';
 
 /** The name, address and incarnation of a host. */
@@ -79,6 +84,8 @@
    * that keeps their replica.
    */
   sheets: z.array(sheetSchema),
+  /** Parts of prompts that the sender blocks; older hosts send none. */
+  blocked: z.array(blocklistEntrySchema).default([]),
   /** Other hosts that the sender knows; empty in most pulses. */
   hosts: z.array(hostAddressSchema),
 });
@@ -127,10 +134,26 @@
 });
 export type Feed = z.infer<typeof feedSchema>;
 
+/** What the sender has seen of the crash of an endpoint. */
+const crashMessageSchema = z.object({
+  kind: z.literal('crash'),
+  from: hostAddressSchema,
+  report: crashReportSchema,
+});
+
+/** Parts of prompts with which answers have begun at the sender. */
+const begunMessageSchema = z.object({
+  kind: z.literal('begun'),
+  from: hostAddressSchema,
+  parts: z.array(begunPartSchema),
+});
+
 export const gossipSchema = z.discriminatedUnion('kind', [
   pulseSchema,
   feedSchema,
   recordsRequestSchema,
   recordsSchema,
+  crashMessageSchema,
+  begunMessageSchema,
 ]);
 export type GossipMessage = z.infer<typeof gossipSchema>;
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -18,6 +18,11 @@
 import type {Metrics} from '../metrics/index.js';
 import {FrameReader} from '../peers/index.js';
 import type {Sheet} from '../platform/index.js';
+import type {
+  BegunPart,
+  BlocklistEntry,
+  CrashReport,
+} from '../quarantine/index.js';
 import type {PeerRecordPage} from '../store/index.js';
 import {listen} from '../wire/index.js';
 import {
@@ -72,6 +77,7 @@
   readonly work: readonly ServiceDemand[];
   readonly unreachable: readonly string[];
   readonly kept: readonly CachedPart[];
+  readonly blocked: readonly BlocklistEntry[];
 }
 
 /** What the gossip of a host is created from. */
@@ -97,6 +103,10 @@
   readonly onFeedReport: (feed: Feed) => void;
   /** Called with each pulse that has arrived. */
   readonly onPulse: (pulse: Pulse) => void;
+  /** Called with what another host has seen of the crash of an endpoint. */
+  readonly onCrashReport: (report: CrashReport) => void;
+  /** Called with parts with which answers have begun at another host. */
+  readonly onBegunParts: (parts: readonly BegunPart[]) => void;
   /** Called when a host has become unreachable or has started anew. */
   readonly onHostLost: (host: HostAddress) => void;
 }
@@ -181,6 +191,11 @@
     if (member) this.peerFor(member).outbound.send(message);
   }
 
+  /** Sends a message to all other hosts. */
+  broadcast(message: GossipMessage): void {
+    for (const name of this.members.keys()) this.send(name, message);
+  }
+
   /** Sends a pulse to all other hosts at once, as when this host leaves. */
   sendPulses(): void {
     const own = this.ownState();
@@ -283,7 +298,7 @@
 
   private createPulse(own: OwnState, sequence: number, heard: number): Pulse {
     const {self} = this.options;
-    const {leaving, positions, uses, work, kept, unreachable} = own;
+    const {leaving, positions, uses, work, kept, unreachable, blocked} = own;
     const listsHosts = sequence % HOST_LIST_INTERVAL_PULSES === 1;
     return {
       kind: 'pulse',
@@ -297,6 +312,7 @@
       work: [...work],
       unreachable: [...unreachable],
       kept: [...kept],
+      blocked: [...blocked],
       sheets: [],
       hosts: listsHosts ? this.hostSample(sequence) : [],
     };
@@ -362,6 +378,10 @@
         return this.options.onFeedReport(message);
       case 'records':
         return this.options.onRecords(message.topic, toRecordPage(message));
+      case 'crash':
+        return this.options.onCrashReport(message.report);
+      case 'begun':
+        return this.options.onBegunParts(message.parts);
     }
   }
 
--- a/source/quarantine/detector.ts
+++ b/source/quarantine/detector.ts
@@ -49,38 +49,55 @@
   readonly onCrash: (crash: EndpointCrash) => void;
 }
 
+/** A check whether an endpoint has crashed. */
+interface Check {
+  /** The requests that it has cut, more while the check is in progress. */
+  readonly requests: CutRequest[];
+  readonly done: Promise<void>;
+}
+
 /** Gathers cut requests by endpoint, and reports those that a crash has cut. */
 export class CrashDetector {
-  /** Cut requests by incarnation, while it is being checked. */
-  private readonly unchecked = new Map<string, CutRequest[]>();
+  /** The checks in progress, by incarnation. */
+  private readonly checks = new Map<string, Check>();
   /** Monotonic milliseconds of the crashes, by incarnation. */
   private readonly crashes = new Map<string, number>();
 
   constructor(private readonly options: CrashDetectorOptions) {}
 
-  /** Records a request that an endpoint has cut. */
-  recordCut(cut: CutRequest): void {
+  /**
+   * Records a request that an endpoint has cut. Resolves when it is known
+   * whether the endpoint has crashed.
+   */
+  recordCut(cut: CutRequest): Promise<void> {
     const {clock, onCrash} = this.options;
     const endpoint = endpointIncarnation(cut.endpoint.entry);
     const now = clock.monotonic();
     const at = this.crashes.get(endpoint) ?? -Infinity;
-    if (now - at < LATE_NOTICE_MILLISECONDS)
-      return onCrash({endpoint, at, requests: [cut]});
-    const gathered = this.unchecked.get(endpoint);
-    if (gathered) return void gathered.push(cut);
-    this.unchecked.set(endpoint, [cut]);
-    void this.check(endpoint, cut.endpoint.entry.address, now);
+    if (now - at < LATE_NOTICE_MILLISECONDS) {
+      onCrash({endpoint, at, requests: [cut]});
+      return Promise.resolve();
+    }
+    const check = this.checks.get(endpoint);
+    if (check) {
+      check.requests.push(cut);
+      return check.done;
+    }
+    const requests = [cut];
+    const done = this.check(endpoint, requests, now);
+    this.checks.set(endpoint, {requests, done});
+    return done;
   }
 
   private async check(
     endpoint: string,
-    address: string,
+    requests: readonly CutRequest[],
     at: number,
   ): Promise<void> {
     const {accepts, onCrash} = this.options;
+    const address = requests[0]?.endpoint.entry.address ?? '';
     const isUp = await accepts(address, ACCEPT_TIMEOUT_MILLISECONDS);
-    const requests = this.unchecked.get(endpoint) ?? [];
-    this.unchecked.delete(endpoint);
+    this.checks.delete(endpoint);
     if (isUp) return;
     this.remember(endpoint, at);
     onCrash({endpoint, at, requests});
--- a/test/gossip.test.ts
+++ b/test/gossip.test.ts
@@ -40,6 +40,7 @@
     work: [],
     unreachable: [],
     kept: [],
+    blocked: [],
     sheets: [],
     hosts: [],
   };
@@ -129,6 +130,7 @@
       work: [],
       unreachable: [],
       kept: [],
+      blocked: [],
     }),
     sheets: () => [sheet],
     records: () => ({records: [known], end: position, whole: true}),
@@ -136,6 +138,8 @@
     onFeedReport: () => {},
     onPulse: pulse =>
       sheetWindows.push(...pulse.sheets.map(each => each.window)),
+    onCrashReport: () => {},
+    onBegunParts: () => {},
     onHostLost: host => lostHosts.push(host.name),
   });
   await node.start();
--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -205,6 +205,7 @@
       work: [],
       unreachable: [],
       kept: [],
+      blocked: [],
       sheets: [],
       hosts: [],
     }),
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -16,7 +16,7 @@
 import {PlatformProtocol} from '../../platform/protocol.js';
 import {Admission} from '../../source/admission/index.js';
 import {EndpointSelector} from '../../source/balance/index.js';
-import {SystemClock} from '../../source/clock/index.js';
+import {SystemClock, type Clock} from '../../source/clock/index.js';
 import type {KnownEndpoint} from '../../source/directory/index.js';
 import {ConnectionPool, Forwarder} from '../../source/forward/index.js';
 import type {Fields, Logger} from '../../source/logging/index.js';
@@ -217,7 +217,7 @@
       connections: new ConnectionPool(clock),
       admission,
       book,
-      quarantine: new Quarantine({clock, logger: this.logger()}),
+      quarantine: loneQuarantine(clock, this.logger()),
       clock,
       logger: this.logger(),
       metrics: new Metrics(),
@@ -315,3 +315,18 @@
     teams: [{name: 'editors', keys: [KEY], homes: []}],
   };
 }
+
+/** Returns the quarantine of a host that knows no other. */
+function loneQuarantine(clock: Clock, logger: Logger): Quarantine {
+  return new Quarantine({
+    host: 'host-1',
+    hosts: () => ['host-1'],
+    clock,
+    logger,
+    metrics: new Metrics(),
+    random: seededRandom(1),
+    sendCrash: () => {},
+    sendBegun: () => {},
+    onBlocked: () => {},
+  });
+}
--- a/test/support/keptcaller.ts
+++ b/test/support/keptcaller.ts
@@ -11,6 +11,8 @@
   readonly bodyDelay?: number;
   /** Milliseconds for which the caller says that it waits. */
   readonly deadline?: number;
+  /** Headers beside the usual ones. */
+  readonly headers?: Readonly<Record<string, string>>;
 }
 
 /** How a request ended. */
@@ -39,7 +41,8 @@
 
   /** Asks on the kept connection; never throws. */
   ask(spec: KeptRequest): Promise<KeptAnswer> {
-    const {path, method, body, deadline = DEADLINE_MILLISECONDS} = spec;
+    const {path, method, body, headers} = spec;
+    const {deadline = DEADLINE_MILLISECONDS} = spec;
     const id = `kept-${attempts++}`;
     return new Promise(resolve => {
       const sent = request(
@@ -52,6 +55,7 @@
             authorization: `Bearer ${KEY}`,
             'x-attempt-id': id,
             'x-deadline-ms': String(deadline),
+            ...headers,
           },
         },
         message => void readAnswer(message).then(end),
--- a/tools/edgecost.ts
+++ b/tools/edgecost.ts
@@ -244,6 +244,7 @@
       },
     ],
     unreachable: [],
+    blocked: [],
     kept: Array.from(
       {length: Math.round(KEPT_TOLD * relativeRate)},
       (_, index) => ({
