Block no part of a prompt that an outage cut several times in a row

Cause: requests with it were cut at one endpoint, sent on, and cut at the next, which looks like a request that crashes endpoints. The evidence did not ask how many other endpoints crashed meanwhile, nor whether the part had just been answered.

The first review comes after a minute, not ten: a wrong verdict ends sooner, a right one costs one endpoint.

--- a/source/quarantine/blocklist.ts
+++ b/source/quarantine/blocklist.ts
@@ -25,9 +25,9 @@
  * prompt. Beyond that, further parts are not blocked.
  */
 const MAX_BLOCKED_PARTS = 32;
-const FIRST_REVIEW_MILLISECONDS = 600_000;
+const FIRST_REVIEW_MILLISECONDS = 60_000;
 /** Each failed review doubles the time to the next one, so many times. */
-const MAX_REVIEW_DOUBLINGS = 3;
+const MAX_REVIEW_DOUBLINGS = 6;
 /** Time after an unused review after which an entry is dropped. */
 const RETENTION_MILLISECONDS = 3_600_000;
 /**
--- a/source/quarantine/evidence.ts
+++ b/source/quarantine/evidence.ts
@@ -4,9 +4,10 @@
  * answers had begun, and cleared as soon as an answer with it begins, since the
  * part at fault never gets that far.
  *
- * Endpoints that fail together, as when a zone loses power, are one event: a
- * crash counts against a part only if the request with it was sent after the
- * crash that was counted before it.
+ * In an outage requests with a part that many share are cut at one endpoint after
+ * the other. So a crash counts against a part only if the request with it was
+ * sent after the crash that was counted before it, and a part is blocked only if
+ * most of the endpoints that crashed meanwhile crashed with it.
  */
 
 /** A part of a request that a crash cut before its answer had begun. */
@@ -34,23 +35,37 @@
   readonly endpoints: ReadonlySet<string>;
   /** Monotonic milliseconds of the last crash that counts. */
   readonly lastAt: number;
+  /** Monotonic milliseconds of the first one. */
+  readonly firstAt: number;
   readonly position: number;
 }
 
-/** Suspicions by part, the one that changed last at the end. */
-export type Evidence = ReadonlyMap<string, Suspicion>;
+/** The evidence of a host. */
+export interface Evidence {
+  /** Suspicions by part, the one that changed last at the end. */
+  readonly suspicions: ReadonlyMap<string, Suspicion>;
+  /** Monotonic milliseconds of all crashes, by endpoint, the oldest first. */
+  readonly crashes: ReadonlyMap<string, number>;
+}
 
 /** Evidence against nothing. */
-export const NO_EVIDENCE: Evidence = new Map();
+export const NO_EVIDENCE: Evidence = {
+  suspicions: new Map(),
+  crashes: new Map(),
+};
 
 /** Crashes from which a part is blocked. */
 export const CRASHES_TO_BLOCK = 3;
 /** Crashes from which a request with the part is not sent again. */
 export const CRASHES_TO_SUSPECT = 2;
+/** Share of the endpoints that crashed meanwhile that must have had the part. */
+const MIN_CRASH_SHARE = 2 / 3;
 /** Time without another crash after which a suspicion is dropped. */
 const SUSPICION_MILLISECONDS = 60_000;
 /** Parts that are suspected at most; beyond that the oldest are dropped. */
 const MAX_SUSPICIONS = 2_048;
+/** Crashes that are kept at most; beyond that the oldest are dropped. */
+const MAX_CRASHES = 512;
 
 /**
  * The evidence after a crash, or after one more report of a known crash.
@@ -60,17 +75,17 @@
  * ```
  */
 export function addCrash(before: Evidence, crash: SuspectedCrash): Evidence {
-  const after = new Map(before);
+  const suspicions = new Map(before.suspicions);
   for (const suspect of crash.suspects) {
-    const suspicion = withCrash(after.get(suspect.part), crash, suspect);
-    after.delete(suspect.part);
-    after.set(suspect.part, suspicion);
-  }
-  for (const [part, {lastAt}] of after) {
-    const isExpired = crash.at - lastAt > SUSPICION_MILLISECONDS;
-    if (isExpired || after.size > MAX_SUSPICIONS) after.delete(part);
+    const suspicion = withCrash(suspicions.get(suspect.part), crash, suspect);
+    suspicions.delete(suspect.part);
+    suspicions.set(suspect.part, suspicion);
   }
-  return after;
+  dropOldest(suspicions, MAX_SUSPICIONS, ({lastAt}) => lastAt, crash.at);
+  const crashes = new Map(before.crashes);
+  if (!crashes.has(crash.endpoint)) crashes.set(crash.endpoint, crash.at);
+  dropOldest(crashes, MAX_CRASHES, at => at, crash.at);
+  return {suspicions, crashes};
 }
 
 /**
@@ -82,11 +97,16 @@
   part: string,
   begunAt: number,
 ): Evidence {
-  const suspicion = before.get(part);
+  const suspicion = before.suspicions.get(part);
   if (!suspicion || suspicion.lastAt > begunAt) return before;
-  const after = new Map(before);
-  after.delete(part);
-  return after;
+  const suspicions = new Map(before.suspicions);
+  suspicions.delete(part);
+  return {...before, suspicions};
+}
+
+/** Whether a crash speaks against a part. */
+export function isSuspected({suspicions}: Evidence, part: string): boolean {
+  return suspicions.has(part);
 }
 
 /**
@@ -98,16 +118,16 @@
   part: string,
   explained: ReadonlySet<string>,
 ): number {
-  const {counted = []} = evidence.get(part) ?? {};
+  const {counted = []} = evidence.suspicions.get(part) ?? {};
   return counted.filter(endpoint => !explained.has(endpoint)).length;
 }
 
 /** All endpoints that crashed with a part. */
 export function crashedWith(
-  evidence: Evidence,
+  {suspicions}: Evidence,
   part: string,
 ): ReadonlySet<string> {
-  return evidence.get(part)?.endpoints ?? new Set();
+  return suspicions.get(part)?.endpoints ?? new Set();
 }
 
 /**
@@ -121,10 +141,12 @@
   let chosen: string | undefined;
   let most = CRASHES_TO_BLOCK - 1;
   let last = -1;
-  for (const [part, {position}] of evidence) {
+  for (const [part, suspicion] of evidence.suspicions) {
+    const {position} = suspicion;
     const count = countCrashes(evidence, part, explained);
     const isWorse = count > most || (count === most && position > last);
     if (count < CRASHES_TO_BLOCK || !isWorse) continue;
+    if (crashShare(evidence, suspicion) < MIN_CRASH_SHARE) continue;
     chosen = part;
     most = count;
     last = position;
@@ -139,7 +161,8 @@
 ): Suspicion {
   if (!before) {
     const endpoints = new Set([endpoint]);
-    return {counted: [endpoint], endpoints, lastAt: at, position};
+    const counted = [endpoint];
+    return {counted, endpoints, firstAt: at, lastAt: at, position};
   }
   const endpoints = new Set(before.endpoints).add(endpoint);
   const isCounted = before.counted.includes(endpoint);
@@ -147,7 +170,33 @@
   return {
     counted: [...before.counted, endpoint],
     endpoints,
+    firstAt: before.firstAt,
     lastAt: at,
     position: Math.max(before.position, position),
   };
 }
+
+/** The share of the endpoints that crashed in its time that had the part. */
+function crashShare(
+  {crashes}: Evidence,
+  {endpoints, firstAt, lastAt}: Suspicion,
+): number {
+  const meanwhile = [...crashes].filter(
+    ([, at]) => at >= firstAt && at <= lastAt,
+  );
+  const withPart = meanwhile.filter(([endpoint]) => endpoints.has(endpoint));
+  return withPart.length / Math.max(meanwhile.length, 1);
+}
+
+/** Drops the entries that are too old, and the first ones beyond a number. */
+function dropOldest<Entry>(
+  entries: Map<string, Entry>,
+  most: number,
+  timeOf: (entry: Entry) => number,
+  now: number,
+): void {
+  for (const [key, entry] of entries) {
+    const isExpired = now - timeOf(entry) > SUSPICION_MILLISECONDS;
+    if (isExpired || entries.size > most) entries.delete(key);
+  }
+}
--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -34,6 +34,7 @@
   crashedWith,
   CRASHES_TO_SUSPECT,
   NO_EVIDENCE,
+  isSuspected,
   partToBlock,
   type Evidence,
   type Suspect,
@@ -45,6 +46,8 @@
   type CrashReport,
 } from './message.js';
 
+import {RecentAnswers} from './recentanswers.js';
+
 /** Requests that a line about a crash names at most. */
 const MAX_LOGGED_REQUESTS = 8;
 /**
@@ -85,6 +88,7 @@
   private readonly unsentBegun = new Map<string, number>();
   private stopSending: Cancel | undefined;
   private isFullLogged = false;
+  private readonly recentAnswers = new RecentAnswers();
 
   constructor(private readonly options: QuarantineOptions) {
     const {clock} = options;
@@ -139,8 +143,9 @@
   recordBegun(parts: readonly string[]): void {
     const now = this.options.clock.monotonic();
     for (const part of parts) {
-      if (!this.evidence.has(part) && !isBlocked(this.blocklist, part))
-        continue;
+      this.recentAnswers.record(part, now);
+      const isKnown = isSuspected(this.evidence, part);
+      if (!isKnown && !isBlocked(this.blocklist, part)) continue;
       this.clear(part, now);
       this.unsentBegun.set(part, now);
     }
@@ -184,11 +189,17 @@
     for (const {part} of entries) {
       const was = isBlocked(before, part);
       const is = isBlocked(this.blocklist, part);
-      if (is && !was) this.handleBlocked(part, 'another-host');
+      if (is && !was) this.handleBlockedElsewhere(part, now);
       if (was && !is) this.handleLifted(part, 'another-host');
     }
   }
 
+  /** Blocks what another host blocks, unless this one knows better. */
+  private handleBlockedElsewhere(part: string, now: number): void {
+    if (this.recentAnswers.has(part, now)) this.lift(part, 'answered');
+    else this.handleBlocked(part, 'another-host');
+  }
+
   /**
    * Lifts the block of a part on all hosts, as when the software of the endpoints
    * has been mended. Returns whether it was blocked.
@@ -207,7 +218,6 @@
     this.logCrash(endpoint, requests);
     metrics.count('endpoint-crashed');
     const suspects = suspectsOf(requests);
-    if (suspects.length === 0) return;
     const now = clock.monotonic();
     sendCrash({
       endpoint,
@@ -233,7 +243,9 @@
       this.options.logger.info('part-suspected', {part, crashes, endpoint});
     }
     const part = partToBlock(this.evidence, this.explained());
-    if (part !== undefined) this.block(part);
+    if (part === undefined) return;
+    if (this.recentAnswers.has(part, this.options.clock.monotonic())) return;
+    this.block(part);
   }
 
   /** Blocks a part, and lifts the parts whose crashes it explains as well. */
@@ -272,7 +284,8 @@
     const crashes = this.count(part);
     this.evidence = clearPart(this.evidence, part, begunAt);
     this.lift(part, 'answered');
-    if (crashes < CRASHES_TO_SUSPECT || this.evidence.has(part)) return;
+    if (crashes < CRASHES_TO_SUSPECT) return;
+    if (isSuspected(this.evidence, part)) return;
     this.options.logger.info('part-cleared', {part, crashes});
   }
 
