Take a stream without a length that ends before its first event for a crash

What callers saw: a complete, empty answer, where an endpoint crashed as it was about to write a stream that neither a length nor chunks delimit. The end of its connection is the end of such a stream, so the host took it for whole.

A stream that has brought no event and is delimited by its connection alone now counts as cut, and goes to another endpoint where that is allowed. One with events still ends with its connection. The test failed before (an empty body in place of three events).

--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -247,7 +247,7 @@
   }
 
   private relayStream(
-    {message, isComplete}: EndpointResponse,
+    {message, isDelimited, isComplete}: EndpointResponse,
     head: ResponseHead,
   ): Promise<void> {
     const {parts} = this;
@@ -311,7 +311,9 @@
       });
       const end = (complete: boolean) => {
         if (finished) return;
-        if (!complete || splitter.hasPartialEvent) {
+        // The connection of an endpoint that crashes ends like such a stream.
+        const hasCrashed = !isDelimited && context.delivered === 0;
+        if (!complete || splitter.hasPartialEvent || hasCrashed) {
           return fail('cut', 'the stream is cut short');
         }
         answer.sendStreamHead(head);
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -52,6 +52,11 @@
 /** An endpoint's response, whose body is still to be read. */
 export interface EndpointResponse {
   readonly message: IncomingMessage;
+  /**
+   * Whether the head tells where the body ends. Otherwise it ends with the
+   * connection, also when the endpoint crashes.
+   */
+  readonly isDelimited: boolean;
   /**
    * Resolves with whether a message that has ended is complete. A connection
    * reset that arrives together with the last bytes looks like a normal end. So
@@ -176,7 +181,9 @@
         sent.on('error', error => {
           if (!message.complete) message.destroy(error);
         });
-        resolve({message, isComplete: completenessCheck(message)});
+        const isDelimited = hasDelimitedBody(message);
+        const isComplete = completenessCheck(message, isDelimited);
+        resolve({message, isDelimited, isComplete});
       });
       sent.once('upgrade', (_, socket) => {
         socket.destroy();
@@ -236,15 +243,21 @@
   }
 }
 
+/** Whether a head tells where the body ends. */
+function hasDelimitedBody({headers, statusCode = 0}: IncomingMessage): boolean {
+  return (
+    BODILESS_STATUSES.has(statusCode) ||
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
+
 /** Returns the `isComplete` of a response; call it when its head has come. */
 function completenessCheck(
   message: IncomingMessage,
+  isDelimited: boolean,
 ): EndpointResponse['isComplete'] {
-  const {headers, socket, statusCode = 0} = message;
-  const isDelimited =
-    BODILESS_STATUSES.has(statusCode) ||
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined;
+  const {socket} = message;
   if (isDelimited) return () => Promise.resolve(message.complete);
   const endedWithoutReset = new Promise<boolean>(resolve => {
     // Runs before Node's own `end` listener, which prevents further writes.
--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -283,3 +283,45 @@
   t.is(lines[1]?.fields['outcome'], 'answered');
   t.is(lines[0]?.fields['endpoint'], 'engine-0');
 });
+
+test('a stream without a length that ends before its first event is taken for a crash, not for an answer', async t => {
+  const ended: Behaviour = ({message}, response) => {
+    const id = String(message.headers['x-attempt-id']);
+    const {socket} = response;
+    socket?.end(
+      'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n' +
+        `x-attempt-id: ${id}\r\nx-response-seal: seal\r\n\r\n`,
+    );
+  };
+  const whole: Behaviour = (received, response) => {
+    sendEvents(received, response, 3);
+    response.end();
+  };
+  const fixture = await ForwarderFixture.start(
+    t,
+    {streaming: true, resumable: true, attempts: 2},
+    [ended, whole],
+  );
+  const replies = [await fixture.send(), await fixture.send()];
+  for (const {status, body} of replies) {
+    t.is(status, 200);
+    t.is(body, eventsUpTo(3));
+  }
+  t.true(fixture.received.some(({endpoint}) => endpoint === 'engine-0'));
+});
+
+test('a stream without a length that ends after an event is passed on', async t => {
+  const ended: Behaviour = ({message}, response) => {
+    const id = String(message.headers['x-attempt-id']);
+    response.socket?.end(
+      'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n' +
+        `x-attempt-id: ${id}\r\nx-response-seal: seal\r\n\r\n${eventsUpTo(2)}`,
+    );
+  };
+  const route = {streaming: true, resumable: true, attempts: 2};
+  const fixture = await ForwarderFixture.start(t, route, [ended]);
+  const {status, body, whole} = await fixture.send();
+  t.is(status, 200);
+  t.is(body, eventsUpTo(2));
+  t.true(whole);
+});
