Let operators see the blocked parts of prompts and lift a block

The operator port lists them and lifts one on all hosts, since a verdict must be able to end when the software of the endpoints is mended.

--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -32,7 +32,7 @@
 import {PlatformView} from './platformview.js';
 import type {PlatformParts} from './platform.js';
 import {Prober} from './prober.js';
-import {createMetricsServer, createReadinessServer} from './servers.js';
+import {createOperatorServer, createReadinessServer} from './servers.js';
 import type {EdgeSettings} from './settings.js';
 
 /** Requests that may wait in the admission queue of this host. */
@@ -84,7 +84,7 @@
   private readonly feeder: Feeder | undefined;
   private readonly callers: CallerServer;
   private readonly readiness: Server;
-  private readonly metricsServer: Server;
+  private readonly operatorServer: Server;
   private state = hostChart.initial;
   private draining: Promise<void> = Promise.resolve();
   private cancelPulseBatch: Cancel | undefined;
@@ -149,7 +149,11 @@
         .catch((error: unknown) => this.abandon(response, error));
     });
     this.readiness = createReadinessServer(() => this.state === 'serving');
-    this.metricsServer = createMetricsServer(metrics, logger);
+    this.operatorServer = createOperatorServer({
+      metrics,
+      quarantine: this.quarantine,
+      logger,
+    });
   }
 
   /**
@@ -161,7 +165,7 @@
     await listen(this.readiness, settings.readiness);
     await this.callers.listen(settings.callers);
     if (settings.metrics !== undefined) {
-      await listen(this.metricsServer, settings.metrics);
+      await listen(this.operatorServer, settings.metrics);
     }
     this.transition('listen');
     this.platformView.start();
