Offer no Retry-After for a blocked prompt, and end the test's endpoints

test/outcome.test.ts failed on the block of prompt parts: a Retry-After of a minute is longer than a third of what any caller has left. A block outlasts the request, so none is offered, as for everything where waiting does not help.

An endpoint of test/crashingpart.test.ts that was restarting when the test ended went on to listen, so the run of all tests did not end (seen twice).

--- a/source/errors/refusal.ts
+++ b/source/errors/refusal.ts
@@ -79,7 +79,7 @@
   'queue-full': {status: 429, type: OVERLOADED, retryAfter: 1},
   'queue-timeout': {status: 503, type: OVERLOADED, retryAfter: 1},
   'target-unreachable': {status: 429, type: OVERLOADED, retryAfter: 2},
-  'prompt-blocked': {status: 503, type: SERVER, retryAfter: 60},
+  'prompt-blocked': {status: 503, type: SERVER, retryAfter: 0},
   shed: {status: 503, type: OVERLOADED, retryAfter: 2},
   'not-ready': {status: 503, type: SERVER, retryAfter: 1},
   'cut-off': {status: 503, type: SERVER, retryAfter: 5},
--- a/source/forward/outcome.ts
+++ b/source/forward/outcome.ts
@@ -38,7 +38,7 @@
 
 /**
  * Returns the seconds after which the caller may retry; 0 where it should not.
- * A prompt that is blocked stays so for long, whatever time the caller has.
+ * A prompt that is blocked stays so for longer than callers wait.
  *
  * ```ts
  * const seconds = retryAfterSeconds(refused, random);
@@ -50,7 +50,7 @@
 ): number {
   const {refusal} = refused;
   if (refusalStatus(refused) !== UNAVAILABLE) return 0;
-  if (refusal.code === 'prompt-blocked') return refusal.retryAfter;
+  if (refusal.code === 'prompt-blocked') return 0;
   const longest = (refused.timeLeft * MAX_RETRY_DELAY_SHARE) / 1_000;
   const mean =
     Math.min(longest, MAX_RETRY_DELAY_SECONDS) / (1 + JITTER_SHARE / 2);
--- a/test/support/crashingendpoint.ts
+++ b/test/support/crashingendpoint.ts
@@ -33,6 +33,7 @@
   /** Starts an incarnation and enters it in the store. */
   async start(): Promise<void> {
     const address = await freeAddress();
+    if (this.isStopped) return;
     const server = createServer((message, response) =>
       this.take(message, response),
     );
@@ -67,10 +68,12 @@
       response.end();
       return;
     }
+    const {server} = this;
     const isGuilty = String(headers['x-prefix-hash']).includes(CRASHING_PART);
     if (isGuilty) this.guilty.push(performance.now());
     setTimeout(() => {
-      if (response.destroyed) return;
+      const hasEnded = server !== this.server;
+      if (hasEnded || response.destroyed) return;
       if (isGuilty) this.crash();
       else answer(message, response);
     }, PREFILL_MILLISECONDS);
@@ -81,9 +84,7 @@
     this.close();
     this.fleet.remove(this.id);
     this.incarnation++;
-    setTimeout(() => {
-      if (!this.isStopped) void this.start();
-    }, RESTART_MILLISECONDS);
+    setTimeout(() => void this.start(), RESTART_MILLISECONDS);
   }
 }
 
