Let a stream go on only at the software version that began it

Cause: the directory did not know versions, so any endpoint of the service would do. It now keeps the version of each entry; a stream that has begun goes on at that version, and is broken off where none is left. Streams that have brought nothing yet still go anywhere.

Evidence: the first of the two tests failed before (it went on at v2).

--- a/source/balance/selector.ts
+++ b/source/balance/selector.ts
@@ -51,6 +51,8 @@
   readonly failedEndpoints: ReadonlySet<string>;
   /** Regions that the request must not leave; undefined for all. */
   readonly homes?: AllowedRegions;
+  /** Software version that the endpoint must have; undefined for any. */
+  readonly softwareVersion?: string | undefined;
 }
 
 /** What the engines of a set are to a prompt. */
@@ -325,9 +327,13 @@
     prompt,
     failedEndpoints,
     homes,
+    softwareVersion,
   }: EndpointRequirements): Reservation | undefined {
     const now = this.now();
-    const eligible = this.eligible(service, now, homes);
+    const eligible = withVersion(
+      this.eligible(service, now, homes),
+      softwareVersion,
+    );
     const untried = withoutFailed(eligible, failedEndpoints);
     const candidates = this.candidates(
       untried.size > 0 ? untried : eligible,
@@ -545,6 +551,17 @@
   return sums;
 }
 
+/** The endpoints of a set that have a software version; all for none. */
+function withVersion(
+  set: EligibleSet,
+  version: string | undefined,
+): EligibleSet {
+  if (version === undefined) return set;
+  const isSame = ({entry}: KnownEndpoint) => entry.softwareVersion === version;
+  if (set.endpoints.every(isSame)) return set;
+  return new EligibleSet(set.endpoints.filter(isSame));
+}
+
 /** The endpoints of a set at which a request has not failed. */
 function withoutFailed(
   set: EligibleSet,
--- a/source/directory/entry.ts
+++ b/source/directory/entry.ts
@@ -22,6 +22,11 @@
    * same id.
    */
   born: z.number().optional(),
+  /**
+   * Version of its software. What two versions write for one request does not fit
+   * together. Absent where its entry does not state it.
+   */
+  softwareVersion: z.string().optional(),
   /** Whether the platform may take it away at short notice. */
   reclaimable: z.boolean(),
 });
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -362,9 +362,12 @@
 
   /** Records, once, that the endpoint has begun the answer. */
   private recordBegun(): void {
-    const {prompt} = this.spec.context.request;
-    if (prompt && !this.hasBegun) this.parts.onAnswerBegun(prompt);
+    if (this.hasBegun) return;
     this.hasBegun = true;
+    const {context, reservation} = this.spec;
+    const {prompt} = context.request;
+    context.streamVersion ??= reservation.endpoint.entry.softwareVersion;
+    if (prompt) this.parts.onAnswerBegun(prompt);
   }
 
   private recordFirstEvent(): void {
--- a/source/forward/context.ts
+++ b/source/forward/context.ts
@@ -56,6 +56,11 @@
   possibleRuns = 0;
   /** Whether an attempt that may have reached an endpoint is in progress. */
   underWay = false;
+  /**
+   * Software version of the endpoint that began the stream; undefined before its
+   * first event, and where the endpoint states none.
+   */
+  streamVersion: string | undefined;
   /** Number of events that the caller has been sent. */
   delivered = 0;
   /** Id of the last event that the caller has been sent. */
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -297,7 +297,12 @@
       prompt,
       failedEndpoints,
       homes,
+      softwareVersion: context.streamVersion,
     });
+    if (!reservation && context.streamVersion !== undefined) {
+      const detail = `no endpoint of version ${context.streamVersion} for the rest`;
+      throw new Refusal('endpoint-lost', 'ran', detail);
+    }
     if (!reservation) throw new AttemptFailure('connect', 'no endpoint', true);
     context.sends++;
     this.logSend(context, reservation.choice, reservation.endpoint.entry.zone);
--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -325,3 +325,54 @@
   t.is(body, eventsUpTo(2));
   t.true(whole);
 });
+
+/** Breaks the first stream off after three events, and serves all others. */
+function breakFirstOff(): Behaviour {
+  let streams = 0;
+  return (received, response) => {
+    streams++;
+    sendEvents(received, response, streams === 1 ? 3 : 6);
+    if (streams > 1) response.end();
+    else setTimeout(() => response.destroy(), 20);
+  };
+}
+
+const RESUMABLE = {streaming: true, resumable: true, attempts: 2};
+
+test('a stream does not go on at an endpoint of another software version', async t => {
+  const begun: string[] = [];
+  const breakFirstEndpointOff: Behaviour = (received, response) => {
+    const {endpoint} = received;
+    begun.push(endpoint);
+    sendEvents(received, response, endpoint === begun[0] ? 3 : 6);
+    if (endpoint !== begun[0]) response.end();
+    else setTimeout(() => response.destroy(), 20);
+  };
+  const fixture = await ForwarderFixture.start(
+    t,
+    RESUMABLE,
+    [breakFirstEndpointOff, breakFirstEndpointOff],
+    ['v1', 'v2'],
+  );
+  const reply = await fixture.send();
+  t.is(reply.body, eventsUpTo(3));
+  t.false(reply.whole);
+  t.is(new Set(begun).size, 1);
+});
+
+test('a stream goes on at an endpoint of its software version beside others', async t => {
+  const behaviour = breakFirstOff();
+  const fixture = await ForwarderFixture.start(
+    t,
+    RESUMABLE,
+    [behaviour, behaviour, behaviour, behaviour],
+    ['v1', 'v2', 'v1', 'v2'],
+  );
+  const reply = await fixture.send();
+  t.is(reply.body, eventsUpTo(6));
+  t.true(reply.whole);
+  const versions = fixture.received.map(
+    ({endpoint}) => Number(endpoint.slice(-1)) % 2,
+  );
+  t.is(versions[0], versions[1]);
+});
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -105,15 +105,19 @@
   private readonly servers: Server[] = [];
   private address = '';
 
-  /** Starts an endpoint for each behaviour, and a forwarder in front of them. */
+  /**
+   * Starts an endpoint for each behaviour, with its software version, and a
+   * forwarder in front of them.
+   */
   static async start(
     t: ExecutionContext,
     route: Partial<Route>,
     behaviours: readonly Behaviour[],
+    versions: readonly string[] = [],
   ): Promise<ForwarderFixture> {
     const fixture = new ForwarderFixture();
     t.teardown(() => fixture.stop());
-    await fixture.open({...ROUTE, ...route}, behaviours);
+    await fixture.open({...ROUTE, ...route}, behaviours, versions);
     return fixture;
   }
 
@@ -197,6 +201,7 @@
   private async open(
     route: Route,
     behaviours: readonly Behaviour[],
+    versions: readonly string[],
   ): Promise<void> {
     const clock = new SystemClock();
     const book = new EndpointSelector({
@@ -210,7 +215,8 @@
     for (const [index, behaviour] of behaviours.entries()) {
       const id = `engine-${index}`;
       const address = await this.startEndpoint(id, behaviour);
-      directory.set(id, createEndpoint(id, address));
+      const version = versions[index];
+      directory.set(id, createEndpoint(id, address, version));
     }
     const forwarder = new Forwarder({
       protocol: new PlatformProtocol(),
@@ -282,7 +288,11 @@
 }
 
 /** Returns an endpoint as a host knows it. */
-export function createEndpoint(id: string, address: string): KnownEndpoint {
+export function createEndpoint(
+  id: string,
+  address: string,
+  softwareVersion?: string,
+): KnownEndpoint {
   return {
     entry: {
       id,
@@ -293,6 +303,7 @@
       leaving: false,
       coldFor: 0,
       born: 1,
+      softwareVersion,
       reclaimable: false,
     },
     knownAt: 0,
