Add a failing test for streams that clients take up at another host

test/versions.test.ts fails: the host that takes a stream up does not know which version began the attempt that Resumes names.

--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -102,6 +102,7 @@
   async endpoint(
     id: string,
     answer: EndpointAnswer | number = 0,
+    version = 'v1',
   ): Promise<void> {
     const respond =
       typeof answer === 'number' ? answerAfter(answer, id) : answer;
@@ -117,16 +118,16 @@
       server.listen(0, '127.0.0.1', resolve);
     });
     const {port} = server.address() as AddressInfo;
-    this.enter(id, `127.0.0.1:${port}`, 'ready');
+    this.enter(id, `127.0.0.1:${port}`, 'ready', version);
   }
 
   /** Enters what an endpoint says of itself. */
-  enter(id: string, address: string, state: string): void {
+  enter(id: string, address: string, state: string, version = 'v1'): void {
     this.site.put('keyed.servers', id, {
       service: 'register',
       address,
       zone: 'palermo',
-      version: 'v1',
+      version,
       slots: 6,
       state,
       coldLeftMs: 0,
--- /dev/null
+++ b/test/versions.test.ts
@@ -0,0 +1,106 @@
+/**
+ * Endpoints of several software versions side by side in one service, whose
+ * streams do not fit together, before two host processes.
+ */
+import {request, type IncomingMessage} from 'node:http';
+
+import test from 'ava';
+
+import {
+  EdgeFleet,
+  sealed,
+  type EndpointAnswer,
+  type HostProcess,
+} from './support/edgeprocess.js';
+
+const STREAMS = 8;
+const EVENTS = 4;
+/** The event after which the caller's connection breaks. */
+const BROKEN_AFTER = 2;
+const PAUSE_MILLISECONDS = 30;
+
+/** Streams events whose data name the endpoint, after the last that is known. */
+function streamOf(id: string): EndpointAnswer {
+  return (message, response) => {
+    response.writeHead(200, sealed(message));
+    let event = Number(message.headers['last-event-id'] ?? 0);
+    const next = () => {
+      if (response.destroyed) return;
+      if (++event > EVENTS) return void response.end();
+      response.write(`id: ${event}\ndata: ${id}\n\n`);
+      setTimeout(next, PAUSE_MILLISECONDS);
+    };
+    next();
+  };
+}
+
+/** Reads a stream; leaves after so many events. Returns the endpoints' names. */
+function read(
+  host: HostProcess,
+  headers: Readonly<Record<string, string>>,
+  events: number,
+): Promise<string[]> {
+  return new Promise(resolve => {
+    const sent = request(
+      `http://${host.callers}/draft/1`,
+      {
+        agent: false,
+        method: 'POST',
+        headers: {
+          host: 'register.example',
+          authorization: 'Bearer key',
+          'x-deadline-ms': '4000',
+          ...headers,
+        },
+      },
+      (message: IncomingMessage) => {
+        let text = '';
+        const names = () => [...text.matchAll(/data: (\S+)\n\n/g)];
+        message.on('data', (part: Buffer) => {
+          text += part.toString();
+          if (names().length >= events) sent.destroy();
+        });
+        message.on('error', () => {});
+        message.on('close', () =>
+          resolve(names().map(([, name = '']) => name)),
+        );
+      },
+    );
+    sent.on('error', () => resolve([]));
+    sent.end();
+  });
+}
+
+test('a stream that its client takes up at another host goes on at the software version that began it', async t => {
+  const fleet = await EdgeFleet.start(t);
+  fleet.configure(['key']);
+  for (const [id, version] of [
+    ['a-1', 'v1'],
+    ['b-1', 'v2'],
+    ['b-2', 'v2'],
+    ['b-3', 'v2'],
+  ] as const)
+    await fleet.endpoint(id, streamOf(id), version);
+  const first = await fleet.host('host-0');
+  const second = await fleet.host('host-1');
+  await Promise.all([fleet.ready(first), fleet.ready(second)]);
+
+  // The hosts take equal endpoints in turn, and would otherwise do so in step.
+  await read(second, {'x-attempt-id': 'other'}, EVENTS);
+  for (let stream = 0; stream < STREAMS; stream++) {
+    const begun = `begun-${stream}`;
+    const before = await read(first, {'x-attempt-id': begun}, BROKEN_AFTER);
+    const after = await read(
+      second,
+      {
+        'x-attempt-id': `again-${stream}`,
+        'last-event-id': String(BROKEN_AFTER),
+        resumes: begun,
+      },
+      EVENTS,
+    );
+    const versions = [...before, ...after].map(name => name[0]);
+    t.is(new Set(versions).size, 1, versions.join(' '));
+    t.true(after.length > 0, 'the stream did not go on');
+  }
+});
