Move the log, the retry budget and the quarantine out of the forwarder

What it writes of a request stands in requestlog.ts, the retries it counts in retries.ts, and what the quarantine means for a request in promptguard.ts. No behaviour changes.

--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -8,21 +8,14 @@
 import type {Admission, AdmissionRequest} from '../admission/index.js';
 import {decideAfterFailure} from '../attempt/index.js';
 import {
-  addToHistory,
-  mayRetry,
-  EMPTY_RETRY_HISTORY,
   hashToUnitInterval,
-  sharedParts,
   type EndpointSelector,
-  type Prompt,
   type Reservation,
   type RetryBudget,
-  type RetryHistory,
 } from '../balance/index.js';
 import {Cancellation} from '../cancellation/index.js';
 import type {Clock} from '../clock/index.js';
-import type {KnownEndpoint} from '../directory/index.js';
-import {Refusal, type Outcome} from '../errors/index.js';
+import {Refusal} from '../errors/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Quarantine} from '../quarantine/index.js';
@@ -36,7 +29,10 @@
 import type {ConnectionPool} from './connections.js';
 import {RequestContext} from './context.js';
 import {refusalStatus, retryAfterSeconds} from './outcome.js';
+import {PromptGuard} from './promptguard.js';
 import type {Protocol} from './protocol.js';
+import {RequestLog} from './requestlog.js';
+import {RetryCounter} from './retries.js';
 
 /**
  * Most that the buffered responses of a host may take, a tenth of the memory of
@@ -53,12 +49,6 @@
 const FIRST_RESPONSE_EXPECTED_WAIT_FACTOR = 2;
 /** Sends that one request may make, those that did not run it included. */
 const MAX_SENDS = 4;
-/**
- * Endpoints that may cut a request before its answer has begun; the request is
- * not sent to another one after that, since it may be what crashes them.
- */
-const MAX_UNBEGUN_CUTS = 2;
-
 /** What all requests of a host share. */
 export interface ForwarderParts {
   readonly protocol: Protocol;
@@ -80,26 +70,32 @@
 export class Forwarder {
   /** Undefined until a configuration is known; requests are refused then. */
   routingTable: RoutingTable | undefined;
-  /** The current limit on retries. */
-  retryBudget: RetryBudget;
-  /** Recent requests and retries by service. */
-  private readonly repeats = new Map<string, RetryHistory>();
+  private readonly retries: RetryCounter;
+  private readonly guard: PromptGuard;
+  private readonly log: RequestLog;
   private readonly attemptParts: AttemptParts;
   private readonly activeRequests = new Set<RequestContext>();
   private isStopped = false;
   private readonly onIdle: Array<() => void> = [];
 
   constructor(private readonly parts: ForwarderParts) {
-    this.retryBudget = parts.retryBudget;
-    const buffers = new ResponseBuffers(MAX_BUFFERED_BYTES);
+    const {clock, quarantine, retryBudget} = parts;
+    const guard = new PromptGuard(quarantine);
+    this.retries = new RetryCounter(retryBudget, clock);
+    this.guard = guard;
+    this.log = new RequestLog(parts);
     this.attemptParts = {
       ...parts,
-      buffers,
-      onAnswerBegun: prompt =>
-        parts.quarantine.recordBegun(sharedPartIds(prompt)),
+      buffers: new ResponseBuffers(MAX_BUFFERED_BYTES),
+      onAnswerBegun: prompt => guard.recordBegun(prompt),
     };
   }
 
+  /** Sets the limit on retries. */
+  set retryBudget(budget: RetryBudget) {
+    this.retries.budget = budget;
+  }
+
   /** The number of requests in progress. */
   get activeCount(): number {
     return this.activeRequests.size;
@@ -121,18 +117,12 @@
   }
 
   /**
-   * Ends the requests in progress with a part of a prompt that crashes endpoints,
-   * so that those that wait at an endpoint do not crash it. Requests whose
-   * answer has begun go on.
+   * Ends the requests in progress with a part of a prompt that is blocked from
+   * now on, unless their answers have begun.
    */
   endRequestsWith(part: string): void {
-    for (const context of this.activeRequests) {
-      const {request, delivered, mayHaveRun} = context;
-      const isUnbegun = delivered === 0;
-      if (!isUnbegun || !sharedPartIds(request.prompt).includes(part)) continue;
-      const outcome = mayHaveRun ? 'unknown' : 'not-run';
-      context.cancellation.abort(promptBlocked(part, outcome));
-    }
+    for (const context of this.activeRequests)
+      this.guard.endIfBlocked(context, part);
   }
 
   /**
@@ -165,7 +155,7 @@
     message: IncomingMessage,
     answer: CallerResponse,
   ): RequestContext | undefined {
-    const {clock, protocol, logger, metrics} = this.parts;
+    const {clock, protocol} = this.parts;
     const request = protocol.parseRequest(message);
     try {
       const {routingTable} = this;
@@ -185,14 +175,7 @@
     } catch (error) {
       if (!(error instanceof Refusal)) throw error;
       const {code} = error;
-      metrics.count('refusal', {reason: code, route: ''});
-      logger.warn('request-refused', {
-        request: request.id,
-        host: request.host,
-        path: request.path,
-        version: this.routingTable?.version ?? 0,
-        reason: code,
-      });
+      this.log.unmatched(request, code, this.routingTable?.version ?? 0);
       const refused = {
         refusal: error,
         mayHaveRun: false,
@@ -218,41 +201,17 @@
       context.cancelled,
     ]);
     context.body = body;
-    this.refuseBlocked(context);
+    this.guard.checkArrival(context);
     if (request.prompt) book.recordArrival(service, request.prompt);
-    this.count(context, 'request');
+    this.retries.count(service, 'request');
     for (;;) {
       const failure = await this.makeAttempt(context);
       if (!failure) return;
-      await Promise.race([context.crashCheck, context.cancelled]);
-      this.refuseSuspect(context);
+      await this.guard.checkRetry(context);
       this.continueOrRefuse(context, failure);
     }
   }
 
-  /** Refuses a request with a part of a prompt that crashes endpoints. */
-  private refuseBlocked({request}: RequestContext): void {
-    const parts = sharedPartIds(request.prompt);
-    const part = this.parts.quarantine.blockedPart(parts);
-    if (part !== undefined) throw promptBlocked(part, 'not-run');
-  }
-
-  /**
-   * Refuses a request that may have crashed the endpoints that cut it, before it
-   * gets to another one.
-   */
-  private refuseSuspect({request, unbegunCuts}: RequestContext): void {
-    if (unbegunCuts === 0) return;
-    const parts = sharedPartIds(request.prompt);
-    const isSuspect = this.parts.quarantine.isSuspect(parts);
-    if (!isSuspect && unbegunCuts < MAX_UNBEGUN_CUTS) return;
-    throw new Refusal(
-      'endpoint-lost',
-      'unknown',
-      'endpoints crashed before they began the answer',
-    );
-  }
-
   /** Waits for admission and makes an attempt; returns its failure, if any. */
   private async makeAttempt(
     context: RequestContext,
@@ -305,7 +264,7 @@
     }
     if (!reservation) throw new AttemptFailure('connect', 'no endpoint', true);
     context.sends++;
-    this.logSend(context, reservation.choice, reservation.endpoint.entry.zone);
+    this.log.sent(context, reservation.choice, reservation.endpoint.entry.zone);
     const firstResponseTimeout = this.firstResponseTimeout(
       context,
       reservation.choice.waitMilliseconds,
@@ -325,8 +284,9 @@
         failedEndpoints.add(reservation.endpoint.entry.id);
         reportFailure(reservation, error);
         if (attempt.wasCutByEndpoint(error))
-          this.recordCut(context, reservation.endpoint, sentAt);
-        this.logFailure(context, reservation.endpoint.entry.id, error, sentAt);
+          this.guard.recordCut(context, reservation.endpoint, sentAt);
+        const {id} = reservation.endpoint.entry;
+        this.log.attemptFailed(context, id, error, sentAt);
       }
       throw error;
     } finally {
@@ -334,21 +294,6 @@
     }
   }
 
-  /** Tells the quarantine of a prompt whose connection an endpoint closed. */
-  private recordCut(
-    context: RequestContext,
-    endpoint: KnownEndpoint,
-    sentAt: number,
-  ): void {
-    const {request, delivered: events} = context;
-    const {id, prompt} = request;
-    if (!prompt) return;
-    if (events === 0) context.unbegunCuts++;
-    const parts = sharedPartIds(prompt);
-    const cut = {endpoint, request: id, parts, sentAt, events};
-    context.crashCheck = this.parts.quarantine.recordCut(cut);
-  }
-
   /**
    * Returns the milliseconds to wait for a first response before another
    * endpoint is tried; undefined where none may be. `expected` is the wait in
@@ -398,7 +343,7 @@
       }
       throw new Refusal(decision.code, decision.outcome, failure.message);
     }
-    if (stage !== 'connect') this.count(context, 'repeat');
+    if (stage !== 'connect') this.retries.count(context.service, 'repeat');
     metrics.count('retry', {reason: decision.reason, route: route.name});
   }
 
@@ -454,84 +399,16 @@
 
   /** Whether the limit on retries allows one more for the request's service. */
   private hasRetryBudget({service}: RequestContext): boolean {
-    const {retryBudget} = this;
-    const {book, clock} = this.parts;
-    const count = this.repeats.get(service) ?? EMPTY_RETRY_HISTORY;
-    const now = clock.monotonic();
-    return mayRetry(count, retryBudget, book.hostCount, now);
-  }
-
-  /** Counts a request or a retry towards the limit on retries. */
-  private count({service}: RequestContext, what: 'request' | 'repeat'): void {
-    const {retryBudget} = this;
-    const {clock} = this.parts;
-    const before = this.repeats.get(service) ?? EMPTY_RETRY_HISTORY;
-    const after = addToHistory(before, what, retryBudget, clock.monotonic());
-    this.repeats.set(service, after);
+    return this.retries.allowsRetry(service, this.parts.book.hostCount);
   }
 
-  private logSend(
-    context: RequestContext,
-    choice: {id: string; cost: number; prefillMilliseconds: number},
-    zone: string,
-  ): void {
-    this.parts.logger.info('request-sent', {
-      request: context.request.id,
-      endpoint: choice.id,
-      zone,
-      cost: Math.round(choice.cost),
-      reading: Math.round(choice.prefillMilliseconds),
-      waited: Math.round(this.parts.clock.monotonic() - context.arrived),
-      send: context.sends,
-    });
-  }
-
-  private logFailure(
-    context: RequestContext,
-    endpoint: string,
-    failure: AttemptFailure,
-    sentAt: number,
-  ): void {
-    const {logger, metrics} = this.parts;
-    const {stage} = failure;
-    metrics.count('attempt-failure', {stage, route: context.route.name});
-    logger.warn('attempt-failed', {
-      request: context.request.id,
-      endpoint,
-      stage,
-      notRun: failure.notRun,
-      detail: failure.message,
-      after: Math.round(this.parts.clock.monotonic() - sentAt),
-      delivered: context.delivered,
-    });
-  }
-
-  /** Logs the result of a request, and counts it in the metrics. */
   private recordResult(
     context: RequestContext,
     outcome: string,
     detail: string,
   ): void {
-    const {logger, metrics, clock} = this.parts;
-    const {route, request, team, service} = context;
-    const total = clock.monotonic() - context.arrived;
-    metrics.count('request', {route: route.name, outcome});
-    if (outcome === 'answered') {
-      metrics.time('answer', total, {route: route.name});
-    }
-    logger.info('request', {
-      request: request.id,
-      outcome,
-      detail,
-      route: route.name,
-      team: team?.name ?? '',
-      service,
-      version: this.routingTable?.version ?? 0,
-      sends: context.sends,
-      first: Math.round(Math.max(context.firstByteAt - context.arrived, 0)),
-      total: Math.round(total),
-      events: context.delivered,
-    });
+    const version = this.routingTable?.version ?? 0;
+    this.log.ended(context, outcome, detail, version);
   }
 }
 
@@ -550,16 +427,6 @@
   if (!notRun) reservation.failed();
 }
 
-/** The ids of the parts of a prompt that other requests share. */
-function sharedPartIds(prompt: Prompt | undefined): string[] {
-  return prompt ? sharedParts(prompt).map(({id}) => id) : [];
-}
-
-function promptBlocked(part: string, outcome: Outcome): Refusal {
-  const detail = `endpoints crash on the prompt part ${part}`;
-  return new Refusal('prompt-blocked', outcome, detail);
-}
-
 /** Ends a request whose caller was sent the endpoint's own error response. */
 class EndpointErrorRelayed extends Error {
   constructor(readonly status: number) {
