Reset the connection of a request that a host gives up

Cause: the connection was closed, and a closed connection still delivers what is held up on the way. It is now reset, which drops these bytes, on this host and in the network. The class: a request that a host has given up runs later, so that its caller's answer and the count of its runs are wrong too.

test/connections.test.ts failed before (the endpoint saw a normal end).

--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -149,7 +149,11 @@
         const stage = connected ? sentStage : 'connect';
         reject(new WireError(stage, `${address} ${error.message}`));
       };
-      const stopWatching = signal.onAbort(() => sent.destroy());
+      const stopWatching = signal.onAbort(() => {
+        // A closed connection would still deliver what is held up on the way.
+        sent.socket?.resetAndDestroy();
+        sent.destroy();
+      });
       const write = () => {
         if (!isOpen()) {
           sent.destroy(new Error('has left meanwhile'));
--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -172,3 +172,18 @@
     t.is(error.outcome, 'not-run');
   }
 });
+
+test('an abandoned request is reset, so that bytes held up on the way do not arrive later', async t => {
+  const ends: string[] = [];
+  const signal = new Cancellation();
+  const address = await startServer(t, socket => {
+    socket.on('end', () => ends.push('end'));
+    socket.on('error', ({message}) => ends.push(message));
+    signal.abort();
+  });
+  const sent = createPool().send(requestTo(address, false), signal);
+  const error = await t.throwsAsync(sent, {instanceOf: WireError});
+  t.is(error?.stage, 'write');
+  while (ends.length === 0) await new Promise(done => setTimeout(done, 5));
+  t.deepEqual(ends, ['read ECONNRESET']);
+});
