--- a/source/balance/index.ts
+++ b/source/balance/index.ts
@@ -4,7 +4,6 @@
   EndpointSelector,
   type EndpointRequirements,
   type EndpointLoadReport,
-  type LimitChange,
   type Reservation,
   type HostContext,
 } from './selector.js';
@@ -21,7 +20,11 @@
   type Candidate,
   type Choice,
 } from './choose.js';
-export {NamedLimits, type LimitStatement} from './namedlimits.js';
+export {
+  NamedLimits,
+  type LimitChange,
+  type LimitStatement,
+} from './namedlimits.js';
 export {
   coldStartRate,
   isBelowRate,
--- a/source/balance/namedlimits.ts
+++ b/source/balance/namedlimits.ts
@@ -13,6 +13,17 @@
   readonly ago: number;
 }
 
+/** A change of the limit that an endpoint names, in requests a second. */
+export interface LimitChange {
+  readonly id: string;
+  /** Undefined where it named none before. */
+  readonly before: number | undefined;
+  /** Undefined where it names none any more. */
+  readonly rate: number | undefined;
+  /** Whether this host received the response that states it. */
+  readonly isOwn: boolean;
+}
+
 interface NamedLimit {
   /** Undefined where the limit has ended. */
   readonly rate: number | undefined;
@@ -32,17 +43,8 @@
 export class NamedLimits {
   private readonly limits = new Map<string, NamedLimit>();
 
-  /**
-   * `onChange` is called when the limit of an endpoint begins, changes or ends
-   * (`rate` is then undefined).
-   */
-  constructor(
-    private readonly onChange: (
-      id: string,
-      rate: number | undefined,
-      isOwn: boolean,
-    ) => void,
-  ) {}
+  /** `onChange` is called when the limit of an endpoint has changed. */
+  constructor(private readonly onChange: (change: LimitChange) => void) {}
 
   /** The limit of an endpoint in requests a second; undefined for none. */
   rate(id: string, now: number): number | undefined {
@@ -89,6 +91,7 @@
   private apply(id: string, limit: NamedLimit, now: number): void {
     const before = this.rate(id, now);
     this.limits.set(id, limit);
-    if (limit.rate !== before) this.onChange(id, limit.rate, limit.isOwn);
+    const {rate, isOwn} = limit;
+    if (rate !== before) this.onChange({id, before, rate, isOwn});
   }
 }
--- a/source/balance/selector.ts
+++ b/source/balance/selector.ts
@@ -19,7 +19,11 @@
 import {EligibleEndpoints} from './eligible.js';
 import {EligibleSet} from './eligibleset.js';
 import {EndpointLoads} from './endpointloads.js';
-import {NamedLimits, type LimitStatement} from './namedlimits.js';
+import {
+  NamedLimits,
+  type LimitChange,
+  type LimitStatement,
+} from './namedlimits.js';
 import {hostPrefillLimit, hostSlotLimit} from './share.js';
 import {busyEngineCount, largeEngineCount, totalDemand} from './partition.js';
 import {ranksAmong} from './rendezvous.js';
@@ -110,21 +114,10 @@
   readonly clock: Clock;
   /** The region of each availability zone. */
   readonly regions: Readonly<Partial<Record<string, string>>>;
-  /**
-   * Called when the limit that an endpoint names begins, changes or ends; `rate`
-   * is in requests a second, and undefined when it ends.
-   */
+  /** Called when the limit that an endpoint names has changed. */
   readonly onLimitChange?: (change: LimitChange) => void;
 }
 
-/** A change of the limit that an endpoint names. */
-export interface LimitChange {
-  readonly id: string;
-  readonly rate: number | undefined;
-  /** Whether this host received the response that states it. */
-  readonly isOwn: boolean;
-}
-
 /**
  * The endpoints that this host knows, with their loads. Tells admission whether
  * they have capacity, and reserves an endpoint for each request.
@@ -143,9 +136,9 @@
 
   constructor(private readonly context: HostContext) {
     super();
-    this.limits = new NamedLimits((id, rate, isOwn) => {
+    this.limits = new NamedLimits(change => {
       this.endpoints.invalidate();
-      context.onLimitChange?.({id, rate, isOwn});
+      context.onLimitChange?.(change);
     });
     this.endpoints = new EligibleEndpoints(context, this.limits);
     this.demand = new DemandTracker(context.clock);
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -397,16 +397,18 @@
   }
 
   /**
-   * Logs the limit of an endpoint, and tells the other hosts at once if this one
-   * was told by the endpoint.
+   * Logs the limit of an endpoint. If this host was told by the endpoint, tells
+   * the others at once that a limit has begun or ended; its changes are left to
+   * the pulses.
    */
-  private handleLimitChange({id, rate, isOwn}: LimitChange): void {
+  private handleLimitChange({id, before, rate, isOwn}: LimitChange): void {
     const {logger, metrics} = this.parts;
     const source = isOwn ? 'response' : 'another-host';
     if (rate === undefined) logger.info('limit-ended', {endpoint: id, source});
     else logger.info('limit-named', {endpoint: id, rate, source});
     metrics.count('limit-change', {source});
-    if (!isOwn) return;
+    const hasBegunOrEnded = before === undefined || rate === undefined;
+    if (!isOwn || !hasBegunOrEnded) return;
     const limits = [{id, rate, ago: 0}];
     this.gossip?.broadcast({kind: 'limits', from: this.address, limits});
   }
--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -113,9 +113,11 @@
   blockedPart(parts: readonly string[]): string | undefined {
     if (this.blocklist.size === 0) return undefined;
     this.dropExpired();
-    return parts.find(
-      part => isBlocked(this.blocklist, part) && !this.startReview(part),
-    );
+    const blocked = parts.filter(part => isBlocked(this.blocklist, part));
+    const refused = blocked.find(part => !this.isReviewDue(part));
+    if (refused !== undefined) return refused;
+    for (const part of blocked) this.startReview(part);
+    return undefined;
   }
 
   /** Whether a request that a crash has cut must not be sent again. */
@@ -291,16 +293,20 @@
 
   /**
    * Whether a request with a blocked part may be tried now. Only one host may, so
-   * that a single request is tried. Blocks the part further until it succeeds.
+   * that a single request is tried.
    */
-  private startReview(part: string): boolean {
-    const {clock, host, hosts, logger} = this.options;
-    const now = clock.monotonic();
+  private isReviewDue(part: string): boolean {
+    const {clock, host, hosts} = this.options;
     const {reviewAt = Infinity} = this.blocklist.get(part) ?? {};
-    if (now < reviewAt || rendezvousRank(part, host, hosts()) > 0) return false;
-    this.blocklist = block(this.blocklist, part, now);
+    if (clock.monotonic() < reviewAt) return false;
+    return rendezvousRank(part, host, hosts()) === 0;
+  }
+
+  /** Blocks a part further, until the one request that is tried succeeds. */
+  private startReview(part: string): void {
+    const {clock, logger} = this.options;
+    this.blocklist = block(this.blocklist, part, clock.monotonic());
     logger.warn('part-reviewed', {part});
-    return true;
   }
 
   private count(part: string): number {
