Take a refusal on a kept connection only for the request that it names

What callers saw: an endpoint writes an earlier refusal once more on a kept connection; the caller of the next request there is told 503, not run and never will be, though the endpoint runs it. A route that allows it has it run at a second endpoint, outside of its count of attempts.

Cause: an attempt looked at the statement that a request has not run before it compared the id that the response names; all other responses were compared.

Fix: a refusal counts where it names this attempt or, without an id, on a connection that has carried nothing else; otherwise the response is malformed, so the request may have run, and the connection goes. An endpoint that is tried a second time for one attempt gets a connection of its own, since there the id of the first refusal is the same.

--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -154,7 +154,9 @@
       headers.push('Content-Length', String(body.length));
     }
     const {method, url} = request;
-    const fresh = !route.repeatable && !route.resumable;
+    const mayRunOnce = !route.repeatable && !route.resumable;
+    // On a pooled connection, a response to the first send may be repeated.
+    const fresh = mayRunOnce || context.failedEndpoints.has(id);
     const {isEndpointUsable: isOpen} = reservation;
     const endpointRequest = {
       address,
@@ -174,7 +176,7 @@
     const {parts} = this;
     const {context, reservation} = this.spec;
     const head = parts.protocol.parseResponseHead(message);
-    if (head.notRun) {
+    if (head.notRun && this.isForThisRequest(head, response)) {
       if (head.misdirected) reservation.unreachable();
       else this.recordLimit(head);
       void discardBody(message, parts.clock);
@@ -198,6 +200,19 @@
     await this.relayBuffered(response, head);
   }
 
+  /**
+   * Whether a refusal is for this request and not an earlier one that a faulty
+   * endpoint repeats. Some refusals name no request, which on a connection that
+   * has carried others proves nothing.
+   */
+  private isForThisRequest(
+    {id}: ResponseHead,
+    {isReused}: EndpointResponse,
+  ): boolean {
+    if (id !== undefined) return id === this.spec.context.request.id;
+    return !isReused;
+  }
+
   /** Records the limit that the endpoint names, or that it names none. */
   private recordLimit({limit}: ResponseHead): void {
     const {reservation, context} = this.spec;
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -57,6 +57,11 @@
    * connection, also when the endpoint crashes.
    */
   readonly isDelimited: boolean;
+  /**
+   * Whether the connection has carried earlier requests, so that the endpoint
+   * may repeat a response to one of them.
+   */
+  readonly isReused: boolean;
   /**
    * Resolves with whether a message that has ended is complete. A connection
    * reset that arrives together with the last bytes looks like a normal end. So
@@ -187,7 +192,8 @@
         });
         const isDelimited = hasDelimitedBody(message);
         const isComplete = completenessCheck(message, isDelimited);
-        resolve({message, isDelimited, isComplete});
+        const isReused = sent.reusedSocket;
+        resolve({message, isDelimited, isReused, isComplete});
       });
       sent.once('upgrade', (_, socket) => {
         socket.destroy();
