Reset the connections of calls to the store and of the own interface that are given up

Cause: the call was closed, and what was held up on the way still arrived.

Fix: one function, abandonRequest, resets and destroys; all three places use it.

--- a/source/engine/http.ts
+++ b/source/engine/http.ts
@@ -12,7 +12,7 @@
 import type {CancellationSignal} from '../cancellation/index.js';
 import type {Endpoint} from '../configuration/index.js';
 import {WireError} from '../errors/index.js';
-import {callJson, partsOf} from '../wire/index.js';
+import {abandonRequest, callJson, partsOf} from '../wire/index.js';
 import {
   EndpointAdapter,
   loadReportSchema,
@@ -208,9 +208,9 @@
       const timer = setTimeout(() => {
         const stage = connecting ? 'connect' : 'first-byte';
         reject(new WireError(stage, `${address} silent`));
-        outgoing.destroy();
+        abandonRequest(outgoing);
       }, firstByte);
-      const stopWatching = signal.onAbort(() => outgoing.destroy());
+      const stopWatching = signal.onAbort(() => abandonRequest(outgoing));
       outgoing.once('socket', socket => {
         if (!socket.connecting) return;
         connecting = true;
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -17,7 +17,7 @@
 import type {CancellationSignal} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import {Refusal, WireError} from '../errors/index.js';
-import {createRequest, partsOf} from '../wire/index.js';
+import {abandonRequest, createRequest, partsOf} from '../wire/index.js';
 
 /** Time within which an endpoint must accept a connection. */
 const CONNECT_TIMEOUT_MILLISECONDS = 250;
@@ -154,11 +154,7 @@
         const stage = connected ? sentStage : 'connect';
         reject(new WireError(stage, `${address} ${error.message}`));
       };
-      const stopWatching = signal.onAbort(() => {
-        // A closed connection would still deliver what is held up on the way.
-        sent.socket?.resetAndDestroy();
-        sent.destroy();
-      });
+      const stopWatching = signal.onAbort(() => abandonRequest(sent));
       const write = () => {
         if (!isOpen()) {
           sent.destroy(new Error('has left meanwhile'));
--- a/source/wire/exchange.ts
+++ b/source/wire/exchange.ts
@@ -7,7 +7,7 @@
 
 import {WireError} from '../errors/index.js';
 import {partsOf} from './listen.js';
-import {createRequest} from './request.js';
+import {abandonRequest, createRequest} from './request.js';
 
 /** Largest body of a reply, several times the largest page of the store. */
 const MAX_REPLY_BYTES = 8_388_608;
@@ -52,7 +52,7 @@
       headers: {...call.headers, ...length},
     });
     const timer = setTimeout(
-      () => sent.destroy(new Error('no answer in time')),
+      () => abandonRequest(sent, new Error('no answer in time')),
       bound,
     );
     const fail = ({message}: Error) => {
--- a/source/wire/index.ts
+++ b/source/wire/index.ts
@@ -7,4 +7,4 @@
 export {exchangeBytes, type ByteCall, type ByteReply} from './exchange.js';
 export {callGuarded} from './guarded.js';
 export {listen, partsOf, type AddressParts} from './listen.js';
-export {createRequest} from './request.js';
+export {abandonRequest, createRequest} from './request.js';
