Give answers of the own interface only to the attempt that they name

What callers of the own interface saw: an endpoint sends an earlier answer once more on a kept connection that is in use again, and the next caller gets an answer that is not its own, or is told that its request has not run though it runs.

Cause: the adapter compared nothing, and its pool kept connections on which bytes came between two requests; the platform's pool had closed these since long.

Both pools are one class, source/wire/keepalive.ts. Answers that name no attempt, of endpoints that do not echo it, stay accepted where they state no refusal: those cannot be told from late copies.

--- a/source/engine/http.ts
+++ b/source/engine/http.ts
@@ -12,7 +12,12 @@
 import type {CancellationSignal} from '../cancellation/index.js';
 import type {Endpoint} from '../configuration/index.js';
 import {WireError} from '../errors/index.js';
-import {abandonRequest, callJson, partsOf} from '../wire/index.js';
+import {
+  abandonRequest,
+  callJson,
+  GuardedKeepAliveAgent,
+  partsOf,
+} from '../wire/index.js';
 import {
   EndpointAdapter,
   loadReportSchema,
@@ -29,8 +34,19 @@
   readonly silence: number;
 }
 
+/** A request that is sent for an attempt. */
+interface SentRequest {
+  readonly attempt: string;
+  readonly options: RequestOptions;
+  readonly body?: Uint8Array;
+  /** Milliseconds to wait for the head of the answer. */
+  readonly firstByte: number;
+}
+
 const CONTROL_BOUND_MILLISECONDS = 1_000;
 const IDLE_BOUND_MILLISECONDS = 4_000;
+/** Names the attempt; endpoints echo it. */
+const ATTEMPT_HEADER = 'x-attempt';
 const ANSWER_HEADERS = [
   'content-type',
   'content-language',
@@ -50,7 +66,7 @@
  * ```
  */
 export class HttpEndpointAdapter extends EndpointAdapter {
-  private readonly agents = new Map<string, Agent>();
+  private readonly agents = new Map<string, GuardedKeepAliveAgent>();
   private readonly controlAgent = new Agent({
     keepAlive: true,
     timeout: IDLE_BOUND_MILLISECONDS,
@@ -71,7 +87,7 @@
       headers: {
         ...order.headers,
         'content-length': String(order.body.length),
-        'x-attempt': order.attempt,
+        [ATTEMPT_HEADER]: order.attempt,
         'x-priority': String(order.priority),
       },
     };
@@ -82,15 +98,17 @@
       const agent = this.agent(endpoint);
       return this.exchange(
         endpoint,
-        {...options, agent},
-        order.body,
-        firstByte,
+        {...order, options: {...options, agent}, firstByte},
         signal,
       );
     }
     const socket = await this.connected(endpoint, signal);
     const fresh = {...options, createConnection: () => socket};
-    return this.exchange(endpoint, fresh, order.body, firstByte, signal);
+    return this.exchange(
+      endpoint,
+      {...order, options: fresh, firstByte},
+      signal,
+    );
   }
 
   override async resume(
@@ -104,7 +122,7 @@
     const path = `/v1/attempts/${attempt}/${what}`;
     const options = {method: 'GET', path, createConnection: () => socket};
     const {firstByte} = this.bounds;
-    return this.exchange(endpoint, options, undefined, firstByte, signal);
+    return this.exchange(endpoint, {attempt, options, firstByte}, signal);
   }
 
   override async cancel(endpoint: Endpoint, attempt: string): Promise<void> {
@@ -139,16 +157,11 @@
     return callJson({address, method, path, bound, agent}, schema);
   }
 
-  private agent({address}: Endpoint): Agent {
-    let agent = this.agents.get(address);
-    if (!agent) {
-      agent = new Agent({
-        keepAlive: true,
-        scheduling: 'lifo',
-        timeout: IDLE_BOUND_MILLISECONDS,
-      });
-      this.agents.set(address, agent);
-    }
+  private agent({address}: Endpoint): GuardedKeepAliveAgent {
+    const existing = this.agents.get(address);
+    if (existing) return existing;
+    const agent = new GuardedKeepAliveAgent();
+    this.agents.set(address, agent);
     return agent;
   }
 
@@ -193,9 +206,7 @@
 
   private exchange(
     {address}: Endpoint,
-    options: RequestOptions,
-    body: Uint8Array | undefined,
-    firstByte: number,
+    {attempt, options, body, firstByte}: SentRequest,
     signal: CancellationSignal,
   ): Promise<Answer> {
     return new Promise((resolve, reject) => {
@@ -203,7 +214,12 @@
       const outgoing = request({...options, ...partsOf(address)}, message => {
         clearTimeout(timer);
         stopWatching();
-        resolve(answerOf(message, outgoing.reusedSocket));
+        const {reusedSocket} = outgoing;
+        if (isForAttempt(message, attempt, reusedSocket))
+          return resolve(answerOf(message, reusedSocket));
+        abandonRequest(outgoing);
+        const detail = `${address} answers another request`;
+        reject(new WireError('malformed', detail));
       });
       const timer = setTimeout(() => {
         const stage = connecting ? 'connect' : 'first-byte';
@@ -227,6 +243,25 @@
   }
 }
 
+/**
+ * Whether an answer is for this attempt and not an earlier one that a faulty
+ * endpoint repeats. A refusal that names no attempt proves nothing on a
+ * connection that has carried others.
+ */
+function isForAttempt(
+  {headers}: IncomingMessage,
+  attempt: string,
+  isReused: boolean,
+): boolean {
+  const named = headers[ATTEMPT_HEADER];
+  if (named !== undefined) return named === attempt;
+  return !isReused || !statesNotRun(headers);
+}
+
+function statesNotRun(headers: IncomingMessage['headers']): boolean {
+  return headers['x-not-run'] === 'true';
+}
+
 function answerOf(message: IncomingMessage, reused: boolean): Answer {
   const headers: Record<string, string> = {};
   for (const name of ANSWER_HEADERS) {
@@ -237,7 +272,7 @@
     status: message.statusCode ?? 0,
     headers,
     state: stateOf(message.headers['x-endpoint-state']),
-    notRun: message.headers['x-not-run'] === 'true',
+    notRun: statesNotRun(message.headers),
     reused,
     body: message,
   };
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -12,18 +12,19 @@
   type RequestOptions,
 } from 'node:http';
 import type {Socket} from 'node:net';
-import type {Duplex} from 'node:stream';
 
 import type {CancellationSignal} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import {Refusal, WireError} from '../errors/index.js';
-import {abandonRequest, createRequest, partsOf} from '../wire/index.js';
+import {
+  abandonRequest,
+  createRequest,
+  GuardedKeepAliveAgent,
+  partsOf,
+} from '../wire/index.js';
 
 /** Time within which an endpoint must accept a connection. */
 const CONNECT_TIMEOUT_MILLISECONDS = 250;
-/** Time after which an idle connection is closed. */
-const IDLE_TIMEOUT_MILLISECONDS = 4_000;
-
 /**
  * Most that an endpoint may send before the head of its response is complete.
  * Node limits each head, but neither their number, where they are
@@ -77,36 +78,6 @@
 /** Statuses of responses that have no body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
-/** Keeps idle connections, and closes one that receives data while idle. */
-class GuardedKeepAliveAgent extends Agent {
-  private readonly idleDataListeners = new WeakMap<Duplex, () => void>();
-
-  constructor() {
-    super({
-      keepAlive: true,
-      scheduling: 'lifo',
-      timeout: IDLE_TIMEOUT_MILLISECONDS,
-      noDelay: true,
-    });
-  }
-
-  override keepSocketAlive(socket: Duplex): boolean {
-    // The declared type of the base method lacks its return value.
-    const kept = super.keepSocketAlive(socket) as unknown as boolean;
-    if (!kept) return kept;
-    const onIdleData = () => socket.destroy();
-    this.idleDataListeners.set(socket, onIdleData);
-    socket.on('data', onIdleData);
-    return kept;
-  }
-
-  override reuseSocket(socket: Duplex, message: never): void {
-    const onIdleData = this.idleDataListeners.get(socket);
-    if (onIdleData) socket.removeListener('data', onIdleData);
-    super.reuseSocket(socket, message);
-  }
-}
-
 /** A host's connections to endpoints. */
 export class ConnectionPool {
   private readonly agents = new Map<string, GuardedKeepAliveAgent>();
--- a/source/wire/index.ts
+++ b/source/wire/index.ts
@@ -1,4 +1,4 @@
-/** The door of the wire folder. */
+/** HTTP calls and connections, for all parts of the program that make them. */
 export {acceptsConnections} from './accepting.js';
 export {addressSchema, isAddress} from './address.js';
 export {callJson, type Call} from './call.js';
@@ -6,5 +6,6 @@
 export {discardBody} from './discard.js';
 export {exchangeBytes, type ByteCall, type ByteReply} from './exchange.js';
 export {callGuarded} from './guarded.js';
+export {GuardedKeepAliveAgent} from './keepalive.js';
 export {listen, partsOf, type AddressParts} from './listen.js';
 export {abandonRequest, createRequest} from './request.js';
--- /dev/null
+++ b/source/wire/keepalive.ts
@@ -0,0 +1,40 @@
+/**
+ * The connections that are kept for further requests. One on which the peer
+ * sends something while no request is in progress is closed, since its responses
+ * no longer match the requests.
+ */
+import {Agent} from 'node:http';
+import type {Duplex} from 'node:stream';
+
+/** Time after which an idle connection is closed. */
+const IDLE_TIMEOUT_MILLISECONDS = 4_000;
+
+/** Keeps idle connections, and closes one that receives data while idle. */
+export class GuardedKeepAliveAgent extends Agent {
+  private readonly idleDataListeners = new WeakMap<Duplex, () => void>();
+
+  constructor() {
+    super({
+      keepAlive: true,
+      scheduling: 'lifo',
+      timeout: IDLE_TIMEOUT_MILLISECONDS,
+      noDelay: true,
+    });
+  }
+
+  override keepSocketAlive(socket: Duplex): boolean {
+    // The declared type of the base method lacks its return value.
+    const kept = super.keepSocketAlive(socket) as unknown as boolean;
+    if (!kept) return kept;
+    const onIdleData = () => socket.destroy();
+    this.idleDataListeners.set(socket, onIdleData);
+    socket.on('data', onIdleData);
+    return kept;
+  }
+
+  override reuseSocket(socket: Duplex, message: never): void {
+    const onIdleData = this.idleDataListeners.get(socket);
+    if (onIdleData) socket.removeListener('data', onIdleData);
+    super.reuseSocket(socket, message);
+  }
+}
--- a/standins/server.ts
+++ b/standins/server.ts
@@ -44,6 +44,8 @@
         const body = Buffer.concat(parts);
         const method = message.method ?? 'GET';
         const received = {message, response, method, path, query, body};
+        const attempt = message.headers['x-attempt'];
+        if (attempt !== undefined) response.setHeader('x-attempt', attempt);
         Promise.resolve(handler(received)).catch(() => response.destroy());
       });
     },
