Record in the store which version began a stream while it can matter

What callers could see: when all hosts are killed in a release and come back, streams that are taken up are answered 200 and joined from two software versions.

Cause: the version was kept in the memory of the one host that served the first attempt; any other host chose among all endpoints.

Fix: source/versions. Hosts append what begins to a topic while several versions serve or may have served before they started; nothing otherwise.

TopicReader is what the usage meter had, moved.

--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -5,7 +5,11 @@
 import type {Server, ServerResponse} from 'node:http';
 
 import {Admission} from '../admission/index.js';
-import {EndpointSelector, type LimitChange} from '../balance/index.js';
+import {
+  EndpointSelector,
+  rendezvousOrder,
+  type LimitChange,
+} from '../balance/index.js';
 import {hostChart} from '../charts/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import {
@@ -19,6 +23,7 @@
   Feeder,
   GossipNode,
   incarnationOf,
+  MAX_DIRECT_HOSTS,
   type HostAddress,
   type Pulse,
 } from '../gossip/index.js';
@@ -27,6 +32,7 @@
 import type {Load} from '../process/index.js';
 import {Quarantine} from '../quarantine/index.js';
 import type {RandomSource} from '../random/index.js';
+import {StreamVersions} from '../versions/index.js';
 import {listen} from '../wire/index.js';
 import {CallerServer} from './callers.js';
 import {PlatformView} from './platformview.js';
@@ -54,6 +60,8 @@
  * time limit must have left the process.
  */
 const LAST_RESPONSES_MILLISECONDS = 400;
+/** Ranks the hosts of a zone as the one that appends the begun streams. */
+const STREAM_RECORDER_KEY = 'stream-recorder';
 /** Milliseconds for which pulses of other hosts are batched. */
 const PULSE_BATCH_MILLISECONDS = 50;
 
@@ -75,6 +83,7 @@
   private readonly selector: EndpointSelector;
   private readonly admission: Admission;
   private readonly quarantine: Quarantine;
+  private readonly versions: StreamVersions;
   private readonly forwarder: Forwarder;
   private readonly prober: Prober;
   private readonly usage: UsageMeter | undefined;
@@ -120,12 +129,14 @@
       logger,
     });
     this.quarantine = this.createQuarantine();
+    this.versions = this.createStreamVersions();
     this.forwarder = new Forwarder({
       protocol,
       connections,
       admission: this.admission,
       book: this.selector,
       quarantine: this.quarantine,
+      versions: this.versions,
       clock,
       logger,
       metrics,
@@ -222,7 +233,7 @@
     this.callers.closeIdle();
     await Promise.race([this.forwarder.whenIdle(), drainTimeout]);
     this.forwarder.stop();
-    await Promise.race([this.sealUsageAndLeaveElection(), drainTimeout]);
+    await Promise.race([this.storeLastRecords(), drainTimeout]);
     const lastResponses = this.wait(LAST_RESPONSES_MILLISECONDS);
     await Promise.race([this.forwarder.whenIdle(), lastResponses]);
     await Promise.race([this.callers.flush(), drainTimeout]);
@@ -233,8 +244,13 @@
     this.transition('stop');
   }
 
-  private async sealUsageAndLeaveElection(): Promise<void> {
-    await Promise.all([this.usage?.seal(), this.leaderElector?.leave()]);
+  /** Stores what other hosts need of this one, and leaves the election. */
+  private async storeLastRecords(): Promise<void> {
+    await Promise.all([
+      this.usage?.seal(),
+      this.versions.stop(),
+      this.leaderElector?.leave(),
+    ]);
   }
 
   private createUsage(): UsageMeter | undefined {
@@ -314,6 +330,37 @@
     });
   }
 
+  private createStreamVersions(): StreamVersions {
+    const {platform, clock, logger, metrics} = this.parts;
+    return new StreamVersions({
+      store: platform.store,
+      clock,
+      logger,
+      metrics,
+      recorder: () => this.streamRecorder(),
+      sendToRecorder: (name, groups) =>
+        this.gossip?.send(name, {
+          kind: 'streams',
+          from: this.address,
+          groups: [...groups],
+        }),
+    });
+  }
+
+  /**
+   * The host of this zone that appends for the others; undefined in a small
+   * fleet, in which each host appends itself, and for that host.
+   */
+  private streamRecorder(): string | undefined {
+    const {name, zone} = this.parts.settings;
+    const others = this.gossip?.activeHosts ?? [];
+    if (others.length < MAX_DIRECT_HOSTS) return undefined;
+    const sameZone = others.filter(host => host.zone === zone);
+    const names = [name, ...sameZone.map(host => host.name)];
+    const [recorder] = rendezvousOrder(STREAM_RECORDER_KEY, names);
+    return recorder === name ? undefined : recorder;
+  }
+
   private createGossip(): GossipNode | undefined {
     const {settings, clock, logger, metrics} = this.parts;
     if (settings.hosts === undefined) return undefined;
@@ -346,6 +393,7 @@
       onCrashReport: report => this.quarantine.handleCrashReport(report),
       onBegunParts: parts => this.quarantine.handleBegun(parts),
       onLimits: limits => this.selector.setLimitReports(limits),
+      onBegunStreams: groups => this.versions.appendFor(groups),
       onHostLost: lost => void this.usage?.appendReplicaOf(incarnationOf(lost)),
     });
   }
@@ -423,6 +471,7 @@
   private applyPlatformView(): void {
     const {routingTable: table, directory, zonesOut} = this.platformView;
     this.selector.setDirectory(directory);
+    this.versions.setDirectory(directory);
     this.selector.setZonesOut(zonesOut);
     if (table) {
       this.selector.setServices(table.services);
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -13,6 +13,7 @@
 import type {ResponseBuffers} from './buffers.js';
 import type {ConnectionPool, EndpointResponse} from './connections.js';
 import type {RequestContext} from './context.js';
+import type {BegunStream} from '../versions/index.js';
 import {EventSplitter} from './events.js';
 import type {ResponseHead, Protocol} from './protocol.js';
 
@@ -59,6 +60,8 @@
   readonly metrics: Metrics;
   /** Called when an endpoint's response shows that it runs a team's request. */
   readonly onRunStarted: (team: string) => void;
+  /** Called when an endpoint of a version has begun a resumable stream. */
+  readonly onStreamBegun: (stream: BegunStream) => void;
   /** Called when an endpoint has begun the answer to a prompt. */
   readonly onAnswerBegun: (prompt: Prompt) => void;
 }
@@ -381,10 +384,20 @@
     this.hasBegun = true;
     const {context, reservation} = this.spec;
     const {prompt} = context.request;
-    context.streamVersion ??= reservation.endpoint.entry.softwareVersion;
+    if (context.streamVersion === undefined)
+      this.recordVersion(reservation.endpoint.entry.softwareVersion);
     if (prompt) this.parts.onAnswerBegun(prompt);
   }
 
+  /** Records which version has begun the stream that the caller gets. */
+  private recordVersion(version: string | undefined): void {
+    const {context} = this.spec;
+    const {route, request, service} = context;
+    context.streamVersion = version;
+    if (version === undefined || !route.streaming || !route.resumable) return;
+    this.parts.onStreamBegun({attempt: request.id, service, version});
+  }
+
   private recordFirstEvent(): void {
     const {clock, metrics} = this.parts;
     const {context} = this.spec;
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -20,6 +20,7 @@
 import type {Metrics} from '../metrics/index.js';
 import type {Quarantine} from '../quarantine/index.js';
 import type {RandomSource} from '../random/index.js';
+import type {StreamVersions} from '../versions/index.js';
 import {serviceFor, type RoutingTable} from '../routing/index.js';
 import {readBytes} from '../wire/index.js';
 import {admissionRequestFor} from './admission.js';
@@ -56,6 +57,7 @@
   readonly admission: Admission;
   readonly book: EndpointSelector;
   readonly quarantine: Quarantine;
+  readonly versions: StreamVersions;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -87,6 +89,7 @@
     this.attemptParts = {
       ...parts,
       buffers: new ResponseBuffers(MAX_BUFFERED_BYTES),
+      onStreamBegun: stream => parts.versions.recordBegun(stream),
       onAnswerBegun: prompt => guard.recordBegun(prompt),
     };
   }
@@ -202,6 +205,7 @@
     ]);
     context.body = body;
     this.guard.checkArrival(context);
+    await this.setResumedVersion(context);
     if (request.prompt) book.recordArrival(service, request.prompt);
     this.retries.count(service, 'request');
     for (;;) {
@@ -212,6 +216,25 @@
     }
   }
 
+  /**
+   * Sets the software version at which a stream goes on that its caller takes
+   * up. Throws a Refusal where it cannot be known.
+   */
+  private async setResumedVersion(context: RequestContext): Promise<void> {
+    const {request, route, service} = context;
+    const {lastEvent, resumes} = request;
+    if (!route.streaming || lastEvent === undefined) return;
+    const decision = await Promise.race([
+      this.parts.versions.versionOf(service, resumes),
+      context.cancelled,
+    ]);
+    this.parts.metrics.count('stream-resumed', {version: decision.kind});
+    if (decision.kind === 'known') context.streamVersion = decision.version;
+    if (decision.kind !== 'unknown') return;
+    const detail = 'it is not known which version began the stream';
+    throw new Refusal('stream-version-unknown', 'not-run', detail);
+  }
+
   /** Waits for admission and makes an attempt; returns its failure, if any. */
   private async makeAttempt(
     context: RequestContext,
--- a/source/forward/outcome.ts
+++ b/source/forward/outcome.ts
@@ -5,7 +5,7 @@
  * enough that the caller still has time for a retry, and has jitter so that
  * callers that were refused together do not return at the same moment.
  */
-import {Refusal} from '../errors/index.js';
+import {Refusal, type RefusalCode} from '../errors/index.js';
 import type {RandomSource} from '../random/index.js';
 
 const UNAVAILABLE = 503;
@@ -36,9 +36,14 @@
   return outcome === 'not-run' ? UNAVAILABLE : status;
 }
 
+/** Refusals whose reason lasts for longer than callers wait. */
+const LASTING_REFUSALS: ReadonlySet<RefusalCode> = new Set([
+  'prompt-blocked',
+  'stream-version-unknown',
+]);
+
 /**
  * Returns the seconds after which the caller may retry; 0 where it should not.
- * A prompt that is blocked stays so for longer than callers wait.
  *
  * ```ts
  * const seconds = retryAfterSeconds(refused, random);
@@ -50,7 +55,7 @@
 ): number {
   const {refusal} = refused;
   if (refusalStatus(refused) !== UNAVAILABLE) return 0;
-  if (refusal.code === 'prompt-blocked') return 0;
+  if (LASTING_REFUSALS.has(refusal.code)) return 0;
   const longest = (refused.timeLeft * MAX_RETRY_DELAY_SHARE) / 1_000;
   const mean =
     Math.min(longest, MAX_RETRY_DELAY_SECONDS) / (1 + JITTER_SHARE / 2);
--- a/source/forward/protocol.ts
+++ b/source/forward/protocol.ts
@@ -26,6 +26,11 @@
   readonly prompt: Prompt | undefined;
   /** Id of the last event that the caller has of a stream that it resumes. */
   readonly lastEvent: string | undefined;
+  /**
+   * Id of the attempt that brought the first event of a stream that the caller
+   * resumes, where it names it.
+   */
+  readonly resumes: string | undefined;
   /** Alternating names and values to forward to an endpoint. */
   readonly headers: readonly string[];
 }
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -10,6 +10,7 @@
   blocklistEntrySchema,
   crashReportSchema,
 } from '../quarantine/index.js';
+import {begunGroupSchema} from '../versions/index.js';
 import {addressSchema} from '../wire/index.js';
 
 /** The name, address and incarnation of a host. */
@@ -166,6 +167,13 @@
   limits: z.array(limitStatementSchema),
 });
 
+/** Streams that have begun at the sender, for the receiver to append. */
+const streamsMessageSchema = z.object({
+  kind: z.literal('streams'),
+  from: hostAddressSchema,
+  groups: z.array(begunGroupSchema),
+});
+
 export const gossipSchema = z.discriminatedUnion('kind', [
   pulseSchema,
   feedSchema,
@@ -174,5 +182,6 @@
   crashMessageSchema,
   begunMessageSchema,
   limitsMessageSchema,
+  streamsMessageSchema,
 ]);
 export type GossipMessage = z.infer<typeof gossipSchema>;
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -25,6 +25,7 @@
   CrashReport,
 } from '../quarantine/index.js';
 import type {PeerRecordPage} from '../store/index.js';
+import type {BegunGroup} from '../versions/index.js';
 import {listen} from '../wire/index.js';
 import {
   applyHostList,
@@ -111,6 +112,8 @@
   readonly onBegunParts: (parts: readonly BegunPart[]) => void;
   /** Called with limits of endpoints that another host has been told. */
   readonly onLimits: (limits: readonly LimitStatement[]) => void;
+  /** Called with streams that another host leaves to this one to append. */
+  readonly onBegunStreams: (groups: readonly BegunGroup[]) => void;
   /** Called when a host has become unreachable or has started anew. */
   readonly onHostLost: (host: HostAddress) => void;
 }
@@ -390,6 +393,8 @@
         return this.options.onBegunParts(message.parts);
       case 'limits':
         return this.options.onLimits(message.limits);
+      case 'streams':
+        return this.options.onBegunStreams(message.groups);
     }
   }
 
--- a/source/leader/usage.ts
+++ b/source/leader/usage.ts
@@ -18,7 +18,7 @@
   type Sheet,
 } from '../platform/index.js';
 import type {RandomSource} from '../random/index.js';
-import {StoreError, type RecordStore} from '../store/index.js';
+import {StoreError, TopicReader, type RecordStore} from '../store/index.js';
 import {
   applyFreeze,
   nextFreeze,
@@ -76,12 +76,17 @@
   /** Sheets of other hosts that may not be in the store yet, by incarnation. */
   private readonly replicas = new Map<string, readonly Sheet[]>();
   private ledger: UsageLedger = emptyLedger();
-  /** Offset in the topic to read from; undefined before the first read. */
-  private nextOffset: number | undefined;
+  private readonly topic: TopicReader;
   private stopTimer: Cancel = () => {};
 
   constructor(private readonly options: UsageMeterOptions) {
     this.sheets = new UsageSheets(REGION, options.incarnation);
+    this.topic = new TopicReader({
+      store: options.store,
+      topic: TOPIC,
+      timeout: STORE_TIMEOUT_MILLISECONDS,
+      onRecord: bytes => this.applyRecord(bytes),
+    });
   }
 
   /** Counts a request of a team that an endpoint has begun to run. */
@@ -149,7 +154,7 @@
    */
   async freezeAndReport(leader: Leader): Promise<void> {
     try {
-      await this.readTopic();
+      await this.topic.readToEnd();
       await this.freezeCompleteWindows(leader);
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
@@ -244,39 +249,6 @@
     }
   }
 
-  /**
-   * Reads the topic to its end. Where records have expired, it goes on with the
-   * oldest one that is left.
-   */
-  private async readTopic(): Promise<void> {
-    const {store} = this.options;
-    this.nextOffset ??= await store.oldestOffset(
-      TOPIC,
-      STORE_TIMEOUT_MILLISECONDS,
-    );
-    for (;;) {
-      const waiting = {from: this.nextOffset, wait: 0};
-      try {
-        const page = await store.readPlain(
-          TOPIC,
-          waiting,
-          STORE_TIMEOUT_MILLISECONDS,
-        );
-        for (const bytes of page.records) this.applyRecord(bytes);
-        this.nextOffset = page.end;
-        if (page.records.length === 0) return;
-      } catch (error) {
-        const isExpired =
-          error instanceof StoreError && error.failure === 'expired';
-        if (!isExpired) throw error;
-        this.nextOffset = await store.oldestOffset(
-          TOPIC,
-          STORE_TIMEOUT_MILLISECONDS,
-        );
-      }
-    }
-  }
-
   /** Applies a record; one that is malformed is counted and skipped. */
   private applyRecord(bytes: Buffer): void {
     const record = decodeRecord(bytes);
@@ -305,7 +277,7 @@
         expectedIncarnations: window => this.expectedIncarnations(window),
       });
       if (!record || !mayAct()) return;
-      const offset = this.nextOffset ?? 0;
+      const offset = this.topic.offset ?? 0;
       try {
         const bytes = [encodeRecord(record)];
         await store.append(TOPIC, bytes, STORE_TIMEOUT_MILLISECONDS, offset);
@@ -321,7 +293,7 @@
           error instanceof StoreError && error.failure === 'conflict';
         if (!isConflict) throw error;
       }
-      await this.readTopic();
+      await this.topic.readToEnd();
     }
   }
 
--- a/source/store/index.ts
+++ b/source/store/index.ts
@@ -22,3 +22,4 @@
   type PeerRecordPage,
 } from './keyedstate.js';
 export {KeyedFollower, type KeyedFollowerOptions} from './follower.js';
+export {TopicReader, type TopicReaderOptions} from './topicreader.js';
--- /dev/null
+++ b/source/versions/streamversions.ts
@@ -0,0 +1,252 @@
+/**
+ * Remembers at which software version streams began, for hosts at which their
+ * callers take them up. While several versions of a service serve, or may have
+ * served before this host started, what has begun is appended to a topic of the
+ * store, so that it outlives every host. At other times nothing is appended,
+ * since the only version is known anyway.
+ */
+import type {Cancel, Clock} from '../clock/index.js';
+import type {Directory} from '../directory/index.js';
+import type {Logger} from '../logging/index.js';
+import type {Metrics} from '../metrics/index.js';
+import {StoreError, TopicReader, type RecordStore} from '../store/index.js';
+import {BegunStreams, type BegunStream} from './begun.js';
+import {
+  decideVersion,
+  STREAM_LIFETIME_MILLISECONDS,
+  type VersionDecision,
+} from './decide.js';
+import {VersionHistory} from './history.js';
+import {PendingGroups} from './pending.js';
+import {RecordedVersions} from './recorded.js';
+import {
+  decodeBegunStreams,
+  encodeBegunStreams,
+  type BegunGroup,
+} from './record.js';
+
+const TOPIC = 'streams';
+const STORE_TIMEOUT_MILLISECONDS = 1_200;
+/** Milliseconds for which streams are gathered into one append. */
+const APPEND_INTERVAL_MILLISECONDS = 200;
+const RETRY_DELAY_MILLISECONDS = 500;
+/**
+ * Longest wait for the record of a stream. Its host may have gathered it for a
+ * while when the caller comes back.
+ */
+const RECORD_WAIT_MILLISECONDS = 500;
+/** Milliseconds by which the clocks of hosts and endpoints may differ. */
+const CLOCK_TOLERANCE_MILLISECONDS = 8_000;
+
+/** What the memory of stream versions is created from. */
+export interface StreamVersionsOptions {
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /**
+   * The host that appends for this one, in a large fleet; undefined where this
+   * host appends itself.
+   */
+  readonly recorder: () => string | undefined;
+  readonly sendToRecorder: (
+    recorder: string,
+    groups: readonly BegunGroup[],
+  ) => void;
+}
+
+/** The versions at which streams began. */
+export class StreamVersions {
+  private readonly begun = new BegunStreams(STREAM_LIFETIME_MILLISECONDS);
+  private readonly history = new VersionHistory();
+  private readonly recorded = new RecordedVersions(
+    STREAM_LIFETIME_MILLISECONDS + CLOCK_TOLERANCE_MILLISECONDS,
+  );
+  private readonly pending = new PendingGroups();
+  private readonly topic: TopicReader;
+  /** Services of which several versions serve or have just served. */
+  private mixedServices: ReadonlySet<string> = new Set();
+  private reading: Promise<number> | undefined;
+  private stopTimer: Cancel | undefined;
+  private isStopped = false;
+
+  constructor(private readonly options: StreamVersionsOptions) {
+    this.topic = new TopicReader({
+      store: options.store,
+      topic: TOPIC,
+      timeout: STORE_TIMEOUT_MILLISECONDS,
+      onRecord: bytes => this.applyRecord(bytes),
+    });
+  }
+
+  /** Stops to append; what is gathered is appended at once. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    this.stopTimer?.();
+    await this.flush();
+  }
+
+  /**
+   * Follows the endpoints. When a second version of a service turns up, the
+   * streams that began before are appended too.
+   */
+  setDirectory(directory: Directory): void {
+    const now = this.options.clock.monotonic();
+    this.history.setDirectory(directory, now);
+    const services = [...directory.values()].map(({entry}) => entry.service);
+    const mixed = new Set(services.filter(service => this.isMixed(service)));
+    for (const service of mixed) {
+      if (this.mixedServices.has(service)) continue;
+      this.options.logger.info('versions-mixed', {
+        service,
+        versions: [...this.versionsOf(service)].join(),
+      });
+      for (const stream of this.begun.ofService(service, now))
+        this.enqueue(stream);
+    }
+    this.mixedServices = mixed;
+  }
+
+  /** Records a stream whose first event this host has received. */
+  recordBegun(stream: BegunStream): void {
+    this.begun.add(stream, this.options.clock.monotonic());
+    if (this.mustAppend(stream.service)) this.enqueue(stream);
+  }
+
+  /** Takes over what another host has gathered, to append it. */
+  appendFor(groups: readonly BegunGroup[]): void {
+    for (const group of groups) this.pending.addGroup(group);
+    this.flushSoon(APPEND_INTERVAL_MILLISECONDS);
+  }
+
+  /**
+   * Returns at which version a caller's stream may go on; `attempt` is the
+   * attempt that brought its first event, where the caller names it. Reads the
+   * records of other hosts if this one does not know.
+   *
+   * ```ts
+   * const decision = await versions.versionOf('drafting', request.resumes);
+   * ```
+   */
+  async versionOf(
+    service: string,
+    attempt: string | undefined,
+  ): Promise<VersionDecision> {
+    const own = this.known(attempt);
+    if (own) return own;
+    if (this.hasFollowed && this.versionsOf(service).size <= 1)
+      return this.decide(service);
+    const {clock, logger} = this.options;
+    const deadline = clock.monotonic() + RECORD_WAIT_MILLISECONDS;
+    let wait = 0;
+    for (;;) {
+      try {
+        await this.read(wait);
+      } catch (error) {
+        if (!(error instanceof StoreError)) throw error;
+        logger.warn('streams-not-read', {detail: error.message});
+        return this.decide(service);
+      }
+      const decision = this.known(attempt) ?? this.decide(service);
+      wait = Math.floor(deadline - clock.monotonic());
+      if (decision.kind !== 'unknown' || wait <= 0) return decision;
+    }
+  }
+
+  private known(attempt: string | undefined): VersionDecision | undefined {
+    const version = attempt && this.begun.version(attempt);
+    return version === undefined ? undefined : {kind: 'known', version};
+  }
+
+  private decide(service: string): VersionDecision {
+    const unixNow = this.options.clock.now().getTime();
+    return decideVersion({
+      seen: this.versionsOf(service),
+      hasFollowed: this.hasFollowed,
+      isMixed: this.recorded.isMixed(service, unixNow),
+      recorded: this.recorded.versions(service, unixNow),
+      hasLongRunning: this.hasLongRunning(service),
+    });
+  }
+
+  /** The versions of a service in the time in which a stream can have begun. */
+  private versionsOf(service: string): ReadonlySet<string> {
+    const now = this.options.clock.monotonic();
+    const since = now - STREAM_LIFETIME_MILLISECONDS;
+    return this.history.versionsSince(service, since, now);
+  }
+
+  private get hasFollowed(): boolean {
+    const now = this.options.clock.monotonic();
+    return this.history.hasFollowedSince(now - STREAM_LIFETIME_MILLISECONDS);
+  }
+
+  private hasLongRunning(service: string): boolean {
+    const unixNow = this.options.clock.now().getTime();
+    const latest =
+      unixNow - STREAM_LIFETIME_MILLISECONDS - CLOCK_TOLERANCE_MILLISECONDS;
+    return this.history.hasEndpointBornBefore(service, latest);
+  }
+
+  private isMixed(service: string): boolean {
+    return this.versionsOf(service).size > 1;
+  }
+
+  private mustAppend(service: string): boolean {
+    if (this.isMixed(service)) return true;
+    return !this.hasFollowed && !this.hasLongRunning(service);
+  }
+
+  private enqueue({service, version, attempt}: BegunStream): void {
+    const isMixed = this.isMixed(service);
+    this.pending.addGroup({service, version, isMixed, attempts: [attempt]});
+    this.flushSoon(APPEND_INTERVAL_MILLISECONDS);
+  }
+
+  private flushSoon(delay: number): void {
+    if (this.isStopped) return;
+    this.stopTimer ??= this.options.clock.after(delay, () => {
+      this.stopTimer = undefined;
+      void this.flush();
+    });
+  }
+
+  /** Appends what is gathered, or hands it to the host that appends it. */
+  private async flush(): Promise<void> {
+    const {store, clock, logger, recorder, sendToRecorder} = this.options;
+    const groups = this.pending.take();
+    if (groups.length === 0) return;
+    const other = recorder();
+    if (other !== undefined) return sendToRecorder(other, groups);
+    const at = clock.now().getTime();
+    const record = encodeBegunStreams({kind: 'streams-begun', at, groups});
+    try {
+      await store.append(TOPIC, [record], STORE_TIMEOUT_MILLISECONDS);
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      logger.warn('streams-not-appended', {detail: error.message});
+      for (const group of groups) this.pending.addGroup(group);
+      this.flushSoon(RETRY_DELAY_MILLISECONDS);
+    }
+  }
+
+  /** Reads on in the topic; calls at the same time share one read. */
+  private read(wait: number): Promise<number> {
+    this.reading ??= this.topic
+      .readPage(wait)
+      .finally(() => (this.reading = undefined));
+    return this.reading;
+  }
+
+  private applyRecord(bytes: Buffer): void {
+    const record = decodeBegunStreams(bytes);
+    if (!record)
+      return this.options.metrics.count('record-malformed', {topic: TOPIC});
+    this.recorded.apply(record);
+    const now = this.options.clock.monotonic();
+    for (const {service, version, attempts} of record.groups) {
+      for (const attempt of attempts)
+        this.begun.add({attempt, service, version}, now);
+    }
+  }
+}
--- a/test/gossip.test.ts
+++ b/test/gossip.test.ts
@@ -143,6 +143,7 @@
     onCrashReport: () => {},
     onBegunParts: () => {},
     onLimits: () => {},
+    onBegunStreams: () => {},
     onHostLost: host => lostHosts.push(host.name),
   });
   await node.start();
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -83,6 +83,8 @@
   routeTimeoutMilliseconds = 2_000;
   /** Time for which callers may keep a connection, in the next configuration. */
   idleTimeoutMilliseconds = 15_000;
+  /** Unix milliseconds of the start of endpoints that are entered next. */
+  born = 1_000;
   /** Files and sockets that a host may have open; undefined for no limit. */
   openFilesLimit: number | undefined;
   /** Seconds between SIGTERM and the kill, for hosts that are started next. */
@@ -132,7 +134,7 @@
       state,
       coldLeftMs: 0,
       sequence: 1,
-      born: 1_000,
+      born: this.born,
     });
   }
 
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -28,6 +28,8 @@
   type Route,
   type RoutingConfiguration,
 } from '../../source/routing/index.js';
+import {StreamVersions} from '../../source/versions/index.js';
+import {UnusedStore} from './unusedstore.js';
 
 const SERVICE = 'drafting';
 const KEY = 'key-of-editors';
@@ -224,6 +226,7 @@
       admission,
       book,
       quarantine: loneQuarantine(clock, this.logger()),
+      versions: loneStreamVersions(clock, this.logger()),
       clock,
       logger: this.logger(),
       metrics: new Metrics(),
@@ -327,6 +330,18 @@
   };
 }
 
+/** Returns the versions of streams as a host knows them that has no store. */
+function loneStreamVersions(clock: Clock, logger: Logger): StreamVersions {
+  return new StreamVersions({
+    store: new UnusedStore(),
+    clock,
+    logger,
+    metrics: new Metrics(),
+    recorder: () => 'another host',
+    sendToRecorder: () => {},
+  });
+}
+
 /** Returns the quarantine of a host that knows no other. */
 function loneQuarantine(clock: Clock, logger: Logger): Quarantine {
   return new Quarantine({
