Follow no jumps of the time of day where usage windows are named

Cause: windows are named, and frozen, by the machine's time of day.

Fix: CorrectedClock goes on with the monotonic clock, follows drift below 0.2 s, and takes the median of the other hosts' times, which pulses now carry, where it is off by more than 0.5 s: a machine that was suspended, or started while its time was off. A jump of over 20 s is followed in the end. All parts of a host use it; the incarnation of a host is still the machine's time at its start. Log line clock-corrected.

--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -11,7 +11,7 @@
   type LimitChange,
 } from '../balance/index.js';
 import {hostChart} from '../charts/index.js';
-import type {Cancel, Clock} from '../clock/index.js';
+import {CorrectedClock, type Cancel, type Clock} from '../clock/index.js';
 import {
   LeaderElector,
   Autoscaler,
@@ -77,6 +77,8 @@
 
 /** One host: accepts callers' requests and forwards them to endpoints. */
 export class EdgeHost {
+  /** The clock of all parts, whose time of day does not jump. */
+  private readonly clock: CorrectedClock;
   /** Identifies this incarnation of the host to the others. */
   private readonly address: HostAddress;
   private readonly platformView: PlatformView;
@@ -100,9 +102,13 @@
   private cancelRedispatch: Cancel | undefined;
 
   constructor(private readonly parts: EdgeHostParts) {
-    const {settings, platform, clock, logger, metrics, random} = parts;
+    const {settings, platform, logger, metrics, random} = parts;
     const {name: host, zone} = settings;
-    const started = clock.now().getTime();
+    const clock = new CorrectedClock(parts.clock, correction =>
+      logger.warn('clock-corrected', {...correction}),
+    );
+    this.clock = clock;
+    const started = parts.clock.now().getTime();
     this.address = {name: host, started, address: settings.hosts ?? '', zone};
     const {regions} = settings;
     this.selector = new EndpointSelector({
@@ -254,7 +260,8 @@
   }
 
   private createUsage(): UsageMeter | undefined {
-    const {settings, platform, clock, logger, metrics, random} = this.parts;
+    const {settings, platform, logger, metrics, random} = this.parts;
+    const {clock} = this;
     if (!platform.leaderClient) return undefined;
     return new UsageMeter({
       incarnation: incarnationOf(this.address),
@@ -271,7 +278,8 @@
   }
 
   private createAutoscaler(): Autoscaler | undefined {
-    const {platform, clock, logger} = this.parts;
+    const {platform, logger} = this.parts;
+    const {clock} = this;
     if (!platform.leaderClient) return undefined;
     return new Autoscaler({
       client: platform.leaderClient,
@@ -288,7 +296,8 @@
   }
 
   private createLeaderElector(): LeaderElector | undefined {
-    const {settings, platform, clock, logger, metrics} = this.parts;
+    const {settings, platform, logger, metrics} = this.parts;
+    const {clock} = this;
     const {usage, autoscaler} = this;
     if (!usage || !autoscaler) return undefined;
     return new LeaderElector({
@@ -313,7 +322,8 @@
   }
 
   private createQuarantine(): Quarantine {
-    const {settings, clock, logger, metrics, random} = this.parts;
+    const {settings, logger, metrics, random} = this.parts;
+    const {clock} = this;
     const from = this.address;
     return new Quarantine({
       host: settings.name,
@@ -331,7 +341,8 @@
   }
 
   private createStreamVersions(): StreamVersions {
-    const {platform, clock, logger, metrics} = this.parts;
+    const {platform, logger, metrics} = this.parts;
+    const {clock} = this;
     return new StreamVersions({
       store: platform.store,
       clock,
@@ -362,7 +373,8 @@
   }
 
   private createGossip(): GossipNode | undefined {
-    const {settings, clock, logger, metrics} = this.parts;
+    const {settings, logger, metrics} = this.parts;
+    const {clock} = this;
     if (settings.hosts === undefined) return undefined;
     return new GossipNode({
       self: this.address,
@@ -402,7 +414,7 @@
     const {platformView} = this;
     return new Feeder({
       self: this.address,
-      clock: this.parts.clock,
+      clock: this.clock,
       hosts: () =>
         gossip.reachableMembers
           .filter(({pulse}) => !pulse?.leaving)
@@ -418,7 +430,8 @@
 
   private receivePulse(pulse: Pulse): void {
     const {kept, from, sheets, blocked, limits} = pulse;
-    const {clock} = this.parts;
+    const {clock} = this;
+    if (pulse.time !== undefined) clock.recordPeerTime(from.name, pulse.time);
     this.quarantine.handleEntries(blocked);
     this.selector.setLimitReports(limits);
     if (sheets.length > 0) this.usage?.keepReplica(incarnationOf(from), sheets);
@@ -492,7 +505,7 @@
    */
   private redispatchSoon(): void {
     if (this.cancelRedispatch || this.admission.waiting === 0) return;
-    this.cancelRedispatch = this.parts.clock.after(
+    this.cancelRedispatch = this.clock.after(
       REDISPATCH_DELAY_MILLISECONDS,
       () => {
         this.cancelRedispatch = undefined;
@@ -503,7 +516,7 @@
   }
 
   private wait(duration: number): Promise<void> {
-    return new Promise(resolve => this.parts.clock.after(duration, resolve));
+    return new Promise(resolve => this.clock.after(duration, resolve));
   }
 
   private transition(event: string): void {
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -81,6 +81,8 @@
   heard: z.number().int(),
   /** Milliseconds until the next pulse. */
   period: z.number(),
+  /** Unix milliseconds as the sender has it; older hosts send none. */
+  time: z.number().optional(),
   leaving: z.boolean(),
   positions: z.array(topicPositionSchema),
   uses: z.array(endpointLoadSchema),
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -314,6 +314,7 @@
       sequence,
       heard,
       period: this.period,
+      time: this.options.clock.now().getTime(),
       leaving,
       positions: [...positions],
       uses: [...uses],
