Know a host by its pulses that was started while its clock was set back, and keep listed hosts for two periods

What could be seen: after a restart during a backward step, the other hosts took the host's pulses for those of an earlier incarnation and left it out of the membership for 20 s. In a fleet of more than 125 hosts, one that is known from lists only was removed after 5 s, before its first pulse could come (7.8 s at 195 hosts).

Cause: incarnations are ordered by the time of day at their start; the retention of listed hosts did not follow the period.

Evidence: two tests in test/gossip.test.ts, both red on the code before.

Fix: a pulse counts where the later incarnation has fallen silent; lists say nothing of hosts that are reachable; the retention is two periods where these are longer.

--- a/source/gossip/members.ts
+++ b/source/gossip/members.ts
@@ -28,12 +28,17 @@
 const UNREACHABLE_AFTER_PERIODS = 3;
 /** Milliseconds for which a silent host keeps its share of the limits. */
 const SHARE_RETENTION_MILLISECONDS = 20_000;
-/** Milliseconds after which a host that has sent no pulse itself is removed. */
+/**
+ * Milliseconds, and periods if they are longer, after which a host that has sent
+ * no pulse itself is removed. Its first pulse may take a period.
+ */
 const LISTED_HOST_RETENTION_MILLISECONDS = 5_000;
+const LISTED_HOST_RETENTION_PERIODS = 2;
 
 /**
  * Returns the members after a pulse; the same value if the pulse is of an
- * earlier incarnation.
+ * earlier incarnation. Where the later incarnation has fallen silent, it is the
+ * order of their starts that is wrong, as a clock was set back in between.
  */
 export function applyPulse(
   before: Members,
@@ -42,13 +47,14 @@
 ): Members {
   const {name, started} = pulse.from;
   const known = before.get(name);
-  if (known && known.host.started > started) return before;
+  if (known && known.host.started > started && isReachable(known, now))
+    return before;
   return new Map(before).set(name, {host: pulse.from, pulse, heardAt: now});
 }
 
 /**
  * Returns the members after a list of hosts from another host; entries that are
- * no newer than what is known are ignored.
+ * no newer than what is known, or of hosts that are reachable, are ignored.
  */
 export function applyHostList(
   before: Members,
@@ -58,7 +64,8 @@
 ): Members {
   const newer = hosts.filter(({name, started}) => {
     const known = before.get(name);
-    return name !== self && (!known || known.host.started < started);
+    if (name === self) return false;
+    return !known || (known.host.started < started && !isReachable(known, now));
   });
   if (newer.length === 0) return before;
   const after = new Map(before);
@@ -68,12 +75,21 @@
   return after;
 }
 
-/** Returns the members without those that have been silent for too long. */
-export function removeSilent(before: Members, now: number): Members {
+/**
+ * Returns the members without those that have been silent for too long; `period`
+ * is the milliseconds between two pulses in a fleet of this size.
+ */
+export function removeSilent(
+  before: Members,
+  now: number,
+  period: number,
+): Members {
+  const listedRetention = Math.max(
+    LISTED_HOST_RETENTION_MILLISECONDS,
+    LISTED_HOST_RETENTION_PERIODS * period,
+  );
   const silent = [...before.values()].filter(({pulse, heardAt}) => {
-    const retention = pulse
-      ? SHARE_RETENTION_MILLISECONDS
-      : LISTED_HOST_RETENTION_MILLISECONDS;
+    const retention = pulse ? SHARE_RETENTION_MILLISECONDS : listedRetention;
     return now - heardAt > retention;
   });
   if (silent.length === 0) return before;
@@ -84,11 +100,12 @@
 
 /** The members whose last pulse is recent, and which so are reachable. */
 export function reachableMembers(members: Members, now: number): Member[] {
-  return [...members.values()].filter(
-    ({pulse, heardAt}) =>
-      pulse !== undefined &&
-      now - heardAt < UNREACHABLE_AFTER_PERIODS * pulse.period,
-  );
+  return [...members.values()].filter(member => isReachable(member, now));
+}
+
+function isReachable({pulse, heardAt}: Member, now: number): boolean {
+  if (!pulse) return false;
+  return now - heardAt < UNREACHABLE_AFTER_PERIODS * pulse.period;
 }
 
 /**
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -220,7 +220,7 @@
     const {clock} = this.options;
     const now = clock.monotonic();
     this.reportLostHosts(now);
-    this.members = removeSilent(this.members, now);
+    this.members = removeSilent(this.members, now, this.period);
     for (const name of this.peers.keys()) {
       if (!this.members.has(name)) this.disconnect(name);
     }
--- a/test/gossip.test.ts
+++ b/test/gossip.test.ts
@@ -59,12 +59,12 @@
   const members = membersOf('one', 'two');
   t.is(reachableMembers(members, 500).length, 2);
   t.is(reachableMembers(members, 700).length, 0);
-  t.deepEqual(hostsSharingLimits(removeSilent(members, 19_000), 'self'), [
+  t.deepEqual(hostsSharingLimits(removeSilent(members, 19_000, 200), 'self'), [
     'one',
     'self',
     'two',
   ]);
-  t.deepEqual(hostsSharingLimits(removeSilent(members, 21_000), 'self'), [
+  t.deepEqual(hostsSharingLimits(removeSilent(members, 21_000, 200), 'self'), [
     'self',
   ]);
 });
@@ -79,7 +79,7 @@
   );
   t.deepEqual(hostsSharingLimits(members, 'self'), ['self']);
   t.false(members.has('self'));
-  t.false(removeSilent(members, 6_000).has('two'));
+  t.false(removeSilent(members, 6_000, 200).has('two'));
 });
 
 test('a pulse or host list entry of an earlier incarnation changes nothing', t => {
@@ -91,6 +91,24 @@
   t.is(later.get('one')?.host.started, 6);
 });
 
+test('a host that was started anew while its time of day was set back is known by its pulses', t => {
+  const before = applyPulse(new Map(), pulseOf(addressOf('one', 5_000)), 0);
+  const restarted = pulseOf(addressOf('one', 4_000));
+  t.is(applyPulse(before, restarted, 300), before);
+  const after = applyPulse(before, restarted, 700);
+  t.is(after.get('one')?.host.started, 4_000);
+  t.is(reachableMembers(after, 800).length, 1);
+  const listed = applyHostList(after, [addressOf('one', 5_000)], 'self', 900);
+  t.is(listed, after);
+});
+
+test('in a fleet of 195 hosts a listed host is kept until its first pulse can come', t => {
+  const period = 195 * 40;
+  const listed = applyHostList(new Map(), [addressOf('two')], 'self', 0);
+  t.true(removeSilent(listed, period + 200, period).has('two'));
+  t.false(removeSilent(listed, 2 * period + 200, period).has('two'));
+});
+
 interface TestNode {
   readonly node: GossipNode;
   readonly receivedPages: PeerRecordPage[];
