Cut no slow stream that may go on nowhere else

What callers saw: a stream whose engine pauses for over a second is broken off, though it would have gone on, where the route allows no further engine or the limit on retries none (one of the reports of other operators: slow but sound streams cut).

Cause: the time limit between events looked only at whether the route may be resumed; the one for the first event asks whether another endpoint may be tried.

Evidence: test/forward.test.ts, a pause of 1.3 s on a route with one attempt: red before. A second test shows that a stalled stream which sends a byte now and then does go on elsewhere (green before).

Fix: when the time is up, the stream goes on unless another endpoint may be tried. Open: it does not look at whether another endpoint of its software version is there.

--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -27,7 +27,7 @@
 const MIN_SERVER_ERROR_STATUS = 500;
 const MIN_REDIRECT_STATUS = 300;
 const MAX_LOGGED_TEXT_LENGTH = 80;
-/** Time without data after which another endpoint resumes a stream. */
+/** Time without an event after which another endpoint resumes a stream. */
 const STREAM_IDLE_TIMEOUT_MILLISECONDS = 1_000;
 
 /** An endpoint's complete response. */
@@ -78,6 +78,8 @@
    * event; undefined where no other endpoint may be tried.
    */
   readonly firstResponseTimeout: number | undefined;
+  /** Returns whether another endpoint may be tried if this attempt fails now. */
+  readonly mayTryAnother: () => boolean;
 }
 
 /** One attempt. */
@@ -311,7 +313,11 @@
         if (!route.resumable) return;
         stopIdleTimer = parts.clock.after(
           STREAM_IDLE_TIMEOUT_MILLISECONDS,
-          () => fail('between-events', 'the stream is silent'),
+          () => {
+            // A slow stream is better than none.
+            if (!this.spec.mayTryAnother()) return restartIdleTimer();
+            fail('between-events', 'the stream is silent');
+          },
         );
       };
       /** Pauses the endpoint while the caller lags. */
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -293,7 +293,13 @@
       reservation.choice.waitMilliseconds,
     );
     const attempt = new Attempt(
-      {context, reservation, stop, firstResponseTimeout},
+      {
+        context,
+        reservation,
+        stop,
+        firstResponseTimeout,
+        mayTryAnother: () => this.mayTryAnother(context),
+      },
       this.attemptParts,
     );
     const sentAt = clock.monotonic();
@@ -326,16 +332,22 @@
     context: RequestContext,
     expected: number,
   ): number | undefined {
-    const {route, possibleRuns} = context;
-    if (!route.repeatable && !route.resumable) return undefined;
-    if (possibleRuns + 1 >= route.attempts) return undefined;
-    if (!this.hasRetryBudget(context)) return undefined;
+    const {route} = context;
+    if (!this.mayTryAnother(context)) return undefined;
     return (
       route.target * FIRST_RESPONSE_TARGET_FACTOR +
       expected * FIRST_RESPONSE_EXPECTED_WAIT_FACTOR
     );
   }
 
+  /** Whether another endpoint may be tried while an attempt is in progress. */
+  private mayTryAnother(context: RequestContext): boolean {
+    const {route, possibleRuns} = context;
+    if (!route.repeatable && !route.resumable) return false;
+    if (possibleRuns + 1 >= route.attempts) return false;
+    return this.hasRetryBudget(context);
+  }
+
   /**
    * Returns where another attempt may follow. Otherwise throws what ends the
    * request: a Refusal, or an EndpointErrorRelayed after it has passed the
--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -376,3 +376,36 @@
   );
   t.is(versions[0], versions[1]);
 });
+
+test('a stream with a long pause that may go on at no other endpoint is not cut', async t => {
+  const route = {streaming: true, resumable: true, attempts: 1};
+  const fixture = await ForwarderFixture.start(t, route, [
+    (received, response) => {
+      sendEvents(received, response, 2);
+      setTimeout(() => {
+        response.write(eventText(3));
+        response.end();
+      }, 1_300);
+    },
+  ]);
+  const reply = await fixture.send();
+  t.is(reply.status, 200);
+  t.true(reply.whole);
+  t.is(reply.body, eventsUpTo(3));
+});
+
+test('a stalled stream that sends a byte now and then goes on at another endpoint', async t => {
+  const route = {streaming: true, resumable: true, attempts: 2};
+  const fixture = await ForwarderFixture.start(t, route, [
+    ...[1, 2].map((): Behaviour => (received, response) => {
+      const isFirst = fixture.received.length === 1;
+      sendEvents(received, response, isFirst ? 2 : 4);
+      if (!isFirst) return void response.end();
+      const dribble = setInterval(() => response.write(':'), 100);
+      response.on('close', () => clearInterval(dribble));
+    }),
+  ]);
+  const reply = await fixture.send();
+  t.is(reply.body, eventsUpTo(4));
+  t.is(fixture.received.length, 2);
+});
