--- a/source/edge/run.ts
+++ b/source/edge/run.ts
@@ -8,6 +8,7 @@
 import {Metrics} from '../metrics/index.js';
 import {endOnUncaughtError, LoadReporter} from '../process/index.js';
 import {seededRandom} from '../random/index.js';
+import {CountedStore} from '../store/index.js';
 import {EdgeHost} from './host.js';
 import type {PlatformParts} from './platform.js';
 import type {EdgeSettings} from './settings.js';
@@ -39,7 +40,7 @@
  * SettingsError if the host cannot listen on an address.
  */
 export async function runEdge(options: EdgeOptions): Promise<void> {
-  const {settings, platform, logLevel, statsd} = options;
+  const {settings, logLevel, statsd} = options;
   const clock = new SystemClock();
   const sink = new BoundedSink(STDOUT_FILE_DESCRIPTOR, clock);
   const logger = createLogger(logLevel, 'json', clock, (level, line) =>
@@ -47,6 +48,8 @@
   );
   const metrics = await Metrics.withStatsd(statsd);
   const random = seededRandom(process.pid ^ Date.now());
+  const store = new CountedStore(options.platform.store, metrics);
+  const platform = {...options.platform, store};
   const parts = {settings, platform, clock, logger, metrics, random};
   const host = new EdgeHost(parts);
   const exit = (code: number) => {
--- a/source/store/index.ts
+++ b/source/store/index.ts
@@ -21,5 +21,6 @@
   type KeyedUpdate,
   type PeerRecordPage,
 } from './keyedstate.js';
+export {CountedStore} from './counted.js';
 export {KeyedFollower, type KeyedFollowerOptions} from './follower.js';
 export {TopicReader, type TopicReaderOptions} from './topicreader.js';
