Let three hosts follow the store in a large fleet, not two of each zone

Change: two hosts of each zone still feed it, but three feeders of different zones follow the store, and the others are fed by these. Feeders fall back at an age of 2.6 s, before the hosts that they feed do at 3.2 s.

--- a/source/gossip/feed.ts
+++ b/source/gossip/feed.ts
@@ -1,23 +1,30 @@
 /**
- * Selects the feeders: the hosts that follow the store on behalf of others. In
- * a small fleet every host follows the store itself. In a large one that would
- * cost store calls and traffic for every host, so two hosts of each
- * availability zone follow it and feed the other hosts of their zone and the
- * feeders of the other zones. All hosts compute the same selection. A host that
- * has had no fresh feed follows the store itself, so no host depends on a
- * feeder.
+ * Selects the feeders, which pass the store's records on, and the few of them
+ * that follow the store. In a small fleet every host follows the store itself.
+ * In a large one that would cost store calls and traffic for every host, so two
+ * hosts of each availability zone feed the other hosts of their zone and the
+ * feeders of the other zones, and three feeders of different zones follow the
+ * store, however many zones and hosts there are. All hosts compute the same
+ * selection. A host that has had no fresh feed follows the store itself, so no
+ * host depends on a feeder.
  */
 import {rendezvousOrder} from '../balance/index.js';
 import type {HostAddress} from './message.js';
 
 /** Largest number of hosts at which each of them follows the store itself. */
 export const MAX_DIRECT_HOSTS = 12;
-/** Hosts of each zone that follow the store in a larger fleet. */
+/** Hosts of each zone that feed the others in a larger fleet. */
 const FEEDERS_PER_ZONE = 2;
+/** Feeders that follow the store. */
+const STORE_FOLLOWERS = 3;
 /** Age of a feeder's last report from which the feeder counts as silent. */
 const MAX_REPORT_AGE_MILLISECONDS = 1_000;
-/** Age from which the store's last response counts as too old. */
+/**
+ * Age from which the store's last response counts as too old. Feeders follow the
+ * store before the hosts that they feed do, which are many.
+ */
 const MAX_RESPONSE_AGE_MILLISECONDS = 3_200;
+const MAX_FEEDER_RESPONSE_AGE_MILLISECONDS = 2_600;
 const FEEDER_RANKING_KEY = 'feeder';
 
 /** What this host does in following the store. */
@@ -52,20 +59,29 @@
   others: readonly HostAddress[],
 ): FeedPlan {
   if (others.length < MAX_DIRECT_HOSTS) return {follows: true, feeds: []};
-  const feeders = selectFeeders([self, ...others]);
+  const zones = selectFeeders([self, ...others]);
+  const feeders = new Set(zones.flat());
   if (!feeders.has(self.name)) return {follows: false, feeds: []};
+  const follows = selectFollowers(zones).has(self.name);
   const fed = others.filter(
     ({name, zone}) => zone === self.zone || feeders.has(name),
   );
-  return {follows: true, feeds: fed.map(({name}) => name)};
+  return {follows, feeds: fed.map(({name}) => name)};
 }
 
 /**
- * Whether the reports of feeders are fresh enough that this host need not
- * follow the store itself.
+ * Whether the reports of feeders are fresh enough that this host, which may be a
+ * feeder itself, need not follow the store.
  */
-export function isFeedFresh(reports: FeedReports, now: number): boolean {
-  return now - latestAnsweredAt(reports, now) < MAX_RESPONSE_AGE_MILLISECONDS;
+export function isFeedFresh(
+  reports: FeedReports,
+  now: number,
+  isFeeder: boolean,
+): boolean {
+  const maxAge = isFeeder
+    ? MAX_FEEDER_RESPONSE_AGE_MILLISECONDS
+    : MAX_RESPONSE_AGE_MILLISECONDS;
+  return now - latestAnsweredAt(reports, now) < maxAge;
 }
 
 /**
@@ -89,15 +105,27 @@
   );
 }
 
-function selectFeeders(hosts: readonly HostAddress[]): ReadonlySet<string> {
+/** The feeders of each zone, in rendezvous order. */
+function selectFeeders(hosts: readonly HostAddress[]): string[][] {
   const zones = new Map<string, string[]>();
   for (const {name, zone} of hosts) {
     const names = zones.get(zone);
     if (names) names.push(name);
     else zones.set(zone, [name]);
   }
-  const feeders = [...zones.values()].flatMap(names =>
+  return [...zones.values()].map(names =>
     rendezvousOrder(FEEDER_RANKING_KEY, names).slice(0, FEEDERS_PER_ZONE),
   );
-  return new Set(feeders);
+}
+
+/** The feeders that follow the store, in different zones as far as there are. */
+function selectFollowers(
+  zones: ReadonlyArray<readonly string[]>,
+): ReadonlySet<string> {
+  const firsts = zones.flatMap(([first]) => first ?? []);
+  const order = new Set([
+    ...rendezvousOrder(FEEDER_RANKING_KEY, firsts),
+    ...rendezvousOrder(FEEDER_RANKING_KEY, zones.flat()),
+  ]);
+  return new Set([...order].slice(0, STORE_FOLLOWERS));
 }
--- a/source/gossip/feeder.ts
+++ b/source/gossip/feeder.ts
@@ -27,6 +27,12 @@
 /** Least milliseconds between two requests for the records of a topic. */
 const MIN_REQUEST_INTERVAL_MILLISECONDS = 300;
 
+/**
+ * Time for which a feeder follows the store that has had no fresh report. It
+ * would else take what it has read itself, and others pass on, for theirs.
+ */
+const FALLBACK_MILLISECONDS = 10_000;
+
 /** What a feeder is created from. */
 export interface FeederOptions {
   readonly self: HostAddress;
@@ -58,6 +64,10 @@
 export class Feeder {
   private reports: ReadonlyMap<string, FeedReport> = new Map();
   private follows = true;
+  /** Whether it was fed at the last report. */
+  private wasFed = false;
+  /** Monotonic milliseconds until which this host follows the store itself. */
+  private fallbackUntil = -Infinity;
   private feeds: readonly string[] = [];
   /** For each topic, the offset up to which records have been forwarded. */
   private readonly forwardedUpTo = new Map<string, number>();
@@ -81,9 +91,9 @@
 
   /** Whether this host can leave it to feeders to follow the store. */
   get isFed(): boolean {
-    return (
-      !this.follows && isFeedFresh(this.reports, this.options.clock.monotonic())
-    );
+    const now = this.options.clock.monotonic();
+    if (this.follows || now < this.fallbackUntil) return false;
+    return isFeedFresh(this.reports, now, this.isFeeding);
   }
 
   /** Number of feeders whose last report is kept. */
@@ -129,6 +139,10 @@
     const plan = planFeed(self, hosts());
     this.follows = plan.follows;
     this.feeds = plan.feeds;
+    const {isFed} = this;
+    if (this.wasFed && !isFed && this.isFeeding)
+      this.fallbackUntil = clock.monotonic() + FALLBACK_MILLISECONDS;
+    this.wasFed = isFed;
     if (plan.feeds.length === 0) return this.forwardedUpTo.clear();
     this.forwardRecords();
     const now = clock.monotonic();
