Append the usage sheets of a zone together in a large fleet

Change: in a fleet of more than twelve hosts a host sends its sheets to one host of its zone (source/leader/usagerelay.ts, the same host that records the begun streams), which appends what it has gathered in 300 ms and tells each that it is stored. Who is not told within 1.2 s appends itself, before the window is frozen at 2.5 s.

--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -60,8 +60,8 @@
  * time limit must have left the process.
  */
 const LAST_RESPONSES_MILLISECONDS = 400;
-/** Ranks the hosts of a zone as the one that appends the begun streams. */
-const STREAM_RECORDER_KEY = 'stream-recorder';
+/** Ranks the hosts of a zone as the one that appends for the others. */
+const RECORDER_KEY = 'recorder';
 /** Milliseconds for which pulses of other hosts are batched. */
 const PULSE_BATCH_MILLISECONDS = 50;
 
@@ -266,6 +266,22 @@
     return new UsageMeter({
       incarnation: incarnationOf(this.address),
       hosts: () => this.gossip?.activeHosts ?? [],
+      relay: {
+        recorder: () => this.recorder(),
+        deliver: (name, {number, sheets}) =>
+          this.gossip?.send(name, {
+            kind: 'sheets',
+            from: this.address,
+            number,
+            sheets: [...sheets],
+          }),
+        confirm: (name, number) =>
+          this.gossip?.send(name, {
+            kind: 'sheets-stored',
+            from: this.address,
+            number,
+          }),
+      },
       window: settings.usage.windowMilliseconds,
       reportDeadline: settings.usage.lateMilliseconds,
       store: platform.store,
@@ -348,7 +364,7 @@
       clock,
       logger,
       metrics,
-      recorder: () => this.streamRecorder(),
+      recorder: () => this.recorder(),
       sendToRecorder: (name, groups) =>
         this.gossip?.send(name, {
           kind: 'streams',
@@ -362,13 +378,13 @@
    * The host of this zone that appends for the others; undefined in a small
    * fleet, in which each host appends itself, and for that host.
    */
-  private streamRecorder(): string | undefined {
+  private recorder(): string | undefined {
     const {name, zone} = this.parts.settings;
     const others = this.gossip?.activeHosts ?? [];
     if (others.length < MAX_DIRECT_HOSTS) return undefined;
     const sameZone = others.filter(host => host.zone === zone);
     const names = [name, ...sameZone.map(host => host.name)];
-    const [recorder] = rendezvousOrder(STREAM_RECORDER_KEY, names);
+    const [recorder] = rendezvousOrder(RECORDER_KEY, names);
     return recorder === name ? undefined : recorder;
   }
 
@@ -406,6 +422,9 @@
       onBegunParts: parts => this.quarantine.handleBegun(parts),
       onLimits: limits => this.selector.setLimitReports(limits),
       onBegunStreams: groups => this.versions.appendFor(groups),
+      onSheets: ({name}, delivery) =>
+        this.usage?.relay.handleDelivery(name, delivery),
+      onSheetsStored: number => this.usage?.relay.handleConfirmation(number),
       onHostLost: lost => void this.usage?.appendReplicaOf(incarnationOf(lost)),
     });
   }
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -176,6 +176,22 @@
   groups: z.array(begunGroupSchema),
 });
 
+/** Usage sheets of the sender, for the receiver to append. */
+const sheetsMessageSchema = z.object({
+  kind: z.literal('sheets'),
+  from: hostAddressSchema,
+  /** Numbers these messages of the sender. */
+  number: z.number().int(),
+  sheets: z.array(sheetSchema),
+});
+
+/** Tells a host that its sheets are in the store. */
+const sheetsStoredSchema = z.object({
+  kind: z.literal('sheets-stored'),
+  from: hostAddressSchema,
+  number: z.number().int(),
+});
+
 export const gossipSchema = z.discriminatedUnion('kind', [
   pulseSchema,
   feedSchema,
@@ -185,5 +201,7 @@
   begunMessageSchema,
   limitsMessageSchema,
   streamsMessageSchema,
+  sheetsMessageSchema,
+  sheetsStoredSchema,
 ]);
 export type GossipMessage = z.infer<typeof gossipSchema>;
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -83,6 +83,12 @@
   readonly limits: readonly LimitStatement[];
 }
 
+/** Usage sheets of a host, with the number of its message. */
+interface SheetDelivery {
+  readonly number: number;
+  readonly sheets: readonly Sheet[];
+}
+
 /** What the gossip of a host is created from. */
 export interface GossipOptions {
   readonly self: HostAddress;
@@ -114,6 +120,10 @@
   readonly onLimits: (limits: readonly LimitStatement[]) => void;
   /** Called with streams that another host leaves to this one to append. */
   readonly onBegunStreams: (groups: readonly BegunGroup[]) => void;
+  /** Called with usage sheets that another host leaves to this one to append. */
+  readonly onSheets: (host: HostAddress, delivery: SheetDelivery) => void;
+  /** Called when the sheets that this host has sent to another are stored. */
+  readonly onSheetsStored: (number: number) => void;
   /** Called when a host has become unreachable or has started anew. */
   readonly onHostLost: (host: HostAddress) => void;
 }
@@ -396,6 +406,10 @@
         return this.options.onLimits(message.limits);
       case 'streams':
         return this.options.onBegunStreams(message.groups);
+      case 'sheets':
+        return this.options.onSheets(message.from, message);
+      case 'sheets-stored':
+        return this.options.onSheetsStored(message.number);
     }
   }
 
--- a/source/leader/usage.ts
+++ b/source/leader/usage.ts
@@ -29,6 +29,7 @@
   type UsageLedger,
 } from '../usage/index.js';
 import type {FencedPlatformClient, Leader} from './client.js';
+import {UsageRelay, type UsageRelayOptions} from './usagerelay.js';
 
 const TOPIC = 'usage';
 /** Usage is counted for the platform as a whole, as if it had one region. */
@@ -58,6 +59,8 @@
   readonly incarnation: string;
   /** The other hosts, whose sheets a freeze waits for. */
   readonly hosts: () => readonly HostAddress[];
+  /** How sheets are passed to the host that appends them for this one. */
+  readonly relay: Pick<UsageRelayOptions, 'recorder' | 'deliver' | 'confirm'>;
   /** Length of a window in milliseconds. */
   readonly window: number;
   /** Milliseconds after its end within which a window must be reported. */
@@ -77,10 +80,17 @@
   private readonly replicas = new Map<string, readonly Sheet[]>();
   private ledger: UsageLedger = emptyLedger();
   private readonly topic: TopicReader;
+  /** Stores this host's sheets, and those that others send to it. */
+  readonly relay: UsageRelay;
   private stopTimer: Cancel = () => {};
 
   constructor(private readonly options: UsageMeterOptions) {
     this.sheets = new UsageSheets(REGION, options.incarnation);
+    this.relay = new UsageRelay({
+      ...options.relay,
+      clock: options.clock,
+      append: sheets => this.appendSheets(sheets),
+    });
     this.topic = new TopicReader({
       store: options.store,
       topic: TOPIC,
@@ -188,7 +198,7 @@
     this.removeOldReplicas(this.windowAt(0) - RETAINED_WINDOWS);
     const sheets = this.sheets.takeUpdates(false);
     if (sheets.length === 0) return;
-    if (await this.appendSheets(sheets)) return;
+    if (await this.relay.store(sheets)) return;
     const windows = new Set(sheets.map(({window}) => window));
     this.retryAppend(windows);
   }
--- a/test/correctedclock.test.ts
+++ b/test/correctedclock.test.ts
@@ -124,6 +124,11 @@
       const usage = new UsageMeter({
         incarnation: 'host-1 1',
         hosts: () => [],
+        relay: {
+          recorder: () => undefined,
+          deliver: () => {},
+          confirm: () => {},
+        },
         window: WINDOW_MILLISECONDS,
         reportDeadline: 2 * WINDOW_MILLISECONDS,
         store: new UnusedStore(),
--- a/test/gossip.test.ts
+++ b/test/gossip.test.ts
@@ -162,6 +162,8 @@
     onBegunParts: () => {},
     onLimits: () => {},
     onBegunStreams: () => {},
+    onSheets: () => {},
+    onSheetsStored: () => {},
     onHostLost: host => lostHosts.push(host.name),
   });
   await node.start();
--- a/test/replicas.test.ts
+++ b/test/replicas.test.ts
@@ -86,6 +86,11 @@
   const usage = new UsageMeter({
     incarnation: 'host-1 1',
     hosts: () => [],
+    relay: {
+      recorder: () => undefined,
+      deliver: () => {},
+      confirm: () => {},
+    },
     window: WINDOW,
     reportDeadline: 2 * WINDOW,
     store,
