Let each feeder follow the configuration itself

From reading: with three followers a configuration goes through one host more, whose link sends it to each host of its zone and to each feeder in turn.

--- a/source/edge/index.ts
+++ b/source/edge/index.ts
@@ -6,5 +6,6 @@
   type PlatformParts,
 } from './platform.js';
 export {runEdge, type EdgeOptions} from './run.js';
+export {PlatformView, type PlatformViewOptions} from './platformview.js';
 export {EdgeHost, type EdgeHostParts} from './host.js';
 export {edgeSettingsSchema, type EdgeSettings} from './settings.js';
--- a/source/edge/platformview.ts
+++ b/source/edge/platformview.ts
@@ -71,18 +71,20 @@
       logger,
       metrics,
       random,
-      fed,
       feeds,
       heard: (answered: boolean) => this.recordStoreCall(answered),
     };
     this.operatorFollower = new KeyedFollower({
       ...common,
       topic: reader.operatorTopic,
+      // Configurations are large and urgent: each feeder reads them itself.
+      fed: () => fed() && !feeds(),
       onChanges: records => this.applyOperatorRecords(records),
     });
     this.endpointFollower = new KeyedFollower({
       ...common,
       topic: reader.endpointTopic,
+      fed,
       onChanges: records => this.applyEndpointRecords(records),
     });
   }
--- a/source/gossip/feed.ts
+++ b/source/gossip/feed.ts
@@ -63,9 +63,12 @@
   const feeders = new Set(zones.flat());
   if (!feeders.has(self.name)) return {follows: false, feeds: []};
   const follows = selectFollowers(zones).has(self.name);
-  const fed = others.filter(
-    ({name, zone}) => zone === self.zone || feeders.has(name),
+  const otherFeeders = others.filter(({name}) => feeders.has(name));
+  const sameZone = others.filter(
+    ({name, zone}) => zone === self.zone && !feeders.has(name),
   );
+  // In this order, as the other feeders have hosts to feed in their turn.
+  const fed = [...otherFeeders, ...sameZone];
   return {follows, feeds: fed.map(({name}) => name)};
 }
 
