--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -5,11 +5,7 @@
 import type {Server, ServerResponse} from 'node:http';
 
 import {Admission} from '../admission/index.js';
-import {
-  EndpointSelector,
-  rendezvousOrder,
-  type LimitChange,
-} from '../balance/index.js';
+import {EndpointSelector, type LimitChange} from '../balance/index.js';
 import {hostChart} from '../charts/index.js';
 import {CorrectedClock, type Cancel, type Clock} from '../clock/index.js';
 import {
@@ -23,7 +19,6 @@
   Feeder,
   GossipNode,
   incarnationOf,
-  MAX_DIRECT_HOSTS,
   type HostAddress,
   type Pulse,
 } from '../gossip/index.js';
@@ -40,6 +35,7 @@
 import {Prober} from './prober.js';
 import {createOperatorServer, createReadinessServer} from './servers.js';
 import type {EdgeSettings} from './settings.js';
+import {ZoneRecorder} from './zonerecorder.js';
 
 /** Requests that may wait in the admission queue of this host. */
 const MAX_QUEUED_REQUESTS = 2_000;
@@ -60,8 +56,6 @@
  * time limit must have left the process.
  */
 const LAST_RESPONSES_MILLISECONDS = 400;
-/** Ranks the hosts of a zone as the one that appends for the others. */
-const RECORDER_KEY = 'recorder';
 /** Milliseconds for which pulses of other hosts are batched. */
 const PULSE_BATCH_MILLISECONDS = 50;
 
@@ -81,6 +75,7 @@
   private readonly clock: CorrectedClock;
   /** Identifies this incarnation of the host to the others. */
   private readonly address: HostAddress;
+  private readonly recorder: ZoneRecorder;
   private readonly platformView: PlatformView;
   private readonly selector: EndpointSelector;
   private readonly admission: Admission;
@@ -110,6 +105,11 @@
     this.clock = clock;
     const started = parts.clock.now().getTime();
     this.address = {name: host, started, address: settings.hosts ?? '', zone};
+    this.recorder = new ZoneRecorder({
+      self: this.address,
+      hosts: () => this.gossip?.activeHosts ?? [],
+      send: (name, message) => this.gossip?.send(name, message),
+    });
     const {regions} = settings;
     this.selector = new EndpointSelector({
       host,
@@ -261,26 +261,15 @@
 
   private createUsage(): UsageMeter | undefined {
     const {settings, platform, logger, metrics, random} = this.parts;
-    const {clock} = this;
+    const {clock, recorder} = this;
     if (!platform.leaderClient) return undefined;
     return new UsageMeter({
       incarnation: incarnationOf(this.address),
       hosts: () => this.gossip?.activeHosts ?? [],
       relay: {
-        recorder: () => this.recorder(),
-        deliver: (name, {number, sheets}) =>
-          this.gossip?.send(name, {
-            kind: 'sheets',
-            from: this.address,
-            number,
-            sheets: [...sheets],
-          }),
-        confirm: (name, number) =>
-          this.gossip?.send(name, {
-            kind: 'sheets-stored',
-            from: this.address,
-            number,
-          }),
+        recorder: () => recorder.name,
+        deliver: (name, delivery) => recorder.sendSheets(name, delivery),
+        confirm: (name, number) => recorder.confirmSheets(name, number),
       },
       window: settings.usage.windowMilliseconds,
       reportDeadline: settings.usage.lateMilliseconds,
@@ -358,36 +347,17 @@
 
   private createStreamVersions(): StreamVersions {
     const {platform, logger, metrics} = this.parts;
-    const {clock} = this;
+    const {clock, recorder} = this;
     return new StreamVersions({
       store: platform.store,
       clock,
       logger,
       metrics,
-      recorder: () => this.recorder(),
-      sendToRecorder: (name, groups) =>
-        this.gossip?.send(name, {
-          kind: 'streams',
-          from: this.address,
-          groups: [...groups],
-        }),
+      recorder: () => recorder.name,
+      sendToRecorder: (name, groups) => recorder.sendStreams(name, groups),
     });
   }
 
-  /**
-   * The host of this zone that appends for the others; undefined in a small
-   * fleet, in which each host appends itself, and for that host.
-   */
-  private recorder(): string | undefined {
-    const {name, zone} = this.parts.settings;
-    const others = this.gossip?.activeHosts ?? [];
-    if (others.length < MAX_DIRECT_HOSTS) return undefined;
-    const sameZone = others.filter(host => host.zone === zone);
-    const names = [name, ...sameZone.map(host => host.name)];
-    const [recorder] = rendezvousOrder(RECORDER_KEY, names);
-    return recorder === name ? undefined : recorder;
-  }
-
   private createGossip(): GossipNode | undefined {
     const {settings, logger, metrics} = this.parts;
     const {clock} = this;
