Take a stream of a split route up at the service that began it

What callers could see: on a route that is split between services, a stream is taken up at the other service, since each attempt of a caller draws its service anew, and its text is joined from two services.

Cause: the service follows from a hash of the attempt's id, and a take-up has another id. Found while looking for the cause of joined versions elsewhere.

Evidence: test/forward.test.ts, red before (503, as the other service has no endpoint).

Fix: the service follows from the attempt that the caller names as the first one.

--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -172,7 +172,8 @@
       const isKeyRejected = routingTable.requiresKeys && !route.open && !team;
       if (isKeyRejected)
         throw new Refusal('key-unknown', 'not-run', 'no such key');
-      const point = hashToUnitInterval(request.id);
+      // A stream that is taken up goes to the service that began it.
+      const point = hashToUnitInterval(request.resumes ?? request.id);
       const service = serviceFor(route, point);
       return new RequestContext({request, route, team, service, answer, clock});
     } catch (error) {
--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -7,9 +7,12 @@
 
 import test from 'ava';
 
+import {hashToUnitInterval} from '../source/balance/index.js';
+import {serviceFor} from '../source/routing/index.js';
 import {
   ForwarderFixture,
   respondWith,
+  ROUTE,
   sealHeaders,
   type Behaviour,
   type ReceivedRequest,
@@ -409,3 +412,30 @@
   t.is(reply.body, eventsUpTo(4));
   t.is(fixture.received.length, 2);
 });
+
+test('a stream of a route that is split between services is taken up at the service that began it', async t => {
+  const shares = [
+    {service: ROUTE.shares[0]?.service ?? '', weight: 1},
+    {service: 'other', weight: 1},
+  ];
+  const route = {streaming: true, resumable: true, attempts: 2, shares};
+  const fixture = await ForwarderFixture.start(t, route, [
+    (received, response) => {
+      sendEvents(received, response, 4);
+      response.end();
+    },
+  ]);
+  const serviceOf = (id: string) =>
+    serviceFor({...ROUTE, ...route}, hashToUnitInterval(id));
+  const ids = Array.from({length: 50}, (_, index) => `attempt-${index}`);
+  const begun = ids.find(id => serviceOf(id) !== 'other') ?? '';
+  const again = ids.find(id => serviceOf(id) === 'other') ?? '';
+  const headers = {
+    'x-attempt-id': again,
+    resumes: begun,
+    'last-event-id': '2',
+  };
+  const reply = await fixture.send(headers);
+  t.is(reply.status, 200);
+  t.is(reply.body, `${eventText(3)}${eventText(4)}`);
+});
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -28,6 +28,7 @@
   type Route,
   type RoutingConfiguration,
 } from '../../source/routing/index.js';
+import {StoreError} from '../../source/store/index.js';
 import {StreamVersions} from '../../source/versions/index.js';
 import {UnusedStore} from './unusedstore.js';
 
@@ -330,10 +331,17 @@
   };
 }
 
+/** A store that cannot be reached. */
+class UnreachableStore extends UnusedStore {
+  override async oldestOffset(): Promise<number> {
+    throw new StoreError('unreachable', 'away');
+  }
+}
+
 /** Returns the versions of streams as a host knows them that has no store. */
 function loneStreamVersions(clock: Clock, logger: Logger): StreamVersions {
   return new StreamVersions({
-    store: new UnusedStore(),
+    store: new UnreachableStore(),
     clock,
     logger,
     metrics: new Metrics(),
