--- a/source/clock/corrected.ts
+++ b/source/clock/corrected.ts
@@ -88,6 +88,7 @@
     this.correct({by, source: 'peers'});
   }
 
+  /** Follows the machine's time of day, unless it has just jumped. */
   private follow(offset: number, monotonic: number): void {
     const jump = offset - this.offset;
     if (Math.abs(jump) <= MAX_DRIFT_MILLISECONDS) {
--- a/source/edge/zonerecorder.ts
+++ b/source/edge/zonerecorder.ts
@@ -8,8 +8,8 @@
   MAX_DIRECT_HOSTS,
   type GossipMessage,
   type HostAddress,
+  type SheetDelivery,
 } from '../gossip/index.js';
-import type {SheetDelivery} from '../leader/index.js';
 import type {BegunGroup} from '../versions/index.js';
 
 /** Ranks the hosts of a zone as the one that appends for the others. */
--- a/source/gossip/feed.ts
+++ b/source/gossip/feed.ts
@@ -59,10 +59,10 @@
   others: readonly HostAddress[],
 ): FeedPlan {
   if (others.length < MAX_DIRECT_HOSTS) return {follows: true, feeds: []};
-  const zones = selectFeeders([self, ...others]);
-  const feeders = new Set(zones.flat());
+  const feedersByZone = selectFeeders([self, ...others]);
+  const feeders = new Set(feedersByZone.flat());
   if (!feeders.has(self.name)) return {follows: false, feeds: []};
-  const follows = selectFollowers(zones).has(self.name);
+  const follows = selectFollowers(feedersByZone).has(self.name);
   const otherFeeders = others.filter(({name}) => feeders.has(name));
   const sameZone = others.filter(
     ({name, zone}) => zone === self.zone && !feeders.has(name),
@@ -123,12 +123,12 @@
 
 /** The feeders that follow the store, in different zones as far as there are. */
 function selectFollowers(
-  zones: ReadonlyArray<readonly string[]>,
+  feedersByZone: ReadonlyArray<readonly string[]>,
 ): ReadonlySet<string> {
-  const firsts = zones.flatMap(([first]) => first ?? []);
+  const firsts = feedersByZone.flatMap(([first]) => first ?? []);
   const order = new Set([
     ...rendezvousOrder(FEEDER_RANKING_KEY, firsts),
-    ...rendezvousOrder(FEEDER_RANKING_KEY, zones.flat()),
+    ...rendezvousOrder(FEEDER_RANKING_KEY, feedersByZone.flat()),
   ]);
   return new Set([...order].slice(0, STORE_FOLLOWERS));
 }
--- a/source/gossip/index.ts
+++ b/source/gossip/index.ts
@@ -27,5 +27,6 @@
   type GossipMessage,
   type HostAddress,
   type Pulse,
+  type SheetDelivery,
   type TopicPosition,
 } from './message.js';
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -4,7 +4,7 @@
  */
 import * as z from 'zod';
 
-import {sheetSchema} from '../platform/index.js';
+import {sheetSchema, type Sheet} from '../platform/index.js';
 import {
   begunPartSchema,
   blocklistEntrySchema,
@@ -185,6 +185,13 @@
   sheets: z.array(sheetSchema),
 });
 
+/** Usage sheets that a host leaves to another one to append. */
+export interface SheetDelivery {
+  /** Numbers the deliveries of a host. */
+  readonly number: number;
+  readonly sheets: readonly Sheet[];
+}
+
 /** Tells a host that its sheets are in the store. */
 const sheetsStoredSchema = z.object({
   kind: z.literal('sheets-stored'),
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -44,6 +44,7 @@
   type GossipMessage,
   type HostAddress,
   type Pulse,
+  type SheetDelivery,
   type TopicPosition,
 } from './message.js';
 import {OutboundConnection} from './outbound.js';
@@ -83,12 +84,6 @@
   readonly limits: readonly LimitStatement[];
 }
 
-/** Usage sheets of a host, with the number of its message. */
-interface SheetDelivery {
-  readonly number: number;
-  readonly sheets: readonly Sheet[];
-}
-
 /** What the gossip of a host is created from. */
 export interface GossipOptions {
   readonly self: HostAddress;
--- a/source/leader/index.ts
+++ b/source/leader/index.ts
@@ -25,9 +25,5 @@
   type AutoscalerOptions,
   type AutoscalerView,
 } from './autoscaler.js';
-export {
-  UsageRelay,
-  type SheetDelivery,
-  type UsageRelayOptions,
-} from './usagerelay.js';
+export {UsageRelay, type UsageRelayOptions} from './usagerelay.js';
 export {UsageMeter, type UsageMeterOptions} from './usage.js';
--- a/source/leader/usagerelay.ts
+++ b/source/leader/usagerelay.ts
@@ -5,6 +5,7 @@
  * itself; a sheet that is stored twice counts once.
  */
 import type {Cancel, Clock} from '../clock/index.js';
+import type {SheetDelivery} from '../gossip/index.js';
 import type {Sheet} from '../platform/index.js';
 
 /** Milliseconds for which sheets of several hosts are gathered. */
@@ -12,13 +13,6 @@
 /** Milliseconds after which a host no longer waits to be told. */
 const CONFIRMATION_TIMEOUT_MILLISECONDS = 1_200;
 
-/** Sheets that a host sends to the one that appends them. */
-export interface SheetDelivery {
-  /** Numbers the deliveries of a host. */
-  readonly number: number;
-  readonly sheets: readonly Sheet[];
-}
-
 /** What a relay of sheets is created from. */
 export interface UsageRelayOptions {
   readonly clock: Clock;
--- a/source/store/topicreader.ts
+++ b/source/store/topicreader.ts
@@ -27,7 +27,10 @@
 
   /** Reads to the end of the topic. Throws a StoreError. */
   async readToEnd(): Promise<void> {
-    while ((await this.readPage(0)) > 0);
+    let count: number;
+    do {
+      count = await this.readPage(0);
+    } while (count > 0);
   }
 
   /**
