Let the test of a release with all hosts killed fail on the code before

Cause: hosts take equal endpoints in turn, so the returned hosts chose for the streams in the same order as before.

Change: each returned host serves another stream first.

--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -132,6 +132,9 @@
   const begun = await beginThenKillAll(fleet, hosts);
   const returned = hosts.map(host => fleet.restart(host));
   await Promise.all(returned.map(host => fleet.ready(host)));
+  // The hosts take equal endpoints in turn, and would otherwise do so as before.
+  for (const host of returned)
+    await read(host, {'x-attempt-id': `other-${host.name}`}, EVENTS);
   const rest = await takeUp(returned, begun);
   t.deepEqual(rest, begun);
   t.is(new Set(begun.values()).size, 2);
