Log with each send its tier and the endpoint's load, and with a refusal what it lacked

A request-sent line now has the tier, the requests and the prefill that the endpoint was believed to have; a request line has the tier; a refusal for lateness or a time-out ends with what was lacking (no-endpoint, host-requests, host-prefill, endpoints-full). No decision changes.

--- a/source/admission/admission.ts
+++ b/source/admission/admission.ts
@@ -272,7 +272,8 @@
     const floors = this.queue.floorTracker(pool);
     const isOwed = floors.shortfall(className, floorShare, now) > 0;
     if (isServing && !isOwed && this.queue.isOvertaken(queued.group)) {
-      const detail = `too late for its target after ${Math.round(this.age(queued))} ms`;
+      const waited = Math.round(this.age(queued));
+      const detail = `too late for its target after ${waited} ms${this.reason(queued)}`;
       return this.drop(
         queued,
         new Refusal('target-unreachable', 'not-run', detail),
@@ -309,7 +310,7 @@
     ) {
       return this.startTimer(queued, PREEMPTION_RECHECK_MILLISECONDS);
     }
-    const detail = `waited ${queued.bound} ms`;
+    const detail = `waited ${queued.bound} ms${this.reason(queued)}`;
     this.drop(queued, new Refusal('queue-timeout', 'not-run', detail));
   }
 
@@ -322,6 +323,12 @@
     return false;
   }
 
+  /** The end of a refusal’s text: what the request lacks to start. */
+  private reason({group}: QueuedRequest): string {
+    const shortage = this.options.capacity.shortage(group);
+    return shortage ? `: ${shortage}` : '';
+  }
+
   /** Takes a request out of the queue and refuses it, unless it has started. */
   private drop(queued: QueuedRequest, refusal: Refusal): void {
     if (!this.queue.remove(queued)) return;
--- a/source/admission/index.ts
+++ b/source/admission/index.ts
@@ -3,6 +3,7 @@
 export {
   CapacityProvider,
   type AdmissionRequest,
+  type CapacityShortage,
   type SchedulingGroup,
   groupKey,
 } from './request.js';
--- a/source/admission/request.ts
+++ b/source/admission/request.ts
@@ -58,10 +58,25 @@
   return `${pool} ${className} ${repeatable ? 'any' : 'firm'}${regions}${late}`;
 }
 
+/** What a group’s next request lacks. */
+export type CapacityShortage =
+  /** No endpoint may get the request. */
+  | 'no-endpoint'
+  /** This host has as many requests at the endpoints as it may. */
+  | 'host-requests'
+  /** As much prefill of this host waits at the endpoints as may. */
+  | 'host-prefill'
+  /** Every endpoint is believed to be full. */
+  | 'endpoints-full';
+
 /** Tells admission how much capacity the endpoints have for this host. */
 export abstract class CapacityProvider {
   /** Whether the group’s next request could start now. */
   abstract hasCapacity(group: SchedulingGroup): boolean;
+  /** What the group’s next request lacks to start now; undefined for nothing. */
+  shortage(group: SchedulingGroup): CapacityShortage | undefined {
+    return this.hasCapacity(group) ? undefined : 'endpoints-full';
+  }
   /** Slots that this host may fill in the pool, used and free. */
   abstract slotCount(pool: string): number;
 }
--- a/source/balance/choose.ts
+++ b/source/balance/choose.ts
@@ -54,6 +54,8 @@
   readonly waitMilliseconds: number;
   /** Milliseconds of prefill that the request adds at the endpoint. */
   readonly prefillMilliseconds: number;
+  /** Requests of all hosts that the endpoint is believed to have already. */
+  readonly expectedRequests: number;
 }
 
 /** Cost of an endpoint in its cold start. */
@@ -109,8 +111,13 @@
   });
   if (!chosen) return undefined;
   const {candidate, cost} = chosen;
-  const waitMilliseconds = cost;
-  return {id: candidate.id, cost, prefillMilliseconds: 0, waitMilliseconds};
+  return {
+    id: candidate.id,
+    cost,
+    prefillMilliseconds: 0,
+    waitMilliseconds: cost,
+    expectedRequests: expectedRequests(candidate.load, now),
+  };
 }
 
 /**
@@ -150,9 +157,14 @@
   if (!chosen) return undefined;
   const {candidate, cost} = chosen;
   const prefillMilliseconds = prefillAt(candidate);
-  const queued = expectedLoad(candidate.load, now).prefillMilliseconds;
-  const waitMilliseconds = queued + prefillMilliseconds;
-  return {id: candidate.id, cost, prefillMilliseconds, waitMilliseconds};
+  const expected = expectedLoad(candidate.load, now);
+  return {
+    id: candidate.id,
+    cost,
+    prefillMilliseconds,
+    waitMilliseconds: expected.prefillMilliseconds + prefillMilliseconds,
+    expectedRequests: expected.requests,
+  };
 }
 
 /**
--- a/source/balance/selector.ts
+++ b/source/balance/selector.ts
@@ -3,7 +3,11 @@
  * configuration, the store, the endpoints' responses and the reports of other
  * hosts say about the endpoints, and counts the requests that are sent to each.
  */
-import {CapacityProvider, type SchedulingGroup} from '../admission/index.js';
+import {
+  CapacityProvider,
+  type CapacityShortage,
+  type SchedulingGroup,
+} from '../admission/index.js';
 import type {Clock} from '../clock/index.js';
 import type {Directory, KnownEndpoint} from '../directory/index.js';
 import type {AllowedRegions, Service} from '../routing/index.js';
@@ -174,19 +178,26 @@
   }
 
   override hasCapacity(group: SchedulingGroup): boolean {
+    return this.shortage(group) === undefined;
+  }
+
+  override shortage(group: SchedulingGroup): CapacityShortage | undefined {
     const now = this.now();
     const eligible = this.eligible(group.pool, now, group.homes);
+    if (eligible.size === 0) return 'no-endpoint';
     const engine = this.endpoints.services.get(group.pool)?.engine;
     const requestsPerSlot = engine
       ? (TIER_SLOT_FRACTIONS[group.tier] ?? LOWEST_TIER_SLOT_FRACTION)
       : PLAIN_REQUESTS_PER_SLOT;
-    if (engine && !this.isBelowHostLimit(group.pool, eligible, requestsPerSlot))
-      return false;
-    return eligible.endpoints.some(
+    const limited =
+      engine && this.hostShortage(group.pool, eligible, requestsPerSlot);
+    if (limited) return limited;
+    const hasFreeSlot = eligible.endpoints.some(
       ({entry}) =>
         expectedRequests(this.loads.get(entry.id), now) <
         entry.slots * requestsPerSlot,
     );
+    return hasFreeSlot ? undefined : 'endpoints-full';
   }
 
   /** This host’s equal share of the slots of a pool’s eligible endpoints. */
@@ -494,14 +505,14 @@
   }
 
   /**
-   * Whether this host’s requests at the engines, and the prefill that these wait
-   * for, are below its limits there.
+   * Which of this host’s limits at the engines, on requests and on prefill that
+   * these wait for, leaves no room; undefined for none.
    */
-  private isBelowHostLimit(
+  private hostShortage(
     service: string,
     eligible: EligibleSet,
     requestsPerSlot: number,
-  ): boolean {
+  ): CapacityShortage | undefined {
     const ownDemand = totalDemand(this.demand.ownDemand(service));
     const fleetDemand = totalDemand(
       this.demand.fleetDemand(service, this.hostCount),
@@ -510,10 +521,10 @@
     const own = this.loads.ownLoad(eligible, this.now());
     const slotLimit = hostSlotLimit(eligible.slots, demand);
     const prefillLimit = hostPrefillLimit(eligible.size, demand);
-    return (
-      own.requests < slotLimit * requestsPerSlot &&
-      own.prefillMilliseconds < prefillLimit * requestsPerSlot
-    );
+    if (own.requests >= slotLimit * requestsPerSlot) return 'host-requests';
+    if (own.prefillMilliseconds >= prefillLimit * requestsPerSlot)
+      return 'host-prefill';
+    return undefined;
   }
 
   private readonly ejectedUntil = (id: string) =>
--- a/source/forward/requestlog.ts
+++ b/source/forward/requestlog.ts
@@ -35,6 +35,11 @@
       zone,
       cost: Math.round(choice.cost),
       reading: Math.round(choice.prefillMilliseconds),
+      queuedReading: Math.round(
+        choice.waitMilliseconds - choice.prefillMilliseconds,
+      ),
+      running: Math.round(choice.expectedRequests),
+      tier: context.tier,
       waited: Math.round(clock.monotonic() - context.arrived),
       send: context.sends,
     });
@@ -81,6 +86,7 @@
       detail,
       route: route.name,
       team: team?.name ?? '',
+      tier: context.tier,
       service,
       version,
       sends: context.sends,
