Serve requests by their team's priority and then by their route's

What callers saw: urgent requests were put back at an engine while less urgent ones ran on, or got nothing while larger, less urgent ones began. Cause: the priority of a team replaced that of the route. Operators give all ordinary teams the same one, so all their requests had one tier: hosts queued counter-suggest and glossary-draft alike, and told engines the same priority for both, so that an engine that ran out of memory put back the newest, whatever its kind. A team's priority now goes first and the route's decides between requests of equal teams, as one number that is sent to engines and that hosts queue by.

Evidence: the tier in the logs of both-kinds (1 for every ordinary team, 0 for the privileged one, whatever the route).

In a rolling release hosts of the build before send lower numbers for ordinary teams than the new ones, until they are replaced.

--- a/source/forward/context.ts
+++ b/source/forward/context.ts
@@ -7,6 +7,7 @@
 import {Refusal} from '../errors/index.js';
 import {
   allowedRegionsFor,
+  tierOf,
   type AllowedRegions,
   type Route,
   type Team,
@@ -109,7 +110,7 @@
 
   /** Priority tier; 0 is served first. */
   get tier(): number {
-    return this.team?.tier ?? this.route.tier;
+    return tierOf(this.route, this.team);
   }
 
   /** Milliseconds until the final response is due; 0 after that. */
--- a/source/routing/index.ts
+++ b/source/routing/index.ts
@@ -4,6 +4,7 @@
   isRegionAllowed,
   type AllowedRegions,
 } from './regions.js';
+export {tierOf} from './tier.js';
 export {
   RoutingTable,
   routingConfigurationSchema,
--- a/source/routing/table.ts
+++ b/source/routing/table.ts
@@ -26,7 +26,7 @@
   resumable: z.boolean(),
   /** Whether requests need no key. */
   open: z.boolean(),
-  /** Priority tier; 0 is served first. */
+  /** Its place in the order among requests of equal teams; 0 is served first. */
   tier: z.number().int(),
   /** Milliseconds within which a response, or its first event, is in time. */
   target: z.number(),
@@ -90,7 +90,7 @@
   name: z.string(),
   /** API keys. */
   keys: z.array(z.string()),
-  /** Overrides the route's tier. */
+  /** Its requests go before those of teams with a higher tier, on any route. */
   tier: z.number().int().optional(),
   /** Regions in which its requests may be served; empty for any region. */
   homes: z.array(z.string()),
