Compare the store's offsets within one era only

Cause: an offset was taken for a name that stays true. A record counted only if its offset was above what was known, so all that was written after the restore was passed over until the topic had grown beyond its old end. Hosts also asked each other for records by such offsets.

The adapter reads Store-Era. Offsets, positions between hosts and what feeders have forwarded are compared within one era; a full page of a later era replaces what is known and says so. What is in force goes by what the writers count: a configuration is replaced only by a newer version; an entry only by a later incarnation or sequence; what the copy says of zones, and of endpoints that were gone, waits until their writers had time to write again, and endpoints that the copy lacks lapse as after an outage. Hosts of the build before send no era, and are taken to be in the receiver's.

--- a/source/directory/directory.ts
+++ b/source/directory/directory.ts
@@ -53,6 +53,13 @@
   readonly lostAt: number;
   /** Milliseconds for which a lapsed entry is kept. */
   readonly lapse: number;
+  /** Whether the changes come from an older copy of the store. */
+  readonly isRestored?: boolean;
+  /**
+   * Whether endpoints may still write again what the store has lost, in which
+   * case a later entry may say something older.
+   */
+  readonly isRewritten?: boolean;
 }
 
 /**
@@ -87,6 +94,7 @@
   const lapses = areRemovalsLapses(before, changes, health);
   for (const {id, entry} of changes) {
     const known = after.get(id);
+    if (entry && known && isOlder(entry, known.entry, health)) continue;
     if (entry) after.set(id, updatedEndpoint(known, entry, health.now));
     else if (known && lapses) after.set(id, lapsedEndpoint(known, health));
     else after.delete(id);
@@ -108,6 +116,25 @@
   return after;
 }
 
+/**
+ * Whether an entry was written before the known one of the same endpoint, by an
+ * earlier incarnation or by the same one, which can be only after the store has
+ * come back from a copy. In the copy, one that does not say so is older if the
+ * endpoint is known to be leaving.
+ */
+function isOlder(
+  entry: EndpointEntry,
+  known: EndpointEntry,
+  {isRestored = false, isRewritten = false}: StoreHealth,
+): boolean {
+  if (!isRestored && !isRewritten) return false;
+  if (entry.born === undefined || known.born === undefined) return false;
+  if (entry.born !== known.born) return entry.born < known.born;
+  if (entry.sequence === undefined || known.sequence === undefined)
+    return isRestored && known.leaving && !entry.leaving;
+  return entry.sequence < known.sequence;
+}
+
 function updatedEndpoint(
   known: KnownEndpoint | undefined,
   entry: EndpointEntry,
@@ -136,8 +163,9 @@
 function areRemovalsLapses(
   before: Directory,
   changes: readonly EntryChange[],
-  {now, lostAt}: StoreHealth,
+  {now, lostAt, isRestored}: StoreHealth,
 ): boolean {
+  if (isRestored) return true;
   if (now - lostAt < OUTAGE_GRACE_MILLISECONDS) return true;
   const removed = changes.filter(
     ({id, entry}) =>
--- a/source/directory/entry.ts
+++ b/source/directory/entry.ts
@@ -22,6 +22,11 @@
    * same id.
    */
   born: z.number().optional(),
+  /**
+   * Counts what this incarnation has written, so a higher one is newer. Absent
+   * where its entry does not state it.
+   */
+  sequence: z.number().optional(),
   /**
    * Version of its software. What two versions write for one request does not fit
    * together. Absent where its entry does not state it.
--- a/source/edge/platformview.ts
+++ b/source/edge/platformview.ts
@@ -16,15 +16,32 @@
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {RandomSource} from '../random/index.js';
-import {RoutingTable} from '../routing/index.js';
+import {RoutingTable, type RoutingConfiguration} from '../routing/index.js';
 import {
   KeyedFollower,
   type KeyedRecord,
   type PeerRecordPage,
+  type StorePosition,
 } from '../store/index.js';
+import {DeferredRecords} from './deferred.js';
 import type {PlatformParts} from './platform.js';
 
 const LAPSE_CHECK_INTERVAL_MILLISECONDS = 250;
+/**
+ * Time after a restore of the store in which operators write again what they had
+ * said of the zones.
+ */
+const ZONE_REWRITE_MILLISECONDS = 2_500;
+/**
+ * Time after a restore of the store in which endpoints may write entries again
+ * that are older than what is known of them.
+ */
+const ENTRY_REWRITE_MILLISECONDS = 10_000;
+/**
+ * Time after a restore of the store in which it removes the entry of an endpoint
+ * that has left, since that is silent: several heartbeats.
+ */
+const ENTRY_EXPIRY_MILLISECONDS = 5_000;
 
 /** Dependencies and settings of a platform view. */
 export interface PlatformViewOptions extends PlatformParts {
@@ -50,6 +67,10 @@
   zonesOut: ReadonlySet<string> = new Set();
   private readonly operatorFollower: KeyedFollower;
   private readonly endpointFollower: KeyedFollower;
+  /** Monotonic milliseconds of the last restore of the endpoints' topic. */
+  private entriesRestoredAt = -Infinity;
+  private readonly deferredZones = new DeferredRecords();
+  private readonly deferredEntries = new DeferredRecords();
   /** Monotonic milliseconds at which the store was last found unreachable. */
   storeLostAt = -Infinity;
   private stopTimer: Cancel = () => {};
@@ -79,13 +100,20 @@
       topic: reader.operatorTopic,
       // Configurations are large and urgent: each feeder reads them itself.
       fed: () => fed() && !feeds(),
-      onChanges: records => this.applyOperatorRecords(records),
+      onChanges: (records, isRestored) =>
+        this.applyOperatorRecords(
+          isRestored ? this.deferZones(records) : records,
+        ),
     });
     this.endpointFollower = new KeyedFollower({
       ...common,
       topic: reader.endpointTopic,
       fed,
-      onChanges: records => this.applyEndpointRecords(records),
+      onChanges: (records, isRestored) =>
+        this.applyEndpointRecords(
+          isRestored ? this.deferUnknownEntries(records) : records,
+          isRestored,
+        ),
     });
   }
 
@@ -95,7 +123,7 @@
     void this.operatorFollower.run();
     void this.endpointFollower.run();
     this.stopTimer = clock.every(LAPSE_CHECK_INTERVAL_MILLISECONDS, () =>
-      this.removeLapsedEntries(),
+      this.applyWhatIsDue(),
     );
   }
 
@@ -107,14 +135,18 @@
 
   /** For each topic, the offset up to which this host knows it. */
   get positions(): TopicPosition[] {
-    return this.followers.map(({topic, position}) => ({topic, position}));
+    return this.followers.map(({topic, position: {offset, era}}) => ({
+      topic,
+      position: offset,
+      era,
+    }));
   }
 
   /**
-   * Returns the known records of a topic from an offset on, to be sent to another
-   * host; none for an unknown topic.
+   * Returns the known records of a topic from a position on, to be sent to
+   * another host; none for an unknown topic.
    */
-  recordsFrom(topic: string, position: number): PeerRecordPage {
+  recordsFrom(topic: string, position: StorePosition): PeerRecordPage {
     return (
       this.follower(topic)?.recordsFrom(position) ?? {
         records: [],
@@ -168,17 +200,37 @@
     if (!answered) this.recordStoreLoss(clock.monotonic());
   }
 
+  /** Defers what a restored store says of the zones; returns the rest. */
+  private deferZones(records: readonly KeyedRecord[]): KeyedRecord[] {
+    const {reader, clock} = this.options;
+    const dueAt = clock.monotonic() + ZONE_REWRITE_MILLISECONDS;
+    return records.filter(record => {
+      if (reader.parseOperatorRecord(record).kind !== 'zone') return true;
+      this.deferredZones.add(record, dueAt);
+      return false;
+    });
+  }
+
+  /**
+   * Defers entries of endpoints that are not known, which may have left since the
+   * copy of a restored store was made; returns the rest.
+   */
+  private deferUnknownEntries(records: readonly KeyedRecord[]): KeyedRecord[] {
+    const dueAt = this.options.clock.monotonic() + ENTRY_EXPIRY_MILLISECONDS;
+    return records.filter(record => {
+      if (!record.value || this.directory.has(record.key)) return true;
+      this.deferredEntries.add(record, dueAt);
+      return false;
+    });
+  }
+
   private applyOperatorRecords(records: readonly KeyedRecord[]): void {
     const {reader, logger, metrics} = this.options;
     for (const record of records) {
+      this.deferredZones.drop(record.key);
       const change = reader.parseOperatorRecord(record);
       if (change.kind === 'routing') {
-        this.routingTable = new RoutingTable(change.routing);
-        logger.info('configuration', {
-          version: this.routingTable.version,
-          offset: record.offset,
-          routes: change.routing.routes.length,
-        });
+        this.setRouting(change.routing, record.offset);
       } else if (change.kind === 'zone') {
         this.setZone(change.zone, change.out);
         logger.info('zone', {zone: change.zone, out: change.out});
@@ -190,6 +242,17 @@
     this.options.changed();
   }
 
+  /** Replaces the configuration, unless the one in force is newer. */
+  private setRouting(routing: RoutingConfiguration, offset: number): void {
+    const {logger} = this.options;
+    const {version, routes} = routing;
+    const known = this.routingTable?.version ?? -Infinity;
+    if (version < known)
+      return logger.warn('configuration-older', {version, known, offset});
+    this.routingTable = new RoutingTable(routing);
+    logger.info('configuration', {version, offset, routes: routes.length});
+  }
+
   private setZone(zone: string, out: boolean): void {
     const zones = new Set(this.zonesOut);
     if (out) zones.add(zone);
@@ -197,13 +260,21 @@
     this.zonesOut = zones;
   }
 
-  private applyEndpointRecords(records: readonly KeyedRecord[]): void {
+  private applyEndpointRecords(
+    records: readonly KeyedRecord[],
+    isRestored = false,
+  ): void {
     const {clock} = this.options;
+    for (const {key} of records) this.deferredEntries.drop(key);
     const changes = records.map(record => this.entryChange(record));
     const before = this.directory;
     const now = clock.monotonic();
     const lapse = lapseGracePeriod(this.options.drain);
-    const health = {now, lostAt: this.storeLostAt, lapse};
+    if (isRestored) this.entriesRestoredAt = now;
+    const isRewritten =
+      now - this.entriesRestoredAt < ENTRY_REWRITE_MILLISECONDS;
+    const lostAt = this.storeLostAt;
+    const health = {now, lostAt, lapse, isRestored, isRewritten};
     this.directory = applyEntryChanges(before, changes, health);
     for (const {id} of changes) this.logEndpoint(id, before);
     this.options.changed();
@@ -241,9 +312,18 @@
     });
   }
 
-  private removeLapsedEntries(): void {
+  private applyWhatIsDue(): void {
+    const now = this.options.clock.monotonic();
+    const zones = this.deferredZones.takeDue(now);
+    if (zones.length > 0) this.applyOperatorRecords(zones);
+    const entries = this.deferredEntries.takeDue(now);
+    if (entries.length > 0) this.applyEndpointRecords(entries);
+    this.removeLapsedEntries(now);
+  }
+
+  private removeLapsedEntries(now: number): void {
     const before = this.directory;
-    this.directory = removeLapsed(before, this.options.clock.monotonic());
+    this.directory = removeLapsed(before, now);
     if (this.directory === before) return;
     for (const id of before.keys()) {
       if (!this.directory.has(id)) this.logEndpoint(id, before);
--- a/source/gossip/feeder.ts
+++ b/source/gossip/feeder.ts
@@ -5,7 +5,11 @@
  * the store's response is on which that is based.
  */
 import type {Cancel, Clock} from '../clock/index.js';
-import type {PeerRecordPage} from '../store/index.js';
+import {
+  isBefore,
+  type PeerRecordPage,
+  type StorePosition,
+} from '../store/index.js';
 import {
   latestAnsweredAt,
   planFeed,
@@ -42,7 +46,7 @@
   readonly send: (host: string, message: GossipMessage) => void;
   /** How far this host knows each topic. */
   readonly positions: () => readonly TopicPosition[];
-  readonly records: (topic: string, position: number) => PeerRecordPage;
+  readonly records: (topic: string, position: StorePosition) => PeerRecordPage;
   /** Monotonic milliseconds of the store's last response to this host. */
   readonly answeredAt: () => number;
   /**
@@ -69,8 +73,8 @@
   /** Monotonic milliseconds until which this host follows the store itself. */
   private fallbackUntil = -Infinity;
   private feeds: readonly string[] = [];
-  /** For each topic, the offset up to which records have been forwarded. */
-  private readonly forwardedUpTo = new Map<string, number>();
+  /** For each topic, up to where records have been forwarded. */
+  private readonly forwardedUpTo = new Map<string, StorePosition>();
   private readonly requestedAt = new Map<string, number>();
   private stopTimer: Cancel = () => {};
   private stopBatching: Cancel | undefined;
@@ -128,9 +132,10 @@
     const report = {heardAt: now, answeredAt: now - age};
     this.reports = withoutSilent(this.reports, now).set(from.name, report);
     if (lostAgo !== undefined) onStoreLost(now - lostAgo);
-    for (const {topic, position} of positions) {
+    for (const {topic} of positions) {
       const known = positionOf(this.options.positions(), topic);
-      if (position > known) this.requestRecords(from.name, topic, known);
+      if (isBefore(known, positionOf(positions, topic)))
+        this.requestRecords(from.name, topic, known);
     }
   }
 
@@ -168,21 +173,26 @@
     this.stopBatching?.();
     this.stopBatching = undefined;
     const {self, positions, records, send} = this.options;
-    for (const {topic, position} of positions()) {
+    for (const {topic} of positions()) {
+      const position = positionOf(positions(), topic);
       const from = this.forwardedUpTo.get(topic) ?? position;
       this.forwardedUpTo.set(topic, position);
-      if (position <= from) continue;
+      if (!isBefore(from, position)) continue;
       const message = createRecordsMessage(self, topic, records(topic, from));
       for (const host of this.feeds) send(host, message);
     }
   }
 
-  private requestRecords(host: string, topic: string, position: number): void {
+  private requestRecords(
+    host: string,
+    topic: string,
+    {offset: position, era}: StorePosition,
+  ): void {
     const {clock, self, send} = this.options;
     const now = clock.monotonic();
     const last = this.requestedAt.get(topic) ?? -Infinity;
     if (now - last < MIN_REQUEST_INTERVAL_MILLISECONDS) return;
     this.requestedAt.set(topic, now);
-    send(host, {kind: 'wanted', from: self, topic, position});
+    send(host, {kind: 'wanted', from: self, topic, position, era});
   }
 }
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -60,11 +60,14 @@
 
 /** An offset in a topic of the store. */
 const offsetSchema = z.number().int().nonnegative();
+/** The store's era, within which offsets are compared; older hosts send none. */
+const eraSchema = z.number().int().nonnegative().optional();
 
 /** The offset up to which a host knows a topic. */
 const topicPositionSchema = z.object({
   topic: z.string(),
   position: offsetSchema,
+  era: eraSchema,
 });
 export type TopicPosition = z.infer<typeof topicPositionSchema>;
 
@@ -111,6 +114,7 @@
   topic: z.string(),
   /** The first offset that is requested. */
   position: offsetSchema,
+  era: eraSchema,
 });
 
 const bytesSchema = z.custom<Uint8Array>(value => value instanceof Uint8Array);
@@ -127,6 +131,7 @@
     }),
   ),
   end: offsetSchema,
+  era: eraSchema,
   /**
    * Whether these are all records that exist, not only those from an offset.
    */
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -24,7 +24,11 @@
   BlocklistEntry,
   CrashReport,
 } from '../quarantine/index.js';
-import type {PeerRecordPage} from '../store/index.js';
+import {
+  isBefore,
+  type PeerRecordPage,
+  type StorePosition,
+} from '../store/index.js';
 import type {BegunGroup} from '../versions/index.js';
 import {listen} from '../wire/index.js';
 import {
@@ -99,8 +103,8 @@
   readonly state: (period: number) => OwnState;
   /** Usage sheets of this host that may not be in the store yet. */
   readonly sheets: () => readonly Sheet[];
-  /** The records of a topic from an offset. */
-  readonly records: (topic: string, position: number) => PeerRecordPage;
+  /** The records of a topic from a position. */
+  readonly records: (topic: string, position: StorePosition) => PeerRecordPage;
   /** Called with records that another host has sent. */
   readonly onRecords: (topic: string, page: PeerRecordPage) => void;
   /** Called with each report of a host that follows the store for others. */
@@ -427,10 +431,12 @@
     onPulse(pulse);
   }
 
-  private handleRecordsRequest({from, topic, position}: RecordsRequest): void {
+  private handleRecordsRequest(request: RecordsRequest): void {
     const {records, self} = this.options;
+    const {from, topic} = request;
+    const position = {offset: request.position, era: request.era};
     const page = records(topic, position);
-    if (page.end <= position) return;
+    if (!isBefore(position, {offset: page.end, era: page.era})) return;
     const member = this.members.get(from.name);
     if (!member) return;
     this.peerFor(member).outbound.send(createRecordsMessage(self, topic, page));
@@ -442,9 +448,10 @@
    */
   private requestMissingRecords(now: number): void {
     const {state, self, logger} = this.options;
-    for (const {topic, position} of state(0).positions) {
-      const ahead = this.reachableMembers.find(
-        ({pulse}) => positionOf(pulse?.positions ?? [], topic) > position,
+    for (const {topic, position, era} of state(0).positions) {
+      const own = {offset: position, era};
+      const ahead = this.reachableMembers.find(({pulse}) =>
+        isBefore(own, positionOf(pulse?.positions ?? [], topic)),
       );
       if (!ahead) {
         this.behindSince.delete(topic);
@@ -455,7 +462,8 @@
       if (now - since < BEHIND_GRACE_MILLISECONDS) continue;
       const {name} = ahead.host;
       logger.info('records-asked', {topic, position, host: name});
-      const request = {kind: 'wanted', from: self, topic, position} as const;
+      const kind = 'wanted';
+      const request = {kind, from: self, topic, position, era} as const;
       this.peerFor(ahead).outbound.send(request);
     }
   }
--- a/source/store/counted.ts
+++ b/source/store/counted.ts
@@ -1,5 +1,6 @@
 /** A store whose calls are counted by kind, since each of them has a price. */
 import type {Metrics} from '../metrics/index.js';
+import type {StoreRestores} from './restores.js';
 import {
   RecordStore,
   type GroupAssignment,
@@ -11,11 +12,14 @@
 
 /** Passes calls on to another store, and counts them as `store-request`. */
 export class CountedStore extends RecordStore {
+  override readonly restores: StoreRestores;
+
   constructor(
     private readonly store: RecordStore,
     private readonly metrics: Metrics,
   ) {
     super();
+    this.restores = store.restores;
   }
 
   override readNewest(topic: string, timeout: number): Promise<KeyedPage> {
--- a/source/store/follower.ts
+++ b/source/store/follower.ts
@@ -14,8 +14,10 @@
   recordsFrom,
   UNREAD,
   type KeyedState,
+  type KeyedUpdate,
   type PeerRecordPage,
 } from './keyedstate.js';
+import {isBefore, isSameEra, type StorePosition} from './restores.js';
 import {StoreError, type KeyedRecord, type RecordStore} from './store.js';
 
 /** Milliseconds for which a read waits at the store for a record. */
@@ -47,8 +49,14 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly random: RandomSource;
-  /** Called with the records that changed the view, in their order. */
-  readonly onChanges: (records: readonly KeyedRecord[]) => void;
+  /**
+   * Called with the records that changed the view, in their order, and with
+   * whether they come from an older copy of the store.
+   */
+  readonly onChanges: (
+    records: readonly KeyedRecord[],
+    isRestored: boolean,
+  ) => void;
   /** Whether other hosts follow the topic for this one. */
   readonly fed: () => boolean;
   /** Whether this host follows the topic for others. */
@@ -84,13 +92,13 @@
     return this.hasRead;
   }
 
-  /** The offset up to which the topic is known; 0 before the first read. */
-  get position(): number {
-    return this.state.next ?? 0;
+  /** Up to where the topic is known; offset 0 before the first read. */
+  get position(): StorePosition {
+    return {offset: this.state.next ?? 0, era: this.state.era};
   }
 
-  /** Returns the records that are known from an offset, for another host. */
-  recordsFrom(position: number): PeerRecordPage {
+  /** Returns the records that are known from a position, for another host. */
+  recordsFrom(position: StorePosition): PeerRecordPage {
     return recordsFrom(this.state, position);
   }
 
@@ -115,7 +123,7 @@
         const before = this.position;
         await this.readNext();
         this.handleSuccess();
-        if (this.position > before) await this.waitForBatch();
+        if (isBefore(before, this.position)) await this.waitForBatch();
       } catch (error) {
         if (error instanceof StoreError) await this.handleFailure(error);
         else await this.handleUnexpectedError(error);
@@ -149,14 +157,29 @@
       : wait + responseTimeout;
     const readOptions = {from: next, wait};
     const page = await store.readKeyed(topic, readOptions, timeout);
+    if (!isSameEra(page.era, this.state.era)) return this.readAnew();
     for (const offset of page.malformed ?? []) this.reportMalformed(offset);
     this.applyUpdate(applyPage(this.state, page));
   }
 
-  private applyUpdate({state, changes}: ReturnType<typeof applyPage>): void {
+  /** Lets the next read be one of all records. */
+  private readAnew(): void {
+    this.state = {...this.state, next: undefined};
+  }
+
+  private applyUpdate({state, changes, isRestored}: KeyedUpdate): void {
+    const {logger, metrics, topic, store} = this.options;
+    if (isRestored) {
+      const {offset: before} = this.position;
+      const {era = 0, next = 0} = state;
+      metrics.count('store-restored', {topic});
+      logger.warn('store-restored', {topic, era, before, position: next});
+    }
     this.state = state;
     this.hasRead = true;
-    if (changes.length > 0 && !this.stopped) this.options.onChanges(changes);
+    store.restores.report(state.era);
+    if ((changes.length > 0 || isRestored) && !this.stopped)
+      this.options.onChanges(changes, isRestored);
   }
 
   private reportMalformed(offset: number): void {
@@ -178,9 +201,9 @@
   private async handleFailure(error: StoreError): Promise<void> {
     if (error.failure === 'expired') {
       const {logger, topic} = this.options;
-      logger.info('store-history-lost', {topic, position: this.position});
-      this.state = {...this.state, next: undefined};
-      return;
+      const {offset: position, era = 0} = this.position;
+      logger.info('store-history-lost', {topic, position, era});
+      return this.readAnew();
     }
     const {logger, topic} = this.options;
     if (this.failures === 0) {
--- a/source/store/index.ts
+++ b/source/store/index.ts
@@ -21,6 +21,12 @@
   type KeyedUpdate,
   type PeerRecordPage,
 } from './keyedstate.js';
+export {
+  isBefore,
+  isSameEra,
+  StoreRestores,
+  type StorePosition,
+} from './restores.js';
 export {CountedStore} from './counted.js';
 export {KeyedFollower, type KeyedFollowerOptions} from './follower.js';
 export {TopicReader, type TopicReaderOptions} from './topicreader.js';
--- a/source/store/keyedstate.ts
+++ b/source/store/keyedstate.ts
@@ -2,8 +2,10 @@
  * What a host knows of a keyed topic, as an immutable value. Offsets decide: a
  * record is applied only if it is newer than what is known of its key, so pages
  * that overlap, arrive late or are not a consistent snapshot can never revert a
- * key to an older record.
+ * key to an older record. Offsets of different eras are not compared: a full page
+ * of a later era replaces all that is known, and says so, since it may be older.
  */
+import {isSameEra, type StorePosition} from './restores.js';
 import type {KeyedPage, KeyedRecord} from './store.js';
 
 /** The newest known record of each key, removals included. */
@@ -16,6 +18,8 @@
    * unseen, and a key that was missing there had been removed.
    */
   readonly fullPageEnd: number;
+  /** The store's era; undefined before the first read, or if it names none. */
+  readonly era: number | undefined;
 }
 
 /** Records that one host sends to another. */
@@ -30,6 +34,11 @@
 export interface KeyedUpdate {
   readonly state: KeyedState;
   readonly changes: readonly KeyedRecord[];
+  /**
+   * Whether the store has come back from a copy in between. A change may then be
+   * older than what it replaces; what is written anew follows as later changes.
+   */
+  readonly isRestored: boolean;
 }
 
 /** The state of a host that has read nothing. */
@@ -37,23 +46,27 @@
   records: new Map(),
   next: undefined,
   fullPageEnd: 0,
+  era: undefined,
 };
 
 /**
- * Returns the state after a page of consecutive records.
+ * Returns the state after a page of consecutive records. One of another era
+ * changes nothing, as it may not follow on what is known.
  *
  * ```ts
  * const {state, changes} = applyPage(before, page);
  * ```
  */
 export function applyPage(before: KeyedState, page: KeyedPage): KeyedUpdate {
+  if (!isSameEra(before.era, page.era)) return unchanged(before);
   const records = new Map(before.records);
   const {fullPageEnd} = before;
   const changes = page.records.filter(record =>
     addIfNewer(records, record, fullPageEnd),
   );
   const next = Math.max(before.next ?? 0, page.end);
-  return {state: {...before, records, next}, changes};
+  const era = before.era ?? page.era;
+  return {state: {...before, records, next, era}, changes, isRestored: false};
 }
 
 /**
@@ -69,6 +82,7 @@
   before: KeyedState,
   page: KeyedPage,
 ): KeyedUpdate {
+  if (!isSameEra(before.era, page.era)) return applyRestored(before, page);
   const listed = new Set(page.records.map(({key}) => key));
   const removed: KeyedRecord[] = [];
   for (const {key, value, offset} of before.records.values()) {
@@ -78,25 +92,55 @@
   }
   const {end} = page;
   const records = [...page.records, ...removed];
-  const {state, changes} = applyPage(before, {records, end});
+  const {era} = page;
+  const {state, changes} = applyPage(before, {records, end, era});
   const fullPageEnd = Math.max(before.fullPageEnd, end);
-  return {state: {...state, fullPageEnd}, changes};
+  return {state: {...state, fullPageEnd}, changes, isRestored: false};
+}
+
+/** Returns the state after a full page of another era than the known one. */
+function applyRestored(before: KeyedState, page: KeyedPage): KeyedUpdate {
+  const {era, end} = page;
+  if (era === undefined || era < (before.era ?? 0)) return unchanged(before);
+  const records = new Map(page.records.map(record => [record.key, record]));
+  const changes = page.records.filter(
+    ({key, value}) => !hasValue(before.records.get(key), value),
+  );
+  for (const {key, value} of before.records.values()) {
+    if (value === undefined || records.has(key)) continue;
+    changes.push({key, value: undefined, offset: end - 1});
+  }
+  const state = {records, next: end, fullPageEnd: end, era};
+  return {state, changes, isRestored: true};
+}
+
+function hasValue(
+  known: KeyedRecord | undefined,
+  value: Buffer | undefined,
+): boolean {
+  if (known?.value === undefined) return value === undefined;
+  return value !== undefined && known.value.equals(value);
+}
+
+function unchanged(state: KeyedState): KeyedUpdate {
+  return {state, changes: [], isRestored: false};
 }
 
 /**
- * Returns the records that a host knows from an offset, for another host. If
- * the host may have missed removals since then, returns all records that exist.
+ * Returns the records that a host knows from a position, for another host. If
+ * the host may have missed removals since then, or the position is of another
+ * era, returns all records that exist.
  */
 export function recordsFrom(
-  {records, next, fullPageEnd}: KeyedState,
-  position: number,
+  {records, next, fullPageEnd, era}: KeyedState,
+  position: StorePosition,
 ): PeerRecordPage {
-  const whole = position < fullPageEnd;
+  const whole = position.offset < fullPageEnd || !isSameEra(position.era, era);
   const selected = [...records.values()].filter(({offset, value}) =>
-    whole ? value !== undefined : offset >= position,
+    whole ? value !== undefined : offset >= position.offset,
   );
   selected.sort((one, other) => one.offset - other.offset);
-  return {records: selected, end: next ?? 0, whole};
+  return {records: selected, end: next ?? 0, whole, era};
 }
 
 /**
--- a/source/store/store.ts
+++ b/source/store/store.ts
@@ -6,6 +6,7 @@
  * `unanswered` may have been executed, or may still be.
  */
 import {ArbutusslipError} from '../errors/index.js';
+import {StoreRestores} from './restores.js';
 
 /** Why a call to the store failed. */
 export type StoreFailure =
@@ -47,6 +48,8 @@
   readonly end: number;
   /** Offsets of records that could not be parsed and are left out. */
   readonly malformed?: readonly number[];
+  /** The store's era; absent where it is not known. */
+  readonly era?: number | undefined;
 }
 
 /**
@@ -56,6 +59,8 @@
   readonly from: number;
   readonly records: readonly Buffer[];
   readonly end: number;
+  /** The store's era; absent where it is not known. */
+  readonly era?: number | undefined;
 }
 
 /** A group member's request to join, or to stay in, its group. */
@@ -74,6 +79,8 @@
   readonly generation: number;
   /** The partitions that are assigned to the member. */
   readonly partitions: readonly number[];
+  /** The store's era; absent where it is not known. */
+  readonly era?: number | undefined;
 }
 
 /** Where a read starts and how long it waits for records. */
@@ -85,6 +92,8 @@
 
 /** The calls of a store; `timeout` limits a whole call, in milliseconds. */
 export abstract class RecordStore {
+  /** Tells when the store has come back from an older copy. */
+  readonly restores: StoreRestores = new StoreRestores();
   /** Returns the newest record of each key. */
   abstract readNewest(topic: string, timeout: number): Promise<KeyedPage>;
   /** Returns the records of a keyed topic from an offset. */
--- a/source/store/topicreader.ts
+++ b/source/store/topicreader.ts
@@ -1,7 +1,10 @@
 /**
  * Reads a plain topic from its oldest record on, each record once. Where records
  * have expired before they were read, it goes on with the oldest that is left.
+ * Where the store has come back from a copy, it begins anew, as the records since
+ * may stand at offsets that were read before.
  */
+import {isSameEra} from './restores.js';
 import {StoreError, type RecordStore} from './store.js';
 
 /** What a topic reader is created from. */
@@ -17,6 +20,7 @@
 /** Reads one topic. */
 export class TopicReader {
   private next: number | undefined;
+  private era: number | undefined;
 
   constructor(private readonly options: TopicReaderOptions) {}
 
@@ -50,6 +54,9 @@
         {from: this.next, wait},
         timeout + wait,
       );
+      const isRestored = !isSameEra(page.era, this.era);
+      this.era = page.era ?? this.era;
+      if (isRestored) return this.readFromOldest(wait);
       for (const bytes of page.records) onRecord(bytes);
       this.next = page.end;
       return page.records.length;
@@ -57,8 +64,12 @@
       const isExpired =
         error instanceof StoreError && error.failure === 'expired';
       if (!isExpired) throw error;
-      this.next = undefined;
-      return this.readPage(wait);
+      return this.readFromOldest(wait);
     }
   }
+
+  private readFromOldest(wait: number): Promise<number> {
+    this.next = undefined;
+    return this.readPage(wait);
+  }
 }
--- a/source/wire/exchange.ts
+++ b/source/wire/exchange.ts
@@ -3,7 +3,7 @@
  * caller's request: its bound, its failures by stage, and whether it can have
  * been carried out.
  */
-import type {Agent} from 'node:http';
+import type {Agent, IncomingHttpHeaders} from 'node:http';
 
 import {WireError} from '../errors/index.js';
 import {partsOf} from './listen.js';
@@ -27,6 +27,7 @@
 /** What was answered, with any status. */
 export interface ByteReply {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
 }
 
@@ -84,8 +85,8 @@
       message.on('end', () => {
         clearTimeout(timer);
         if (!message.complete) return fail(new Error('answer is cut short'));
-        const {statusCode: status = 0} = message;
-        resolve({status, body: Buffer.concat(parts)});
+        const {statusCode: status = 0, headers} = message;
+        resolve({status, headers, body: Buffer.concat(parts)});
       });
     });
     sent.end(body);
--- a/standins/site.ts
+++ b/standins/site.ts
@@ -1,8 +1,8 @@
 /**
  * A stand-in for the users' platform, written from their pages: the store with
  * its topics, conditional appends, long reads and groups, and the duties'
- * interface. Faults: it is away or slow, turns calls away, loses answers, or
- * forgets its history. Tests drive it in their own process.
+ * interface. Faults: it is away or slow, turns calls away, loses answers,
+ * forgets its history, or comes back from an older copy. Tests drive it in their own process.
  */
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
@@ -33,6 +33,18 @@
   readonly topic: string;
   readonly from: number;
   readonly done: () => void;
+  /** Closes the connection without an answer. */
+  readonly abort: () => void;
+}
+
+/** What the store has at a moment. */
+export interface SiteCopy {
+  readonly topics: ReadonlyMap<string, Topic>;
+  readonly newestOf: ReadonlyMap<string, ReadonlyMap<string, Kept>>;
+  readonly members: ReadonlyMap<string, number>;
+  readonly generation: number;
+  /** When it was made, on the monotonic clock. */
+  readonly at: number;
 }
 
 /** A usage report or an order that came in. */
@@ -56,6 +68,8 @@
   private readonly topics = new Map<string, Topic>();
   private readonly members = new Map<string, number>();
   private generation = 0;
+  /** How often the store has come back from a copy, from 1 on. */
+  private era = 1;
   private waiters: Waiter[] = [];
   private server: Server | undefined;
 
@@ -88,6 +102,32 @@
     kept.records = [];
   }
 
+  /** Copies what the store has. */
+  copy(): SiteCopy {
+    return {
+      topics: copyOfTopics(this.topics),
+      newestOf: copyOfNewest(this.newestOf),
+      members: new Map(this.members),
+      generation: this.generation,
+      at: performance.now(),
+    };
+  }
+
+  /** Comes back with what it had at the time of a copy; the rest is gone. */
+  restore({topics, newestOf, members, generation, at}: SiteCopy): void {
+    const age = performance.now() - at;
+    replace(this.topics, copyOfTopics(topics));
+    replace(this.newestOf, copyOfNewest(newestOf));
+    this.members.clear();
+    for (const [member, silentAt] of members)
+      this.members.set(member, silentAt + age);
+    this.generation = generation;
+    this.era++;
+    const waiters = this.waiters;
+    this.waiters = [];
+    for (const {abort} of waiters) abort();
+  }
+
   /** Records of a plain topic. */
   recordsOf(topic: string): readonly Buffer[] {
     return this.topic(topic).records;
@@ -127,6 +167,7 @@
   private take(received: Received): void {
     const {response} = received;
     if (this.faults.away) return void response.destroy();
+    response.setHeader('store-era', String(this.era));
     if (this.faults.busy) return reply(response, 503, {});
     const {delay} = this.faults;
     if (delay === 0) return this.carryOut(received);
@@ -172,6 +213,7 @@
     const topic = this.topic(name);
     if (from < topic.first) return reply(response, 410, {first: topic.first});
     const end = topic.first + topic.records.length;
+    if (from > end) return reply(response, 410, {first: topic.first});
     const wait = Number(query.get('waitMs') ?? 0);
     if (from >= end && wait > 0) return this.wait(received, name, from, wait);
     const head = Buffer.alloc(2 * OFFSET_BYTES);
@@ -188,7 +230,11 @@
     from: number,
     wait: number,
   ): void {
-    const waiter = {topic, from, done: () => answer()};
+    const abort = () => {
+      clearTimeout(timer);
+      received.response.destroy();
+    };
+    const waiter = {topic, from, done: () => answer(), abort};
     const timer = setTimeout(() => {
       received.query.set('waitMs', '0');
       this.waiters = this.waiters.filter(other => other !== waiter);
@@ -263,6 +309,27 @@
   readonly offset: number;
 }
 
+function copyOfTopics(topics: ReadonlyMap<string, Topic>): Map<string, Topic> {
+  const copies = new Map<string, Topic>();
+  for (const [name, {first, records}] of topics)
+    copies.set(name, {first, records: [...records]});
+  return copies;
+}
+
+function copyOfNewest(
+  newestOf: ReadonlyMap<string, ReadonlyMap<string, Kept>>,
+): Map<string, Map<string, Kept>> {
+  return new Map([...newestOf].map(([topic, kept]) => [topic, new Map(kept)]));
+}
+
+function replace<Key, Value>(
+  map: Map<Key, Value>,
+  entries: ReadonlyMap<Key, Value>,
+): void {
+  map.clear();
+  for (const [key, value] of entries) map.set(key, value);
+}
+
 function framed(record: Buffer): Buffer {
   const length = Buffer.alloc(LENGTH_BYTES);
   length.writeUInt32BE(record.length);
--- a/test/keyedstate.test.ts
+++ b/test/keyedstate.test.ts
@@ -72,7 +72,7 @@
   sendRecords(from: number, to: number): void {
     const view = this.views[to] ?? UNREAD;
     const source = this.views[from] ?? UNREAD;
-    const page: PeerRecordPage = recordsFrom(source, view.next ?? 0);
+    const page: PeerRecordPage = recordsFrom(source, {offset: view.next ?? 0});
     if (page.end <= (view.next ?? 0)) return;
     const apply = page.whole ? applyFullPage : this.follow;
     this.setView(to, apply(view, page).state);
@@ -177,7 +177,8 @@
       const records = new Map(before.records);
       for (const record of page.records) records.set(record.key, record);
       const next = Math.max(before.next ?? 0, page.end);
-      return {state: {...before, records, next}, changes: page.records};
+      const changes = page.records;
+      return {state: {...before, records, next}, changes, isRestored: false};
     }),
     4_000,
   );
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -124,7 +124,13 @@
   }
 
   /** Enters what an endpoint says of itself. */
-  enter(id: string, address: string, state: string, version = 'v1'): void {
+  enter(
+    id: string,
+    address: string,
+    state: string,
+    version = 'v1',
+    sequence = 1,
+  ): void {
     this.site.put('keyed.servers', id, {
       service: 'register',
       address,
@@ -133,7 +139,7 @@
       slots: 6,
       state,
       coldLeftMs: 0,
-      sequence: 1,
+      sequence,
       born: this.born,
     });
   }
