Lead and report usage on after the store came back from a copy

After a restore the store names lower generations, which hosts ignored, so nobody would lead until it had counted up; a fencing token could step back; sheets and freezes that were confirmed are gone, and another leader could freeze a window with other figures than those reported.

A term has the store's era, and tokens of a later era are higher. Hosts append their recent sheets again, leaders the freezes that they know; a host that did not lead freezes no window that may have been frozen before the restore.

--- a/source/leader/term.ts
+++ b/source/leader/term.ts
@@ -6,7 +6,15 @@
  * from before it asked, and a new leader first waits until no call of its
  * predecessor can still be under way.
  */
-import type {GroupAssignment} from '../store/index.js';
+import {isSameEra, type GroupAssignment} from '../store/index.js';
+
+/**
+ * Fencing tokens of one era of the store, in which its generations increase; the
+ * next era has higher ones.
+ */
+const TOKENS_PER_ERA = 2 ** 32;
+/** The era of a store that has never come back from a copy. */
+const FIRST_ERA = 1;
 
 /** The partition whose member is the leader. */
 const LEADER_PARTITION = 0;
@@ -28,8 +36,10 @@
 export interface Term {
   /** The last generation of the group that the store named. */
   readonly generation: number;
+  /** The store's era of that generation; undefined where it is not known. */
+  readonly era: number | undefined;
   /**
-   * Fencing token: the generation in which this host became leader, so later
+   * Fencing token: made of the era and the generation in which this host became leader, so later
    * leaders have higher ones; 0 where this host is not the leader.
    */
   readonly fence: number;
@@ -44,6 +54,7 @@
 /** The term of a host that has not joined the group. */
 export const NO_TERM: Term = {
   generation: 0,
+  era: undefined,
   fence: 0,
   from: Infinity,
   until: -Infinity,
@@ -60,8 +71,9 @@
 }
 
 /**
- * The term after a reply of the store. Replies of an older generation change
- * nothing.
+ * The term after a reply of the store. Replies of an older generation, or of an
+ * older era, change nothing. In a later era the generations begin with an earlier
+ * one, and the store may have given leadership to another host meanwhile.
  *
  * ```ts
  * term = termAfterJoin(term, {joined, askedAt, now}, durations);
@@ -73,29 +85,43 @@
   {timeToLive, maxCallDelay, lease}: TermDurations,
 ): Term {
   const {generation, partitions} = joined;
-  if (generation < before.generation) return before;
-  if (!partitions.includes(LEADER_PARTITION)) return {...NO_TERM, generation};
+  const era = joined.era ?? before.era;
+  const sameEra = isSameEra(era, before.era);
+  const isOlder = sameEra
+    ? generation < before.generation
+    : (era ?? FIRST_ERA) < (before.era ?? FIRST_ERA);
+  if (isOlder) return before;
+  if (!partitions.includes(LEADER_PARTITION))
+    return {...NO_TERM, generation, era};
   const until = askedAt + timeToLive - maxCallDelay;
   const activationDelay = lease + maxCallDelay;
   const sameGeneration = generation === before.generation;
   // A host that was leader in between for no longer than this has not acted:
   // its term ended before its activation delay was over.
   const harmlessGap = activationDelay + maxCallDelay - timeToLive;
-  const keepsTerm = sameGeneration || askedAt - before.askedAt <= harmlessGap;
+  const keepsTerm =
+    sameEra && (sameGeneration || askedAt - before.askedAt <= harmlessGap);
   if (before.fence > 0 && keepsTerm)
-    return {...before, generation, until, askedAt};
+    return {...before, generation, era, until, askedAt};
   return {
     generation,
-    fence: generation,
+    era,
+    fence: fenceOf(era, generation),
     from: now + activationDelay,
     until,
     askedAt,
   };
 }
 
+/** The fencing token of a leader whose term begins in a generation. */
+function fenceOf(era: number | undefined, generation: number): number {
+  const restores = Math.max((era ?? FIRST_ERA) - FIRST_ERA, 0);
+  return restores * TOKENS_PER_ERA + generation;
+}
+
 /** The term of a host that has left the group and given up its partitions. */
-export function termAfterLeave({generation}: Term): Term {
-  return {...NO_TERM, generation};
+export function termAfterLeave({generation, era}: Term): Term {
+  return {...NO_TERM, generation, era};
 }
 
 /**
--- a/source/leader/usage.ts
+++ b/source/leader/usage.ts
@@ -25,6 +25,7 @@
   nextUnreported,
   emptyLedger,
   foldReported,
+  type FreezeRecord,
   UsageSheets,
   type UsageLedger,
 } from '../usage/index.js';
@@ -50,6 +51,13 @@
 const UNSTORED_PAST_WINDOWS = 1;
 /** Windows for which a host keeps sheets. */
 const RETAINED_WINDOWS = 20;
+/**
+ * Age up to which sheets and freezes are appended again when the store has come
+ * back from a copy, which is some seconds old.
+ */
+const REWRITTEN_MILLISECONDS = 30_000;
+/** Time since a leader last read the topic in which nobody else has led. */
+const MAX_LEADER_PAUSE_MILLISECONDS = 3_000;
 
 type UsageRecord = Extract<LogRecord, {kind: 'usage-sheets' | 'usage-freeze'}>;
 
@@ -83,6 +91,15 @@
   /** Stores this host's sheets, and those that others send to it. */
   readonly relay: UsageRelay;
   private stopTimer: Cancel = () => {};
+  /** The freezes that this host has read as the leader, by window. */
+  private readonly freezes = new Map<number, UsageRecord>();
+  /** Monotonic milliseconds at which this host last acted as the leader. */
+  private ledAt = -Infinity;
+  /**
+   * Windows before this one may have been frozen by another leader in a record
+   * that the store has lost. This host freezes none of them.
+   */
+  private oldestCertainWindow = -Infinity;
 
   constructor(private readonly options: UsageMeterOptions) {
     this.sheets = new UsageSheets(REGION, options.incarnation);
@@ -97,6 +114,7 @@
       timeout: STORE_TIMEOUT_MILLISECONDS,
       onRecord: bytes => this.applyRecord(bytes),
     });
+    options.store.restores.onRestore(() => this.appendAnew());
   }
 
   /** Counts a request of a team that an endpoint has begun to run. */
@@ -165,6 +183,7 @@
   async freezeAndReport(leader: Leader): Promise<void> {
     try {
       await this.topic.readToEnd();
+      this.ledAt = this.options.clock.monotonic();
       await this.freezeCompleteWindows(leader);
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
@@ -203,6 +222,57 @@
     this.retryAppend(windows);
   }
 
+  /**
+   * Appends again what the store may have lost, as it has come back from a copy:
+   * this host's sheets, each host at another time, and the freezes that it knows
+   * at once, before another leader can freeze these windows.
+   */
+  private appendAnew(): void {
+    const {clock, random, logger} = this.options;
+    const oldest = this.windowAt(REWRITTEN_MILLISECONDS);
+    const windows = this.sheets
+      .takeUpdates(true)
+      .map(({window}) => window)
+      .filter(window => window >= oldest && window < this.windowAt(0));
+    const freezes = [...this.freezes].filter(([window]) => window >= oldest);
+    const isLeader =
+      clock.monotonic() - this.ledAt < MAX_LEADER_PAUSE_MILLISECONDS;
+    if (!isLeader)
+      this.oldestCertainWindow = this.windowAt(FREEZE_DELAY_MILLISECONDS);
+    logger.info('usage-appended-anew', {
+      sheets: windows.length,
+      freezes: freezes.length,
+    });
+    void this.appendFreezes(freezes.map(([, record]) => record));
+    if (windows.length === 0) return;
+    clock.after(random.next() * MAX_APPEND_JITTER_MILLISECONDS, () => {
+      const recent = new Set(windows);
+      const sheets = this.sheets
+        .takeUpdates(true)
+        .filter(({window}) => recent.has(window));
+      void this.relay.store(sheets).then(stored => {
+        if (!stored) this.retryAppend(recent);
+      });
+    });
+  }
+
+  /** Appends freezes until the store has confirmed them. */
+  private async appendFreezes(freezes: readonly UsageRecord[]): Promise<void> {
+    if (freezes.length === 0) return;
+    const {store, clock, logger} = this.options;
+    try {
+      const records = freezes.map(encodeRecord);
+      await store.append(TOPIC, records, STORE_TIMEOUT_MILLISECONDS);
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      logger.warn('usage-not-frozen', {detail: error.message});
+      clock.after(
+        RETRY_DELAY_MILLISECONDS,
+        () => void this.appendFreezes(freezes),
+      );
+    }
+  }
+
   /** Removes the sheets of hosts that have sent none since a window. */
   private removeOldReplicas(oldest: number): void {
     for (const [host, sheets] of this.replicas) {
@@ -263,6 +333,7 @@
   private applyRecord(bytes: Buffer): void {
     const record = decodeRecord(bytes);
     if (record?.kind === 'usage-freeze') {
+      this.keepFreeze(record);
       this.ledger = applyFreeze(this.ledger, record);
     } else if (record?.kind === 'usage-sheets') {
       for (const sheet of record.sheets) this.sheets.applyUpdate(sheet);
@@ -271,6 +342,15 @@
     }
   }
 
+  /** Keeps the first freeze of a window for a while. */
+  private keepFreeze(record: FreezeRecord): void {
+    const oldest = this.windowAt(REWRITTEN_MILLISECONDS);
+    for (const window of this.freezes.keys())
+      if (window < oldest) this.freezes.delete(window);
+    if (!this.freezes.has(record.window))
+      this.freezes.set(record.window, record);
+  }
+
   private async freezeCompleteWindows({
     name,
     fence,
@@ -282,6 +362,7 @@
         region: REGION,
         holder: name,
         fence,
+        oldestWindow: this.oldestCertainWindow,
         currentWindow: this.windowAt(FREEZE_DELAY_MILLISECONDS),
         maxWaitWindows: MISSING_SHEETS_WAIT_WINDOWS,
         expectedIncarnations: window => this.expectedIncarnations(window),
--- a/source/usage/freeze.ts
+++ b/source/usage/freeze.ts
@@ -15,6 +15,8 @@
   readonly holder: string;
   /** Fencing number of the holder's lease. */
   readonly fence: number;
+  /** Windows before this one are not frozen; none where it is absent. */
+  readonly oldestWindow?: number;
   /** The current window; only earlier ones are frozen. */
   readonly currentWindow: number;
   /** Windows that must pass before one is frozen without all sheets sealed. */
@@ -37,7 +39,9 @@
   ledger: UsageLedger,
   context: FreezeContext,
 ): FreezeRecord | undefined {
+  const {oldestWindow = -Infinity} = context;
   for (const window of sheets.windowsBefore(context.currentWindow)) {
+    if (window < oldestWindow) continue;
     if (frozenWindow(ledger, context.region, window)) continue;
     const windowSheets = sheets.sheetsFor(window);
     if (!isComplete(windowSheets, window, context)) return undefined;
--- a/test/term.test.ts
+++ b/test/term.test.ts
@@ -1,7 +1,8 @@
 /**
  * There is one leader at a time, and leadership does not bounce between hosts
  * (invariants 6 and 7), whatever the store does with its partitions: it reassigns
- * them without asking, its responses are late or lost, and hosts pause. Calls
+ * them without asking, its responses are late or lost, it comes back from an older
+ * copy of its groups, and hosts pause. Calls
  * are sent during a term and reach the platform up to the longest call delay
  * later.
  */
@@ -28,14 +29,23 @@
   readonly host: string;
   readonly askedAt: number;
   readonly generation: number;
+  readonly era: number;
   readonly partitions: readonly number[];
 }
 
+/** What the store knows of the group. */
+interface GroupCopy {
+  readonly generation: number;
+  readonly owner: string;
+}
+
 /** Simulates the store's group, the hosts in it, and the platform. */
 class Simulation {
   private now = 0;
   private generation = 1;
   private owner = 'one';
+  private era = 1;
+  private copies: GroupCopy[] = [];
   private readonly lastJoin = new Map<string, number>();
   private readonly terms = new Map<string, Term>();
   private replies: PendingReply[] = [];
@@ -60,17 +70,32 @@
   ask(host: string): void {
     this.lastJoin.set(host, this.now);
     const partitions = host === this.owner ? [0] : [1];
-    const {generation, now: askedAt} = this;
-    this.replies.push({host, askedAt, generation, partitions});
+    const {generation, era, now: askedAt} = this;
+    this.replies.push({host, askedAt, generation, era, partitions});
+  }
+
+  /** The store is copied. */
+  copy(): void {
+    this.copies.push({generation: this.generation, owner: this.owner});
+  }
+
+  /** The store comes back from its oldest copy, and members have their time. */
+  restore(): void {
+    const copy = this.copies.shift();
+    if (!copy) return;
+    this.generation = copy.generation;
+    this.owner = copy.owner;
+    this.era++;
+    for (const host of HOSTS) this.lastJoin.set(host, this.now);
   }
 
   /** The oldest reply arrives, or is lost. */
   receive(lost: boolean): void {
     const pending = this.replies.shift();
     if (!pending || lost) return;
-    const {host, askedAt, generation, partitions} = pending;
+    const {host, askedAt, generation, era, partitions} = pending;
     const before = this.terms.get(host) ?? NO_TERM;
-    const joined = {generation, partitions};
+    const joined = {generation, era, partitions};
     const reply = {joined, askedAt, now: this.now};
     this.terms.set(host, this.join(before, reply, DURATIONS));
   }
@@ -148,6 +173,8 @@
       ),
     ),
   fc.constant(step('rebalance', simulation => simulation.rebalance())),
+  fc.constant(step('copy', simulation => simulation.copy())),
+  fc.constant(step('restore', simulation => simulation.restore())),
   fc
     .tuple(host, fc.integer({min: 0, max: DURATIONS.maxCallDelay - 1}))
     .map(([name, delay]) =>
@@ -194,6 +221,31 @@
   );
 });
 
+test('the check detects a term that goes on by an earlier generation of a restored store', t => {
+  isSeenToFail(
+    t,
+    property((before, reply, durations) => {
+      const {generation, partitions} = reply.joined;
+      const term = termAfterJoin(before, reply, durations);
+      return partitions.includes(0) ? {...term, fence: generation} : term;
+    }),
+    6_000,
+  );
+});
+
+test('a host leads on soon after the store was restored with an earlier generation', t => {
+  const askedAt = 10_000;
+  const before = {...NO_TERM, generation: 90, era: 1, fence: 90};
+  const joined = {generation: 4, era: 2, partitions: [0]};
+  const term = termAfterJoin(
+    before,
+    {joined, askedAt, now: askedAt},
+    DURATIONS,
+  );
+  t.true(term.fence > before.fence);
+  t.true(term.from - askedAt <= DURATIONS.lease + DURATIONS.maxCallDelay);
+});
+
 test('a leader stops acting one call delay before the store may reassign leadership', t => {
   const joined = {generation: 4, partitions: [0]};
   const first = termAfterJoin(NO_TERM, {joined, askedAt: 0, now: 5}, DURATIONS);
