--- a/source/versions/streamversions.ts
+++ b/source/versions/streamversions.ts
@@ -23,6 +23,7 @@
   decodeBegunStreams,
   encodeBegunStreams,
   type BegunGroup,
+  type BegunStreamsRecord,
 } from './record.js';
 
 const TOPIC = 'streams';
@@ -69,6 +70,8 @@
   private reading: Promise<number> | undefined;
   private stopTimer: Cancel | undefined;
   private isStopped = false;
+  /** What this host has appended and may still matter, the oldest first. */
+  private appended: BegunStreamsRecord[] = [];
 
   constructor(private readonly options: StreamVersionsOptions) {
     this.topic = new TopicReader({
@@ -77,6 +80,7 @@
       timeout: STORE_TIMEOUT_MILLISECONDS,
       onRecord: bytes => this.applyRecord(bytes),
     });
+    options.store.restores.onRestore(() => this.appendAnew());
   }
 
   /** Stops to append; what is gathered is appended at once. */
@@ -219,9 +223,11 @@
     const other = recorder();
     if (other !== undefined) return sendToRecorder(other, groups);
     const at = clock.now().getTime();
-    const record = encodeBegunStreams({kind: 'streams-begun', at, groups});
+    const record = {kind: 'streams-begun', at, groups} as const;
+    const bytes = encodeBegunStreams(record);
     try {
-      await store.append(TOPIC, [record], STORE_TIMEOUT_MILLISECONDS);
+      await store.append(TOPIC, [bytes], STORE_TIMEOUT_MILLISECONDS);
+      this.keepAppended(record, at);
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
       logger.warn('streams-not-appended', {detail: error.message});
@@ -230,6 +236,28 @@
     }
   }
 
+  private keepAppended(record: BegunStreamsRecord, unixNow: number): void {
+    const recent = this.appended.filter(
+      ({at}) => unixNow - at <= STREAM_LIFETIME_MILLISECONDS,
+    );
+    this.appended = [...recent, record];
+  }
+
+  /**
+   * Gathers again what this host has appended lately, as the store has come back
+   * from a copy that may lack it.
+   */
+  private appendAnew(): void {
+    const records = this.appended;
+    this.appended = [];
+    const groups = records.flatMap(record => record.groups);
+    if (groups.length === 0) return;
+    this.options.logger.info('streams-appended-anew', {
+      records: records.length,
+    });
+    this.appendFor(groups);
+  }
+
   /** Reads on in the topic; calls at the same time share one read. */
   private read(wait: number): Promise<number> {
     this.reading ??= this.topic
--- a/test/streamversions.test.ts
+++ b/test/streamversions.test.ts
@@ -134,6 +134,11 @@
     return host;
   }
 
+  /** All hosts see the store's era in an answer. */
+  reportEra(era: number): void {
+    for (const store of this.hostStores) store.restores.report(era);
+  }
+
   killAll(): void {
     this.hosts = [];
     for (const store of this.hostStores) store.isKilled = true;
@@ -287,3 +292,21 @@
   const none = {...evidence, seen: new Set<string>()};
   t.deepEqual(decideVersion(none), {kind: 'unversioned'});
 });
+
+test('streams that began before the store came back from a copy are appended again, once', async t => {
+  const world = new World();
+  world.serve({'engine-1': 'v1', 'engine-2': 'v2'});
+  const [first, second] = [world.host(), world.host()];
+  world.reportEra(1);
+  begin(first, 'a-1', 'v1');
+  await world.pass(1_000);
+  t.deepEqual(await second.versionOf(SERVICE, 'a-1'), {
+    kind: 'known',
+    version: 'v1',
+  });
+  t.is(world.store.records.length, 1);
+  world.store.records.splice(0);
+  world.reportEra(2);
+  await world.pass(1_000);
+  t.is(world.store.records.length, 1);
+});
