Freeze no usage window that a lost leader may have frozen before a restore

What the users saw: usage of a window twice, with other counts. Cause: the freeze was gone with the copy, its leader was dead, and the new leader had started after the restore, so it knew neither. Hosts now tell each other in their pulses from which window on the store lacks no freeze in its era; a host that has started since and hears of none freezes nothing from before its start.

--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -381,6 +381,7 @@
         ),
         blocked: this.quarantine.entries,
         limits: this.selector.limitStatementsSince(clock.monotonic() - period),
+        certainUsage: this.usage?.certainWindow,
       }),
       sheets: () => this.usage?.unstoredSheets() ?? [],
       records: (topic, position) =>
@@ -418,11 +419,12 @@
   }
 
   private receivePulse(pulse: Pulse): void {
-    const {kept, from, sheets, blocked, limits} = pulse;
+    const {kept, from, sheets, blocked, limits, certainUsage} = pulse;
     const {clock} = this;
     if (pulse.time !== undefined) clock.recordPeerTime(from.name, pulse.time);
     this.quarantine.handleEntries(blocked);
     this.selector.setLimitReports(limits);
+    if (certainUsage) this.usage?.handleCertainWindow(certainUsage);
     if (sheets.length > 0) this.usage?.keepReplica(incarnationOf(from), sheets);
     this.selector.prefixCache.addReports(kept, clock.monotonic());
     this.cancelPulseBatch ??= clock.after(PULSE_BATCH_MILLISECONDS, () => {
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -103,6 +103,13 @@
   blocked: z.array(blocklistEntrySchema).default([]),
   /** Limits that endpoints have named to the sender; older hosts send none. */
   limits: z.array(limitStatementSchema).default([]),
+  /**
+   * From which usage window on the store lacks no freeze in its era; absent while
+   * it has never come back from a copy.
+   */
+  certainUsage: z
+    .object({era: z.number().int(), window: z.number().int()})
+    .optional(),
   /** Other hosts that the sender knows; empty in most pulses. */
   hosts: z.array(hostAddressSchema),
 });
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -86,6 +86,7 @@
   readonly kept: readonly CachedPart[];
   readonly blocked: readonly BlocklistEntry[];
   readonly limits: readonly LimitStatement[];
+  readonly certainUsage: Pulse['certainUsage'];
 }
 
 /** What the gossip of a host is created from. */
@@ -315,7 +316,7 @@
   private createPulse(own: OwnState, sequence: number, heard: number): Pulse {
     const {self} = this.options;
     const {leaving, positions, uses, work, kept, unreachable, blocked} = own;
-    const {limits} = own;
+    const {limits, certainUsage} = own;
     const listsHosts = sequence % HOST_LIST_INTERVAL_PULSES === 1;
     return {
       kind: 'pulse',
@@ -332,6 +333,7 @@
       kept: [...kept],
       blocked: [...blocked],
       limits: [...limits],
+      certainUsage,
       sheets: [],
       hosts: listsHosts ? this.hostSample(sequence) : [],
     };
--- a/source/leader/term.ts
+++ b/source/leader/term.ts
@@ -6,15 +6,13 @@
  * from before it asked, and a new leader first waits until no call of its
  * predecessor can still be under way.
  */
-import {isSameEra, type GroupAssignment} from '../store/index.js';
+import {FIRST_ERA, isSameEra, type GroupAssignment} from '../store/index.js';
 
 /**
  * Fencing tokens of one era of the store, in which its generations increase; the
  * next era has higher ones.
  */
 const TOKENS_PER_ERA = 2 ** 32;
-/** The era of a store that has never come back from a copy. */
-const FIRST_ERA = 1;
 
 /** The partition whose member is the leader. */
 const LEADER_PARTITION = 0;
--- a/source/leader/usage.ts
+++ b/source/leader/usage.ts
@@ -18,7 +18,12 @@
   type Sheet,
 } from '../platform/index.js';
 import type {RandomSource} from '../random/index.js';
-import {StoreError, TopicReader, type RecordStore} from '../store/index.js';
+import {
+  FIRST_ERA,
+  StoreError,
+  TopicReader,
+  type RecordStore,
+} from '../store/index.js';
 import {
   applyFreeze,
   nextFreeze,
@@ -59,6 +64,13 @@
 /** Time since a leader last read the topic in which nobody else has led. */
 const MAX_LEADER_PAUSE_MILLISECONDS = 3_000;
 
+/** From which window on the store lacks no freeze. */
+export interface UsageCertainty {
+  /** The store’s era for which this holds. */
+  readonly era: number;
+  readonly window: number;
+}
+
 type UsageRecord = Extract<LogRecord, {kind: 'usage-sheets' | 'usage-freeze'}>;
 
 /** Dependencies and settings of a usage meter. */
@@ -95,11 +107,11 @@
   private readonly freezes = new Map<number, UsageRecord>();
   /** Monotonic milliseconds at which this host last acted as the leader. */
   private ledAt = -Infinity;
-  /**
-   * Windows before this one may have been frozen by another leader in a record
-   * that the store has lost. This host freezes none of them.
-   */
-  private oldestCertainWindow = -Infinity;
+  /** From which window on no freeze can have been lost in the store’s era. */
+  private certainty: UsageCertainty | undefined;
+  /** Whether this host led when the store was restored, and knows all freezes. */
+  private knowsAllFreezes = false;
+  private startedIn = -Infinity;
 
   constructor(private readonly options: UsageMeterOptions) {
     this.sheets = new UsageSheets(REGION, options.incarnation);
@@ -114,7 +126,7 @@
       timeout: STORE_TIMEOUT_MILLISECONDS,
       onRecord: bytes => this.applyRecord(bytes),
     });
-    options.store.restores.onRestore(() => this.appendAnew());
+    options.store.restores.onRestore(era => this.appendAnew(era));
   }
 
   /** Counts a request of a team that an endpoint has begun to run. */
@@ -156,10 +168,28 @@
     await this.appendUntilStored(sheets);
   }
 
+  /**
+   * From which window on the freezes that the store has are complete, for other
+   * hosts; undefined while the store has not come back from a copy.
+   */
+  get certainWindow(): UsageCertainty | undefined {
+    const {era = FIRST_ERA} = this.options.store.restores;
+    if (era === FIRST_ERA) return undefined;
+    if (this.certainty?.era === era) return this.certainty;
+    return {era, window: this.startedIn};
+  }
+
+  /** Takes over what another host says of the freezes that the store has. */
+  handleCertainWindow({era, window}: UsageCertainty): void {
+    const own = this.certainWindow;
+    if (own?.era === era && window < own.window) this.certainty = {era, window};
+  }
+
   /** Starts to append this host's sheet after each window. */
   start(): void {
     const {window, clock, random} = this.options;
     this.sheets.ensureSheet(this.windowAt(0));
+    if (this.startedIn === -Infinity) this.startedIn = this.windowAt(0);
     const timeLeft = window - (clock.now().getTime() % window);
     const jitter = random.next() * MAX_APPEND_JITTER_MILLISECONDS;
     const delay = timeLeft + APPEND_DELAY_MILLISECONDS + jitter;
@@ -227,7 +257,7 @@
    * this host's sheets, each host at another time, and the freezes that it knows
    * at once, before another leader can freeze these windows.
    */
-  private appendAnew(): void {
+  private appendAnew(era: number): void {
     const {clock, random, logger} = this.options;
     const oldest = this.windowAt(REWRITTEN_MILLISECONDS);
     const windows = this.sheets
@@ -237,8 +267,8 @@
     const freezes = [...this.freezes].filter(([window]) => window >= oldest);
     const isLeader =
       clock.monotonic() - this.ledAt < MAX_LEADER_PAUSE_MILLISECONDS;
-    if (!isLeader)
-      this.oldestCertainWindow = this.windowAt(FREEZE_DELAY_MILLISECONDS);
+    this.knowsAllFreezes = isLeader;
+    this.certainty = {era, window: this.windowAt(FREEZE_DELAY_MILLISECONDS)};
     logger.info('usage-appended-anew', {
       sheets: windows.length,
       freezes: freezes.length,
@@ -342,6 +372,16 @@
     }
   }
 
+  /**
+   * The oldest window that this host may freeze: earlier ones may have been frozen
+   * by another leader in a record that the store has lost.
+   */
+  private get oldestWindowToFreeze(): number {
+    const {certainWindow} = this;
+    if (!certainWindow || this.knowsAllFreezes) return -Infinity;
+    return certainWindow.window;
+  }
+
   /** Keeps the first freeze of a window for a while. */
   private keepFreeze(record: FreezeRecord): void {
     const oldest = this.windowAt(REWRITTEN_MILLISECONDS);
@@ -362,7 +402,7 @@
         region: REGION,
         holder: name,
         fence,
-        oldestWindow: this.oldestCertainWindow,
+        oldestWindow: this.oldestWindowToFreeze,
         currentWindow: this.windowAt(FREEZE_DELAY_MILLISECONDS),
         maxWaitWindows: MISSING_SHEETS_WAIT_WINDOWS,
         expectedIncarnations: window => this.expectedIncarnations(window),
--- a/source/store/index.ts
+++ b/source/store/index.ts
@@ -22,6 +22,7 @@
   type PeerRecordPage,
 } from './keyedstate.js';
 export {
+  FIRST_ERA,
   isBefore,
   isSameEra,
   StoreRestores,
--- a/source/store/restores.ts
+++ b/source/store/restores.ts
@@ -4,6 +4,9 @@
  * something else. They can be compared only within one era.
  */
 
+/** The era of a store that has never come back from a copy. */
+export const FIRST_ERA = 1;
+
 /** A place in a topic. */
 export interface StorePosition {
   readonly offset: number;
--- a/test/gossip.test.ts
+++ b/test/gossip.test.ts
@@ -151,6 +151,7 @@
       kept: [],
       blocked: [],
       limits: [],
+      certainUsage: undefined,
     }),
     sheets: () => [sheet],
     records: () => ({records: [known], end: position, whole: true}),
--- a/test/restored.test.ts
+++ b/test/restored.test.ts
@@ -196,6 +196,33 @@
   checkReports(t, fleet);
 });
 
+test('a leader that started after a restore reports no window with other figures than the leader that was lost', async t => {
+  const {fleet, hosts} = await start(t);
+  const reports = () => fleet.site.duties.filter(({path}) => path === '/usage');
+  await until(() => reports().length >= 2);
+  const copy = fleet.site.copy();
+  const before = reports().length;
+  await until(async () => {
+    for (const host of hosts) await fleet.read(host, 'first');
+    return reports().length >= before + 3;
+  });
+  const holder = reports()[0]?.holder;
+  const leader = hosts.find(({name}) => name === holder);
+  const other = hosts.find(({name}) => name !== holder);
+  fleet.site.faults.away = true;
+  leader?.child.kill('SIGKILL');
+  other?.child.kill('SIGSTOP');
+  await pause(AWAY_MILLISECONDS);
+  fleet.site.restore({...copy, members: new Map()});
+  fleet.site.faults.away = false;
+  await fleet.ready(await fleet.host('host-3'));
+  await pause(500);
+  other?.child.kill('SIGCONT');
+  const after = reports().length;
+  await until(() => reports().length >= after + 3);
+  checkReports(t, fleet);
+});
+
 test('usage of a window is reported with the same figures, and the leader reports on', async t => {
   const {fleet, hosts} = await start(t);
   const reports = () => fleet.site.duties.filter(({path}) => path === '/usage');
