Break a stream off where no stream of its kind goes on

A stream that has begun goes on only with the status and the content type that its caller was sent, and counts as cut where the next endpoint brings no event. Errors, refusals, redirects and closed connections were broken off already.

--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -197,6 +197,10 @@
     this.recordLimit(head);
     if (context.team) parts.onRunStarted(context.team.name);
     if (context.route.streaming && head.status < MIN_REDIRECT_STATUS) {
+      if (!this.goesOn(head)) {
+        message.destroy();
+        throw new AttemptFailure('malformed', 'no stream to go on with', false);
+      }
       await this.relayStream(response, head);
       return;
     }
@@ -232,6 +236,13 @@
     reservation.limited(limit?.rate);
   }
 
+  /** Whether a stream that has begun, if one has, can go on with a head. */
+  private goesOn({status, contentType}: ResponseHead): boolean {
+    const {streamHead: begun} = this.spec.context;
+    if (!begun) return true;
+    return begun.status === status && begun.contentType === contentType;
+  }
+
   /** Buffers the response within the host's limit, and sends it. */
   private async relayBuffered(
     response: EndpointResponse,
@@ -293,6 +304,7 @@
     const {context} = this.spec;
     const {answer, route} = context;
     const splitter = new EventSplitter(context.lastEvent);
+    const deliveredBefore = context.delivered;
     return new Promise((resolve, reject) => {
       let ended = false;
       let finished = false;
@@ -342,7 +354,7 @@
         }
         // Comments do not begin a response, so that another endpoint can.
         if (events.length > 0 && (splitter.count > 0 || answer.isHeadSent)) {
-          answer.sendStreamHead(head);
+          this.sendStreamHead(head);
           if (!answer.write(events)) pause();
         }
         context.lastEvent = splitter.lastId;
@@ -354,12 +366,14 @@
       });
       const end = (complete: boolean) => {
         if (finished) return;
-        // The connection of an endpoint that crashes ends like such a stream.
-        const hasCrashed = !isDelimited && context.delivered === 0;
-        if (!complete || splitter.hasPartialEvent || hasCrashed) {
+        const isEmpty = context.delivered === deliveredBefore;
+        // The connection of an endpoint that crashes ends like such a stream, and
+        // nothing shows that a stream which has begun had no more events.
+        const isDoubtful = isEmpty && (!isDelimited || answer.isHeadSent);
+        if (!complete || splitter.hasPartialEvent || isDoubtful) {
           return fail('cut', 'the stream is cut short');
         }
-        answer.sendStreamHead(head);
+        this.sendStreamHead(head);
         answer.end();
         finish();
       };
@@ -384,6 +398,13 @@
     });
   }
 
+  /** Sends the head of the stream, unless the caller has got one. */
+  private sendStreamHead(head: ResponseHead): void {
+    const {context} = this.spec;
+    context.streamHead ??= head;
+    context.answer.sendStreamHead(head);
+  }
+
   /** Records, once, that the endpoint has begun the answer. */
   private recordBegun(): void {
     if (this.hasBegun) return;
--- a/source/forward/context.ts
+++ b/source/forward/context.ts
@@ -13,7 +13,7 @@
   type Team,
 } from '../routing/index.js';
 import type {CallerResponse} from './response.js';
-import type {CallerRequest} from './protocol.js';
+import type {CallerRequest, ResponseHead} from './protocol.js';
 
 /**
  * How long before the caller's timeout the final response is sent, so that it
@@ -62,6 +62,8 @@
    * first event, and where the endpoint states none.
    */
   streamVersion: string | undefined;
+  /** The head of the stream that the caller gets; undefined before it is sent. */
+  streamHead: ResponseHead | undefined;
   /** Number of events that the caller has been sent. */
   delivered = 0;
   /** Id of the last event that the caller has been sent. */
--- a/source/forward/protocol.ts
+++ b/source/forward/protocol.ts
@@ -54,6 +54,8 @@
   readonly status: number;
   /** Alternating names and values to pass on to the caller. */
   readonly headers: readonly string[];
+  /** Undefined where the response states none. */
+  readonly contentType: string | undefined;
   /** Id of the request that the endpoint says it responds to. */
   readonly id: string | undefined;
   /** Whether it has the seal of an endpoint's own response to a request. */
