Compress large values that hosts pass on to each other

The logs show a third cause: after a change that brought the configuration from 28 to 1,222 routes, and seven changes more within 6 s, hosts' connections to sound endpoints timed out (250 ms each, four sends of one request, in hosts of all zones from 24 to 36 s). Each version is some 300 KB, which feeders send to each host that they feed and hosts that are behind ask others for, over links of 10 to 20 Mbit/s: their own connections to endpoints waited behind it.

--- a/source/gossip/index.ts
+++ b/source/gossip/index.ts
@@ -30,3 +30,8 @@
   type SheetDelivery,
   type TopicPosition,
 } from './message.js';
+export {
+  compressRecords,
+  createRecordsMessage,
+  toRecordPage,
+} from './records.js';
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -87,6 +87,8 @@
   /** Unix milliseconds as the sender has it; older hosts send none. */
   time: z.number().optional(),
   leaving: z.boolean(),
+  /** Whether the sender reads compressed values; older hosts do not. */
+  inflates: z.boolean().optional(),
   positions: z.array(topicPositionSchema),
   uses: z.array(endpointLoadSchema),
   work: z.array(serviceDemandSchema),
@@ -134,6 +136,8 @@
     z.object({
       key: z.string(),
       value: bytesSchema.optional(),
+      /** The value in raw DEFLATE, only to hosts whose pulses allow it. */
+      deflated: bytesSchema.optional(),
       offset: offsetSchema,
     }),
   ),
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -52,7 +52,12 @@
   type TopicPosition,
 } from './message.js';
 import {OutboundConnection} from './outbound.js';
-import {toRecordPage, positionOf, createRecordsMessage} from './records.js';
+import {
+  compressRecords,
+  createRecordsMessage,
+  positionOf,
+  toRecordPage,
+} from './records.js';
 
 /** Least time between two pulses to one host. */
 const MIN_PERIOD_MILLISECONDS = 200;
@@ -205,7 +210,10 @@
   /** Sends a message to a host; does nothing if the host is unknown. */
   send(name: string, message: GossipMessage): void {
     const member = this.members.get(name);
-    if (member) this.peerFor(member).outbound.send(message);
+    if (!member) return;
+    const isCompressed = message.kind === 'records' && member.pulse?.inflates;
+    const sent = isCompressed ? compressRecords(message) : message;
+    this.peerFor(member).outbound.send(sent);
   }
 
   /** Sends a message to all other hosts. */
@@ -326,6 +334,7 @@
       period: this.period,
       time: this.options.clock.now().getTime(),
       leaving,
+      inflates: true,
       positions: [...positions],
       uses: [...uses],
       work: [...work],
@@ -439,9 +448,7 @@
     const position = {offset: request.position, era: request.era};
     const page = records(topic, position);
     if (!isBefore(position, {offset: page.end, era: page.era})) return;
-    const member = this.members.get(from.name);
-    if (!member) return;
-    this.peerFor(member).outbound.send(createRecordsMessage(self, topic, page));
+    this.send(from.name, createRecordsMessage(self, topic, page));
   }
 
   /**
