Send an endpoint nothing that says that it leaves or for how long it wants nothing

The capacity that is gone is seen by admission and scaling as that of any endpoint that may get nothing.

--- a/source/balance/eligible.ts
+++ b/source/balance/eligible.ts
@@ -12,6 +12,7 @@
 } from '../routing/index.js';
 import {EligibleSet} from './eligibleset.js';
 import type {NamedLimits} from './namedlimits.js';
+import type {WithheldEndpoints} from './withheld.js';
 import {
   coldStartRate,
   isBelowRate,
@@ -70,6 +71,7 @@
   constructor(
     private readonly location: HostLocation,
     private readonly limits: NamedLimits,
+    private readonly withheld: WithheldEndpoints,
   ) {
     this.hosts = [location.host];
   }
@@ -174,6 +176,7 @@
       next = earliestAfter(now, next, ejectedUntil(entry.id));
       next = earliestAfter(now, next, removeAt ?? Infinity);
       next = earliestAfter(now, next, coldUntil);
+      next = earliestAfter(now, next, this.withheld.backoffUntil(entry));
       const rate = this.hostRate(known, now);
       if (rate === undefined) continue;
       const sends = this.recentSends.get(entry.id) ?? [];
@@ -214,13 +217,15 @@
   }
 
   /**
-   * Whether it is not leaving, its zone is in service and its entry is valid.
+   * Whether it is not leaving, wants requests of this host, its zone is in service
+   * and its entry is valid.
    */
   private isUsable(
     {entry, removeAt: lapsesAt}: KnownEndpoint,
     now: number,
   ): boolean {
     if (entry.leaving || this.zonesOut.has(entry.zone)) return false;
+    if (this.withheld.isWithheld(entry, now)) return false;
     return lapsesAt === undefined || now < lapsesAt;
   }
 
--- a/source/balance/index.ts
+++ b/source/balance/index.ts
@@ -58,6 +58,7 @@
   rendezvousRank,
   RendezvousRanking,
 } from './rendezvous.js';
+export {WithheldEndpoints, type WithholdingChange} from './withheld.js';
 export {OwnLoads, type CountedLoad, type SentRequest} from './ownloads.js';
 export {hostPrefillLimit, hostSlotLimit, type HostLimitInput} from './share.js';
 export {
--- a/source/balance/selector.ts
+++ b/source/balance/selector.ts
@@ -29,6 +29,7 @@
   type LimitStatement,
 } from './namedlimits.js';
 import {OwnLoads} from './ownloads.js';
+import {WithheldEndpoints, type WithholdingChange} from './withheld.js';
 import {hostPrefillLimit, hostSlotLimit, type HostLimitInput} from './share.js';
 import {busyEngineCount, largeEngineCount, totalDemand} from './partition.js';
 import {ranksAmong} from './rendezvous.js';
@@ -94,6 +95,10 @@
    * undefined where it names none.
    */
   limited(rate: number | undefined): void;
+  /** Records that a response says that the endpoint leaves. */
+  leaving(): void;
+  /** Records that the endpoint wants nothing for some milliseconds. */
+  backoff(duration: number): void;
   /** Records that the endpoint has failed the request. */
   failed(): void;
   /**
@@ -122,6 +127,8 @@
   readonly regions: Readonly<Partial<Record<string, string>>>;
   /** Called when the limit that an endpoint names has changed. */
   readonly onLimitChange?: (change: LimitChange) => void;
+  /** Called when an endpoint has told that it leaves or wants no requests. */
+  readonly onWithholdingChange?: (change: WithholdingChange) => void;
 }
 
 /**
@@ -131,6 +138,7 @@
 export class EndpointSelector extends CapacityProvider {
   private readonly endpoints: EligibleEndpoints;
   private readonly limits: NamedLimits;
+  private readonly withheld: WithheldEndpoints;
   private readonly loads = new EndpointLoads(() => this.endpoints.invalidate());
   private readonly ownLoads = new OwnLoads();
   private readonly demand: DemandTracker;
@@ -147,7 +155,11 @@
       this.endpoints.invalidate();
       context.onLimitChange?.(change);
     });
-    this.endpoints = new EligibleEndpoints(context, this.limits);
+    this.withheld = new WithheldEndpoints(change => {
+      this.endpoints.invalidate();
+      context.onWithholdingChange?.(change);
+    });
+    this.endpoints = new EligibleEndpoints(context, this.limits, this.withheld);
     this.demand = new DemandTracker(context.clock);
   }
 
@@ -257,16 +269,22 @@
   }
 
   /**
-   * Whether the limit of an endpoint allows a health check, which counts towards
-   * it like a request. Counts it if so.
+   * Whether an endpoint wants requests of this host and its limit allows a health
+   * check, which counts towards it like a request. Counts it if so.
    */
   reserveProbe(endpoint: KnownEndpoint): boolean {
     const now = this.now();
+    if (this.withheld.isWithheld(endpoint.entry, now)) return false;
     if (!this.endpoints.isWithinLimit(endpoint, now)) return false;
     this.endpoints.recordSend(endpoint, now);
     return true;
   }
 
+  /** Records that an endpoint has told in a health check that it leaves. */
+  markLeaving({entry}: KnownEndpoint): void {
+    this.withheld.recordLeaving(entry);
+  }
+
   /** Records that an endpoint has answered a health check. */
   markReachable(id: string): void {
     this.update(id, {kind: 'reached'});
@@ -465,6 +483,9 @@
         if (this.endpoints.directory.has(id))
           this.limits.recordOwn(id, rate, this.now());
       },
+      leaving: () => this.withheld.recordLeaving(endpoint.entry),
+      backoff: duration =>
+        this.withheld.recordBackoff(endpoint.entry, duration, this.now()),
       failed: () => this.update(id, {kind: 'failed', now: this.now()}),
       unreachable: () =>
         this.update(id, {kind: 'unreachable', now: this.now()}),
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -5,7 +5,11 @@
 import type {Server, ServerResponse} from 'node:http';
 
 import {Admission} from '../admission/index.js';
-import {EndpointSelector, type LimitChange} from '../balance/index.js';
+import {
+  EndpointSelector,
+  type LimitChange,
+  type WithholdingChange,
+} from '../balance/index.js';
 import {hostChart} from '../charts/index.js';
 import {CorrectedClock, type Cancel, type Clock} from '../clock/index.js';
 import {
@@ -117,6 +121,7 @@
       clock,
       regions,
       onLimitChange: change => this.handleLimitChange(change),
+      onWithholdingChange: change => this.logWithholding(change),
     });
     this.admission = new Admission({
       clock,
@@ -448,6 +453,15 @@
     );
   }
 
+  /** Logs that an endpoint has told this host to send it nothing. */
+  private logWithholding(change: WithholdingChange): void {
+    const {logger, metrics} = this.parts;
+    const {kind, id: endpoint} = change;
+    metrics.count('endpoint-withheld', {reason: kind});
+    if (kind === 'leaving') logger.info('endpoint-leaving', {endpoint});
+    else logger.info('endpoint-backoff', {endpoint, duration: change.duration});
+  }
+
   /**
    * Logs the limit of an endpoint. If this host was told by the endpoint, tells
    * the others at once that a limit has begun or ended; its changes are left to
--- a/source/edge/prober.ts
+++ b/source/edge/prober.ts
@@ -77,9 +77,11 @@
       const {message} = await connections.send({...request, isOpen}, timeout);
       timeout.onAbort(() => message.destroy());
       const isComplete = await discardBody(message, clock);
-      const {status, endpoint: answering} = protocol.parseResponseHead(message);
-      const isHealthy = status === HEALTHY_STATUS && isComplete;
-      return isHealthy && (answering ?? id) === id;
+      const head = protocol.parseResponseHead(message);
+      const isOther = (head.endpoint ?? id) !== id;
+      if (head.leaving && !isOther) book.markLeaving(endpoint);
+      const isHealthy = head.status === HEALTHY_STATUS && isComplete;
+      return isHealthy && !isOther && !head.leaving;
     } catch (error) {
       // Not logged: the endpoint was logged when it became unreachable.
       if (error instanceof WireError) return false;
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -181,6 +181,7 @@
     const {parts} = this;
     const {context, reservation} = this.spec;
     const head = parts.protocol.parseResponseHead(message);
+    if (!head.misdirected) this.recordWithholding(head);
     if (head.notRun && this.isForThisRequest(head, response)) {
       if (head.misdirected) reservation.unreachable();
       else this.recordLimit(head);
@@ -222,6 +223,20 @@
     return !isReused;
   }
 
+  /** Records that the endpoint leaves, or for how long it wants nothing. */
+  private recordWithholding({leaving, backoff}: ResponseHead): void {
+    const {reservation, context} = this.spec;
+    if (leaving) reservation.leaving();
+    if (backoff?.milliseconds !== undefined)
+      return reservation.backoff(backoff.milliseconds);
+    if (!backoff) return;
+    this.parts.logger.warn('backoff-malformed', {
+      endpoint: reservation.endpoint.entry.id,
+      request: context.request.id,
+      text: backoff.text.slice(0, MAX_LOGGED_TEXT_LENGTH),
+    });
+  }
+
   /** Records the limit that the endpoint names, or that it names none. */
   private recordLimit({limit}: ResponseHead): void {
     const {reservation, context} = this.spec;
--- a/source/forward/index.ts
+++ b/source/forward/index.ts
@@ -9,6 +9,7 @@
 export {
   Protocol,
   type ResponseHead,
+  type StatedBackoff,
   type StatedLimit,
   type CallerRequest,
   type ForwardingInfo,
--- a/source/forward/protocol.ts
+++ b/source/forward/protocol.ts
@@ -68,10 +68,24 @@
   readonly endpoint: string | undefined;
   /** The endpoint's load, where it states it. */
   readonly load: ReportedLoad | undefined;
+  /** Whether the endpoint says that it leaves. */
+  readonly leaving: boolean;
+  /**
+   * Set where the endpoint turns the request away and wants nothing of this host
+   * for a while.
+   */
+  readonly backoff: StatedBackoff | undefined;
   /** The limit on requests that the endpoint names; undefined for none. */
   readonly limit: StatedLimit | undefined;
 }
 
+/** For how long an endpoint wants nothing of this host. */
+export interface StatedBackoff {
+  /** Undefined where the text is no such time. */
+  readonly milliseconds: number | undefined;
+  readonly text: string;
+}
+
 /** The limit that a response names. */
 export interface StatedLimit {
   /**
