--- a/source/balance/eligibleset.ts
+++ b/source/balance/eligibleset.ts
@@ -27,6 +27,18 @@
     return this.lazyIds.has(id);
   }
 
+  /** Those that have a software version; all if it is undefined. */
+  ofVersion(version: string | undefined): EligibleSet {
+    if (version === undefined) return this;
+    return this.filter(({entry}) => entry.softwareVersion === version);
+  }
+
+  /** Those without the given ids. */
+  without(ids: ReadonlySet<string>): EligibleSet {
+    if (ids.size === 0) return this;
+    return this.filter(({entry}) => !ids.has(entry.id));
+  }
+
   /** The rank of each endpoint for a key, by index; 0 is the first. */
   ranks(key: string): Uint32Array {
     return this.ranking.ranks(key);
@@ -48,6 +60,12 @@
     );
   }
 
+  /** Returns itself where all endpoints are kept. */
+  private filter(isKept: (known: KnownEndpoint) => boolean): EligibleSet {
+    const kept = this.endpoints.filter(isKept);
+    return kept.length === this.size ? this : new EligibleSet(kept);
+  }
+
   private get ranking(): RendezvousRanking {
     return (this.lazyRanking ??= new RendezvousRanking(
       this.endpoints.map(({entry}) => entry.id),
--- a/source/balance/index.ts
+++ b/source/balance/index.ts
@@ -2,11 +2,10 @@
 export {DemandTracker, type ServiceDemand} from './demand.js';
 export {
   EndpointSelector,
-  type EndpointRequirements,
   type EndpointLoadReport,
-  type Reservation,
   type HostContext,
 } from './selector.js';
+export type {EndpointRequirements, Reservation} from './reservation.js';
 export {
   addToHistory,
   mayRetry,
--- a/source/balance/selector.ts
+++ b/source/balance/selector.ts
@@ -19,9 +19,9 @@
 } from './choose.js';
 import {DemandTracker, type ServiceDemand} from './demand.js';
 import {PrefixCacheIndex} from './prefixcache.js';
-import {expectedRequests, type LoadEvent, type ReportedLoad} from './load.js';
+import {expectedRequests, type LoadEvent} from './load.js';
 import {EligibleEndpoints} from './eligible.js';
-import {EligibleSet} from './eligibleset.js';
+import type {EligibleSet} from './eligibleset.js';
 import {EndpointLoads} from './endpointloads.js';
 import {
   NamedLimits,
@@ -30,7 +30,9 @@
 } from './namedlimits.js';
 import {OwnLoads} from './ownloads.js';
 import {WithheldEndpoints, type WithholdingChange} from './withheld.js';
-import {hostPrefillLimit, hostSlotLimit, type HostLimitInput} from './share.js';
+import {engineShortage, plainShortage} from './capacity.js';
+import type {EndpointRequirements, Reservation} from './reservation.js';
+import type {HostLimitInput} from './share.js';
 import {busyEngineCount, largeEngineCount, totalDemand} from './partition.js';
 import {ranksAmong} from './rendezvous.js';
 import {
@@ -41,31 +43,8 @@
   type Prompt,
 } from './prompt.js';
 
-/**
- * Requests that an endpoint of a plain service, one without inference engines,
- * may have for each of its slots.
- */
-const PLAIN_REQUESTS_PER_SLOT = 1.5;
 /** Slots of an engine whose service does not state them. */
 const DEFAULT_ENGINE_SLOTS = 64;
-/** Fraction of the engines’ slots that a request may fill beside more urgent ones. */
-const SLOT_FRACTION_BESIDE_URGENT = 0.85;
-
-/** What a request needs of an endpoint. */
-export interface EndpointRequirements {
-  readonly service: string;
-  /** Undefined for a request without a prompt. */
-  readonly prompt: Prompt | undefined;
-  /** Ids of the endpoints at which the request has already failed. */
-  readonly failedEndpoints: ReadonlySet<string>;
-  /** Priority tier; 0 is served first. */
-  readonly tier: number;
-  /** Regions that the request must not leave; undefined for all. */
-  readonly homes?: AllowedRegions;
-  /** Software version that the endpoint must have; undefined for any. */
-  readonly softwareVersion?: string | undefined;
-}
-
 /** What the engines of a set are to a prompt. */
 interface PromptRanking {
   /** Whether the engine is set aside for prompts of the other size. */
@@ -79,37 +58,6 @@
   readonly cachedTokens: (id: string) => number;
 }
 
-/** A request’s slot at an endpoint, held until `release` is called. */
-export interface Reservation {
-  readonly endpoint: KnownEndpoint;
-  readonly choice: Choice;
-  /**
-   * Whether the endpoint may still be sent to: it has not left, restarted or
-   * lapsed, and its zone is in service.
-   */
-  readonly isEndpointUsable: () => boolean;
-  /** Records that the head of the response has arrived. */
-  answered(reportedLoad: ReportedLoad | undefined): void;
-  /**
-   * Records the requests a second that a response names as the endpoint’s limit;
-   * undefined where it names none.
-   */
-  limited(rate: number | undefined): void;
-  /** Records that a response says that the endpoint leaves. */
-  leaving(): void;
-  /** Records that the endpoint wants nothing for some milliseconds. */
-  backoff(duration: number): void;
-  /** Records that the endpoint has failed the request. */
-  failed(): void;
-  /**
-   * Records that the endpoint does not accept connections, or that another
-   * endpoint now has its address.
-   */
-  unreachable(): void;
-  /** Ends the request’s stay at the endpoint; a second call does nothing. */
-  release(): void;
-}
-
 /** The load that one host puts on one endpoint, as reported to other hosts. */
 export interface EndpointLoadReport {
   readonly id: string;
@@ -201,9 +149,13 @@
     const now = this.now();
     const eligible = this.eligible(group.pool, now, group.homes);
     if (eligible.size === 0) return 'no-endpoint';
-    const isEngine = this.endpoints.services.get(group.pool)?.engine;
-    if (isEngine) return this.engineShortage(group, eligible, now);
-    return this.slotShortage(eligible, PLAIN_REQUESTS_PER_SLOT, now);
+    const requestsAt = (id: string) =>
+      expectedRequests(this.loads.get(id), now);
+    if (!this.endpoints.services.get(group.pool)?.engine)
+      return plainShortage(eligible, requestsAt);
+    const own = this.ownLoads.upToTier(group.tier, eligible, now);
+    const demand = this.hostLimitInput(group.pool);
+    return engineShortage(eligible, {own, demand, requestsAt});
   }
 
   /** This host’s equal share of the slots of a pool’s eligible endpoints. */
@@ -347,11 +299,10 @@
     softwareVersion,
   }: EndpointRequirements): Reservation | undefined {
     const now = this.now();
-    const eligible = withVersion(
-      this.eligible(service, now, homes),
+    const eligible = this.eligible(service, now, homes).ofVersion(
       softwareVersion,
     );
-    const untried = withoutFailed(eligible, failedEndpoints);
+    const untried = eligible.without(failedEndpoints);
     const candidates = this.candidates(
       untried.size > 0 ? untried : eligible,
       {service, prompt, failedEndpoints, tier},
@@ -522,41 +473,6 @@
     return this.endpoints.eligible({service, homes, ejectedUntil}, now);
   }
 
-  /**
-   * What a group lacks at engines: room in this host’s limits on requests and on
-   * prefill that these wait for, or a free slot.
-   */
-  private engineShortage(
-    {pool, tier}: SchedulingGroup,
-    eligible: EligibleSet,
-    now: number,
-  ): CapacityShortage | undefined {
-    const own = this.ownLoads.upToTier(tier, eligible, now);
-    const fraction =
-      own.moreUrgentRequests > 0 ? SLOT_FRACTION_BESIDE_URGENT : 1;
-    const demand = this.hostLimitInput(pool);
-    const slotLimit = hostSlotLimit(eligible.slots, demand);
-    if (own.requests >= slotLimit * fraction) return 'host-requests';
-    const prefillLimit = hostPrefillLimit(eligible.size, demand);
-    if (own.prefillMilliseconds >= prefillLimit * fraction)
-      return 'host-prefill';
-    return this.slotShortage(eligible, fraction, now);
-  }
-
-  /** Whether all endpoints are believed to have so many requests per slot. */
-  private slotShortage(
-    {endpoints}: EligibleSet,
-    requestsPerSlot: number,
-    now: number,
-  ): CapacityShortage | undefined {
-    const hasFreeSlot = endpoints.some(
-      ({entry}) =>
-        expectedRequests(this.loads.get(entry.id), now) <
-        entry.slots * requestsPerSlot,
-    );
-    return hasFreeSlot ? undefined : 'endpoints-full';
-  }
-
   private hostLimitInput(service: string): HostLimitInput {
     const hosts = this.hostCount;
     const ownDemand = totalDemand(this.demand.ownDemand(service));
@@ -591,24 +507,3 @@
   }
   return sums;
 }
-
-/** The endpoints of a set that have a software version; all for none. */
-function withVersion(
-  set: EligibleSet,
-  version: string | undefined,
-): EligibleSet {
-  if (version === undefined) return set;
-  const isSame = ({entry}: KnownEndpoint) => entry.softwareVersion === version;
-  if (set.endpoints.every(isSame)) return set;
-  return new EligibleSet(set.endpoints.filter(isSame));
-}
-
-/** The endpoints of a set at which a request has not failed. */
-function withoutFailed(
-  set: EligibleSet,
-  failed: ReadonlySet<string>,
-): EligibleSet {
-  if (failed.size === 0) return set;
-  const untried = set.endpoints.filter(({entry}) => !failed.has(entry.id));
-  return untried.length === set.size ? set : new EligibleSet(untried);
-}
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -386,7 +386,7 @@
         ),
         blocked: this.quarantine.entries,
         limits: this.selector.limitStatementsSince(clock.monotonic() - period),
-        certainUsage: this.usage?.certainWindow,
+        certainUsage: this.usage?.freezes.certainWindow,
       }),
       sheets: () => this.usage?.unstoredSheets() ?? [],
       records: (topic, position) =>
@@ -429,7 +429,7 @@
     if (pulse.time !== undefined) clock.recordPeerTime(from.name, pulse.time);
     this.quarantine.handleEntries(blocked);
     this.selector.setLimitReports(limits);
-    if (certainUsage) this.usage?.handleCertainWindow(certainUsage);
+    if (certainUsage) this.usage?.freezes.handleCertainWindow(certainUsage);
     if (sheets.length > 0) this.usage?.keepReplica(incarnationOf(from), sheets);
     this.selector.prefixCache.addReports(kept, clock.monotonic());
     this.cancelPulseBatch ??= clock.after(PULSE_BATCH_MILLISECONDS, () => {
--- a/source/leader/usage.ts
+++ b/source/leader/usage.ts
@@ -18,23 +18,18 @@
   type Sheet,
 } from '../platform/index.js';
 import type {RandomSource} from '../random/index.js';
-import {
-  FIRST_ERA,
-  StoreError,
-  TopicReader,
-  type RecordStore,
-} from '../store/index.js';
+import {StoreError, TopicReader, type RecordStore} from '../store/index.js';
 import {
   applyFreeze,
   nextFreeze,
   nextUnreported,
   emptyLedger,
   foldReported,
-  type FreezeRecord,
   UsageSheets,
   type UsageLedger,
 } from '../usage/index.js';
 import type {FencedPlatformClient, Leader} from './client.js';
+import {FreezeHistory} from './freezehistory.js';
 import {UsageRelay, type UsageRelayOptions} from './usagerelay.js';
 
 const TOPIC = 'usage';
@@ -61,15 +56,6 @@
  * back from a copy, which is some seconds old.
  */
 const REWRITTEN_MILLISECONDS = 30_000;
-/** Time since a leader last read the topic in which nobody else has led. */
-const MAX_LEADER_PAUSE_MILLISECONDS = 3_000;
-
-/** From which window on the store lacks no freeze. */
-export interface UsageCertainty {
-  /** The store’s era for which this holds. */
-  readonly era: number;
-  readonly window: number;
-}
 
 type UsageRecord = Extract<LogRecord, {kind: 'usage-sheets' | 'usage-freeze'}>;
 
@@ -103,18 +89,12 @@
   /** Stores this host's sheets, and those that others send to it. */
   readonly relay: UsageRelay;
   private stopTimer: Cancel = () => {};
-  /** The freezes that this host has read as the leader, by window. */
-  private readonly freezes = new Map<number, UsageRecord>();
-  /** Monotonic milliseconds at which this host last acted as the leader. */
-  private ledAt = -Infinity;
-  /** From which window on no freeze can have been lost in the store’s era. */
-  private certainty: UsageCertainty | undefined;
-  /** Whether this host led when the store was restored, and knows all freezes. */
-  private knowsAllFreezes = false;
-  private startedIn = -Infinity;
+  /** The freezes that this host knows, and what a restored store may lack. */
+  readonly freezes: FreezeHistory;
 
   constructor(private readonly options: UsageMeterOptions) {
     this.sheets = new UsageSheets(REGION, options.incarnation);
+    this.freezes = new FreezeHistory(options.store.restores);
     this.relay = new UsageRelay({
       ...options.relay,
       clock: options.clock,
@@ -168,28 +148,11 @@
     await this.appendUntilStored(sheets);
   }
 
-  /**
-   * From which window on the freezes that the store has are complete, for other
-   * hosts; undefined while the store has not come back from a copy.
-   */
-  get certainWindow(): UsageCertainty | undefined {
-    const {era = FIRST_ERA} = this.options.store.restores;
-    if (era === FIRST_ERA) return undefined;
-    if (this.certainty?.era === era) return this.certainty;
-    return {era, window: this.startedIn};
-  }
-
-  /** Takes over what another host says of the freezes that the store has. */
-  handleCertainWindow({era, window}: UsageCertainty): void {
-    const own = this.certainWindow;
-    if (own?.era === era && window < own.window) this.certainty = {era, window};
-  }
-
   /** Starts to append this host's sheet after each window. */
   start(): void {
     const {window, clock, random} = this.options;
     this.sheets.ensureSheet(this.windowAt(0));
-    if (this.startedIn === -Infinity) this.startedIn = this.windowAt(0);
+    this.freezes.begin(this.windowAt(0));
     const timeLeft = window - (clock.now().getTime() % window);
     const jitter = random.next() * MAX_APPEND_JITTER_MILLISECONDS;
     const delay = timeLeft + APPEND_DELAY_MILLISECONDS + jitter;
@@ -213,7 +176,7 @@
   async freezeAndReport(leader: Leader): Promise<void> {
     try {
       await this.topic.readToEnd();
-      this.ledAt = this.options.clock.monotonic();
+      this.freezes.recordLeading(this.options.clock.monotonic());
       await this.freezeCompleteWindows(leader);
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
@@ -264,16 +227,17 @@
       .takeUpdates(true)
       .map(({window}) => window)
       .filter(window => window >= oldest && window < this.windowAt(0));
-    const freezes = [...this.freezes].filter(([window]) => window >= oldest);
-    const isLeader =
-      clock.monotonic() - this.ledAt < MAX_LEADER_PAUSE_MILLISECONDS;
-    this.knowsAllFreezes = isLeader;
-    this.certainty = {era, window: this.windowAt(FREEZE_DELAY_MILLISECONDS)};
+    const freezes = this.freezes.since(oldest);
+    this.freezes.recordRestore({
+      era,
+      window: this.windowAt(FREEZE_DELAY_MILLISECONDS),
+      now: clock.monotonic(),
+    });
     logger.info('usage-appended-anew', {
       sheets: windows.length,
       freezes: freezes.length,
     });
-    void this.appendFreezes(freezes.map(([, record]) => record));
+    void this.appendFreezes(freezes);
     if (windows.length === 0) return;
     clock.after(random.next() * MAX_APPEND_JITTER_MILLISECONDS, () => {
       const recent = new Set(windows);
@@ -363,7 +327,7 @@
   private applyRecord(bytes: Buffer): void {
     const record = decodeRecord(bytes);
     if (record?.kind === 'usage-freeze') {
-      this.keepFreeze(record);
+      this.freezes.keep(record, this.windowAt(REWRITTEN_MILLISECONDS));
       this.ledger = applyFreeze(this.ledger, record);
     } else if (record?.kind === 'usage-sheets') {
       for (const sheet of record.sheets) this.sheets.applyUpdate(sheet);
@@ -372,25 +336,6 @@
     }
   }
 
-  /**
-   * The oldest window that this host may freeze: earlier ones may have been frozen
-   * by another leader in a record that the store has lost.
-   */
-  private get oldestWindowToFreeze(): number {
-    const {certainWindow} = this;
-    if (!certainWindow || this.knowsAllFreezes) return -Infinity;
-    return certainWindow.window;
-  }
-
-  /** Keeps the first freeze of a window for a while. */
-  private keepFreeze(record: FreezeRecord): void {
-    const oldest = this.windowAt(REWRITTEN_MILLISECONDS);
-    for (const window of this.freezes.keys())
-      if (window < oldest) this.freezes.delete(window);
-    if (!this.freezes.has(record.window))
-      this.freezes.set(record.window, record);
-  }
-
   private async freezeCompleteWindows({
     name,
     fence,
@@ -402,7 +347,7 @@
         region: REGION,
         holder: name,
         fence,
-        oldestWindow: this.oldestWindowToFreeze,
+        oldestWindow: this.freezes.oldestWindowToFreeze,
         currentWindow: this.windowAt(FREEZE_DELAY_MILLISECONDS),
         maxWaitWindows: MISSING_SHEETS_WAIT_WINDOWS,
         expectedIncarnations: window => this.expectedIncarnations(window),
--- a/test/oddentries.test.ts
+++ b/test/oddentries.test.ts
@@ -71,7 +71,10 @@
     t.is((await fleet.read(host, 'second'))[0], 200);
   t.is(host.child.exitCode, null);
   const lengths = host.lines.map(line => JSON.stringify(line).length);
-  t.true(Math.max(...lengths) <= MAX_LINE_CHARACTERS, `${Math.max(...lengths)}`);
+  t.true(
+    Math.max(...lengths) <= MAX_LINE_CHARACTERS,
+    `${Math.max(...lengths)}`,
+  );
   t.is(host.errors.join(''), '');
 });
 
