Let the soak restore the store from an older copy

Its plan has random numbers of its own, so the other faults of a seed stay what they were. An endpoint that leaves now counts what it writes, as engines do.

--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -27,6 +27,15 @@
     }
   | {readonly kind: 'store-loses'; readonly answers: number}
   | {readonly kind: 'store-forgets'}
+  | {
+      readonly kind: 'store-restored';
+      /** Milliseconds of writing that are lost. */
+      readonly age: number;
+      /** Milliseconds for which the store is away. */
+      readonly lasts: number;
+      /** Milliseconds after which writers have written again what is lost. */
+      readonly rewrittenAfter: number;
+    }
   | {
       readonly kind: 'endpoint-leaves' | 'endpoint-crashes';
       readonly endpoint: number;
@@ -63,6 +72,9 @@
 const SECOND_SIGNAL_MILLISECONDS_MOST = 4_000;
 const LOAD_GAP_MILLISECONDS_MOST = 5_000;
 const OVERLOAD_SHARE = 0.6;
+const RESTORE_GAP_MILLISECONDS_MOST = 9_000;
+const RESTORED_AGE_MILLISECONDS_MOST = 6_000;
+const REWRITE_MILLISECONDS_MOST = 1_200;
 
 /**
  * The faults of a run.
@@ -111,6 +123,30 @@
   return plan;
 }
 
+/**
+ * Restores of the store from an older copy, beside the faults of a run.
+ *
+ * ```ts
+ * const plan = restorePlanOf(seededRandom(9), {hosts: 3, endpoints: 4, lasts: 8_000});
+ * ```
+ */
+export function restorePlanOf(
+  random: RandomSource,
+  {lasts: end}: SoakSize,
+): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  const nextAt = (at: number) =>
+    at + random.next() * RESTORE_GAP_MILLISECONDS_MOST;
+  for (let at = nextAt(FIRST_MILLISECONDS); at < end; at = nextAt(at)) {
+    const age = random.next() * RESTORED_AGE_MILLISECONDS_MOST;
+    const lasts = random.next() * LASTS_MILLISECONDS_MOST;
+    const rewrittenAfter = random.next() * REWRITE_MILLISECONDS_MOST;
+    const kind = 'store-restored';
+    plan.push({at, fault: {kind, age, lasts, rewrittenAfter}});
+  }
+  return plan;
+}
+
 function faultOf(random: RandomSource, {hosts, endpoints}: SoakSize): Fault {
   const pick = (count: number) => Math.floor(random.next() * count);
   const host = pick(hosts);
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -17,7 +17,14 @@
 import {askHost} from './caller.js';
 import {SoakEndpoint} from './endpoint.js';
 import {Ledger, TEAM, type Asked, type Got, type Violation} from './ledger.js';
-import {loadPlanOf, planOf, type Fault, type SoakSize} from './plan.js';
+import {
+  loadPlanOf,
+  planOf,
+  restorePlanOf,
+  type Fault,
+  type SoakSize,
+} from './plan.js';
+import {StoreCopies} from './restore.js';
 import {FaultyProxy} from './proxy.js';
 
 /** What a soak is. */
@@ -67,6 +74,8 @@
 const CALLERS_SEED = 1_000_003;
 /** Keeps the phases of overload apart from the plan of the faults. */
 const LOAD_SEED = 2_000_003;
+/** Keeps the restores of the store apart from the plan of the faults. */
+const RESTORE_SEED = 3_000_000;
 const SCRAPE_MILLISECONDS = 1_000;
 const WORK_MILLISECONDS = 20;
 const OVERLOAD_WORK_MILLISECONDS = 150;
@@ -90,12 +99,15 @@
 const wait = (duration: number) =>
   new Promise<void>(resolve => setTimeout(resolve, duration));
 
+type RestoreFault = Extract<Fault, {kind: 'store-restored'}>;
+
 /** Plays one soak to its end. */
 export class Soak {
   private readonly fleet = new EdgeFleet();
   private readonly ledger = new Ledger();
   private readonly random: RandomSource;
   private readonly stations: Station[] = [];
+  private copies: StoreCopies | undefined;
   private readonly seats: Seat[] = [];
   private readonly faults: string[] = [];
   private readonly repairs: Promise<void>[] = [];
@@ -130,6 +142,7 @@
       await Promise.all(this.repairs);
       await this.recover();
       this.over = true;
+      this.copies?.stop();
       await Promise.all([...asking, ...scraping]);
       this.readDuties();
     } finally {
@@ -153,6 +166,7 @@
   private async begin(): Promise<void> {
     const {hosts, endpoints} = this.options;
     await this.fleet.site.start();
+    this.copies = new StoreCopies(this.fleet.site);
     this.fleet.configure(this.keys);
     for (let index = 0; index < endpoints; index++) {
       this.seats.push(await this.newSeat());
@@ -187,6 +201,7 @@
     const plan = [
       ...planOf(seededRandom(seed), this.options),
       ...loadPlanOf(seededRandom(seed + LOAD_SEED), this.options),
+      ...restorePlanOf(seededRandom(seed + RESTORE_SEED), this.options),
     ].sort((one, other) => one.at - other.at);
     for (const {at, fault} of plan) {
       await wait(Math.max(began + at - performance.now(), 0));
@@ -225,6 +240,8 @@
         return;
       case 'store-forgets':
         return this.fleet.site.forget('keyed.op');
+      case 'store-restored':
+        return this.restoreStore(fault);
       case 'endpoint-leaves':
         return this.replace(fault.endpoint, true);
       case 'endpoint-crashes':
@@ -347,13 +364,25 @@
     faults[fault] = false;
   }
 
+  /** The store is away and comes back from an older copy. */
+  private async restoreStore({
+    age,
+    lasts,
+    rewrittenAfter,
+  }: RestoreFault): Promise<void> {
+    await this.whileTrue('away', lasts);
+    const rewrite = this.copies?.restore(age);
+    await wait(rewrittenAfter);
+    rewrite?.();
+  }
+
   /** An endpoint leaves or crashes, and another takes its seat. */
   private async replace(index: number, planned: boolean): Promise<void> {
     const {endpoint, proxy} = this.seat(index);
     const {id} = endpoint;
     this.seats[index] = await this.newSeat();
     if (planned) {
-      this.fleet.enter(id, proxy.address, 'draining');
+      this.fleet.enter(id, proxy.address, 'draining', 'v1', 2);
       await wait(LEAVE_MILLISECONDS);
     } else {
       this.troubles++;
--- a/standins/site.ts
+++ b/standins/site.ts
@@ -304,6 +304,7 @@
   readonly ttlMs: number;
 }
 
+/** The newest record of a key. */
 interface Kept {
   readonly value: Buffer;
   readonly offset: number;
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -6,7 +6,7 @@
 import test from 'ava';
 
 import {answerTo, Ledger, TEAM, type Asked} from '../soak/ledger.js';
-import {loadPlanOf, planOf} from '../soak/plan.js';
+import {loadPlanOf, planOf, restorePlanOf} from '../soak/plan.js';
 import {REGRESSIONS} from '../soak/seeds.js';
 import {Soak} from '../soak/soak.js';
 import {seededRandom} from '../source/random/index.js';
@@ -33,6 +33,10 @@
   const load = (seed: number) => loadPlanOf(seededRandom(seed), SIZE);
   t.deepEqual(load(7), load(7));
   t.notDeepEqual(load(7), load(8));
+  const restores = (seed: number) =>
+    restorePlanOf(seededRandom(seed), {...SIZE, lasts: 30_000});
+  t.deepEqual(restores(7), restores(7));
+  t.notDeepEqual(restores(7), restores(8));
 });
 
 const ASKED: Asked = {
