Log which of the requests that a crash cuts are alike

The lines endpoint-crashed named the parts of prompts only, so they could not tell a request that comes again from others that share its parts; a request without a prompt left no line at all. They now have a fingerprint of method, host, path, query, team and body, made once and only for requests that were cut.

--- a/source/forward/context.ts
+++ b/source/forward/context.ts
@@ -5,6 +5,7 @@
 import {Cancellation} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import {Refusal} from '../errors/index.js';
+import {fingerprintOf} from '../quarantine/index.js';
 import {
   allowedRegionsFor,
   tierOf,
@@ -77,6 +78,7 @@
   crashCheck: Promise<void> = Promise.resolve();
   private readonly clock: Clock;
   private readonly stopTimer: Cancel;
+  private knownFingerprint: string | undefined;
 
   constructor(options: RequestContextOptions) {
     const {request, route, clock} = options;
@@ -120,6 +122,15 @@
     return Math.max(this.deadline - this.clock.monotonic(), 0);
   }
 
+  /** Identifies requests that are alike; once the body has been read. */
+  get fingerprint(): string {
+    const {method, host, url} = this.request;
+    const {body} = this;
+    const team = this.team?.name ?? '';
+    this.knownFingerprint ??= fingerprintOf({method, host, url, team, body});
+    return this.knownFingerprint;
+  }
+
   /** Whether an endpoint may have run it. */
   get mayHaveRun(): boolean {
     return this.possibleRuns > 0 || this.underWay;
--- a/source/forward/promptguard.ts
+++ b/source/forward/promptguard.ts
@@ -52,11 +52,13 @@
   ): void {
     const {request, delivered: events} = context;
     const {id, prompt} = request;
+    const {fingerprint} = context;
+    const parts = sharedPartIds(prompt);
+    const cut = {endpoint, request: id, fingerprint, parts, sentAt, events};
+    const crashCheck = this.quarantine.recordCut(cut);
     if (!prompt) return;
     if (events === 0) context.unbegunCuts++;
-    const parts = sharedPartIds(prompt);
-    const cut = {endpoint, request: id, parts, sentAt, events};
-    context.crashCheck = this.quarantine.recordCut(cut);
+    context.crashCheck = crashCheck;
   }
 
   /** Records that an endpoint has begun the answer to a prompt. */
--- a/source/quarantine/detector.ts
+++ b/source/quarantine/detector.ts
@@ -19,6 +19,8 @@
   readonly endpoint: KnownEndpoint;
   /** Id of the caller's attempt. */
   readonly request: string;
+  /** Identifies requests that are alike. */
+  readonly fingerprint: string;
   /** Ids of the parts of its prompt that other requests may share. */
   readonly parts: readonly string[];
   /** Monotonic milliseconds at which it was sent to the endpoint. */
--- a/source/quarantine/index.ts
+++ b/source/quarantine/index.ts
@@ -27,6 +27,7 @@
   type Suspect,
   type SuspectedCrash,
 } from './evidence.js';
+export {fingerprintOf, type RequestContent} from './fingerprint.js';
 export {
   begunPartSchema,
   blocklistEntrySchema,
--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -360,8 +360,8 @@
       requests: requests
         .slice(0, MAX_LOGGED_REQUESTS)
         .map(
-          ({request, events, parts}) =>
-            `${request} events ${events} parts ${parts.join(' ')}`,
+          ({request, fingerprint, events, parts}) =>
+            `${request} like ${fingerprint} events ${events} parts ${parts.join(' ')}`,
         )
         .join(', '),
     });
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -260,7 +260,14 @@
 /** A request that an endpoint has cut. */
 function cutAt(id: string, events = 0): CutRequest {
   const endpoint = createEndpoint(id, '127.0.0.1:1');
-  return {endpoint, request: 'r', parts: ['bad'], sentAt: 0, events};
+  return {
+    endpoint,
+    request: 'r',
+    fingerprint: 'f',
+    parts: ['bad'],
+    sentAt: 0,
+    events,
+  };
 }
 
 test('requests that one endpoint cuts are one crash, and none if it still accepts connections', async t => {
