--- a/source/attempt/decide.ts
+++ b/source/attempt/decide.ts
@@ -25,9 +25,12 @@
   readonly hasRetryBudget: boolean;
 }
 
+/** Why a failed attempt is followed by another one. */
+export type RetryReason = RefusalCode | 'budget';
+
 /** What to do after a failed attempt: retry, or refuse the caller. */
 export type RetryDecision =
-  | {readonly kind: 'retry'; readonly reason: RefusalCode | 'budget'}
+  | {readonly kind: 'retry'; readonly reason: RetryReason}
   | {
       readonly kind: 'refuse';
       readonly code: RefusalCode;
--- a/source/attempt/index.ts
+++ b/source/attempt/index.ts
@@ -5,5 +5,6 @@
   knownOutcome,
   type FailedAttempt,
   type RetryDecision,
+  type RetryReason,
 } from './decide.js';
 export {RetryTokenBucket} from './budget.js';
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -344,9 +344,9 @@
       random,
       sendCrash: report =>
         this.gossip?.broadcast({kind: 'crash', from, report}),
-      sendBegun: parts =>
-        this.gossip?.broadcast({kind: 'begun', from, parts: [...parts]}),
-      onBlocked: part => this.forwarder.endRequestsWith(part),
+      sendBegun: begun =>
+        this.gossip?.broadcast({kind: 'begun', from, parts: [...begun]}),
+      onBlocked: suspect => this.forwarder.endRequestsWith(suspect),
     });
   }
 
@@ -384,7 +384,7 @@
         kept: this.selector.prefixCache.prefillsSince(
           clock.monotonic() - period,
         ),
-        blocked: this.quarantine.entries,
+        blocked: this.quarantine.takeEntriesForPulse(),
         limits: this.selector.limitStatementsSince(clock.monotonic() - period),
         certainUsage: this.usage?.freezes.certainWindow,
       }),
@@ -395,16 +395,24 @@
       onFeedReport: feed => this.feeder?.handleReport(feed),
       onPulse: pulse => this.receivePulse(pulse),
       onCrashReport: report => this.quarantine.handleCrashReport(report),
-      onBegunParts: parts => this.quarantine.handleBegun(parts),
+      onBegunSuspects: begun => this.quarantine.handleBegun(begun),
       onLimits: limits => this.selector.setLimitReports(limits),
       onBegunStreams: groups => this.versions.appendFor(groups),
       onSheets: ({name}, delivery) =>
         this.usage?.relay.handleDelivery(name, delivery),
       onSheetsStored: number => this.usage?.relay.handleConfirmation(number),
+      onHostFound: found => this.informNewHost(found),
       onHostLost: lost => void this.usage?.appendReplicaOf(incarnationOf(lost)),
     });
   }
 
+  /** Tells a host that has turned up of the crashes that it has missed. */
+  private informNewHost({name}: HostAddress): void {
+    const from = this.address;
+    for (const report of this.quarantine.reportsForNewHost(name))
+      this.gossip?.send(name, {kind: 'crash', from, report});
+  }
+
   private createFeeder(gossip: GossipNode): Feeder {
     const {platformView} = this;
     return new Feeder({
--- a/source/edge/servers.ts
+++ b/source/edge/servers.ts
@@ -8,9 +8,14 @@
 
 import type {Logger} from '../logging/index.js';
 import {formatPrometheusMetrics, type Metrics} from '../metrics/index.js';
-import type {Quarantine} from '../quarantine/index.js';
+import type {Quarantine, Suspect} from '../quarantine/index.js';
 
+const BLOCKED_PATH = '/blocked';
 const BLOCKED_PARTS_PATH = '/blocked-parts';
+const REQUEST_PATH = '/blocked/request';
+/** Where one suspect is; the first group tells its kind. */
+const SUSPECT_PATTERN =
+  /^(\/blocked-parts|\/blocked\/part|\/blocked\/request)\/(.*)$/;
 
 /**
  * Creates the server that tells the load balancer whether to open connections to
@@ -32,10 +37,10 @@
 }
 
 /**
- * Creates the server for operators. `GET /blocked-parts` lists the parts of
- * prompts that are blocked, `DELETE /blocked-parts/PART` lifts the block of one on
- * all hosts, and any other path has the metrics in Prometheus text format. Does
- * not listen yet.
+ * Creates the server for operators. `GET /blocked` lists what is blocked: requests
+ * and parts of prompts. `DELETE /blocked/request/ID` and `DELETE /blocked/part/ID`
+ * lift the block of one on all hosts. `/blocked-parts` does the same for parts only.
+ * Any other path has the metrics in Prometheus text format. Does not listen yet.
  *
  * ```ts
  * const server = createOperatorServer({metrics, quarantine, logger});
@@ -46,33 +51,57 @@
   return createServer((message, response) => {
     message.resume();
     const {url = ''} = message;
-    if (url === BLOCKED_PARTS_PATH) listBlockedParts(parts, response);
-    else if (url.startsWith(`${BLOCKED_PARTS_PATH}/`))
-      liftBlock(parts, message, response);
-    else sendMetrics(parts, response);
+    if (url === BLOCKED_PATH) return listBlocked(parts, response);
+    if (url === BLOCKED_PARTS_PATH) return listBlockedParts(parts, response);
+    const suspect = suspectOfPath(url);
+    if (suspect) return liftBlock(parts, suspect, message, response);
+    sendMetrics(parts, response);
   });
 }
 
-function listBlockedParts(
+/** The suspect that the path of a request to lift a block names. */
+function suspectOfPath(url: string): Suspect | undefined {
+  const [, path, id] = SUSPECT_PATTERN.exec(url) ?? [];
+  if (id === undefined) return undefined;
+  return {kind: path === REQUEST_PATH ? 'request' : 'part', id};
+}
+
+function listBlocked(
   {quarantine}: OperatorServerParts,
   response: ServerResponse,
 ): void {
   const blocked = quarantine.entries
     .filter(({isBlocked}) => isBlocked)
+    .map(({kind, part: id, team, reviewIn}) => {
+      return {kind, id, team, reviewInMilliseconds: reviewIn};
+    });
+  sendJson(response, blocked);
+}
+
+function listBlockedParts(
+  {quarantine}: OperatorServerParts,
+  response: ServerResponse,
+): void {
+  const blocked = quarantine.entries
+    .filter(({kind, isBlocked}) => kind === 'part' && isBlocked)
     .map(({part, reviewIn}) => ({part, reviewInMilliseconds: reviewIn}));
+  sendJson(response, blocked);
+}
+
+function sendJson(response: ServerResponse, value: unknown): void {
   response.writeHead(200, {'content-type': 'application/json'});
-  response.end(JSON.stringify(blocked));
+  response.end(JSON.stringify(value));
 }
 
-/** Answers 204 if the part was blocked, otherwise 404. */
+/** Answers 204 if the suspect was blocked, otherwise 404. */
 function liftBlock(
   {quarantine}: OperatorServerParts,
-  {method, url = ''}: IncomingMessage,
+  suspect: Suspect,
+  {method}: IncomingMessage,
   response: ServerResponse,
 ): void {
-  const part = url.slice(BLOCKED_PARTS_PATH.length + 1);
   if (method !== 'DELETE') response.writeHead(405);
-  else response.writeHead(quarantine.lift(part) ? 204 : 404);
+  else response.writeHead(quarantine.lift(suspect) ? 204 : 404);
   response.end();
 }
 
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -2,7 +2,7 @@
  * One attempt of a request at one endpoint. A response that is not a stream is
  * buffered until it is complete; a stream is relayed event by event.
  */
-import type {Prompt, Reservation} from '../balance/index.js';
+import type {Reservation} from '../balance/index.js';
 import {Cancellation, type CancellationSignal} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import {WireError} from '../errors/index.js';
@@ -62,8 +62,8 @@
   readonly onRunStarted: (team: string) => void;
   /** Called when an endpoint of a version has begun a resumable stream. */
   readonly onStreamBegun: (stream: BegunStream) => void;
-  /** Called when an endpoint has begun the answer to a prompt. */
-  readonly onAnswerBegun: (prompt: Prompt) => void;
+  /** Called when an endpoint has begun the answer to a request. */
+  readonly onAnswerBegun: (context: RequestContext) => void;
 }
 
 /** What one attempt is to do. */
@@ -425,10 +425,9 @@
     if (this.hasBegun) return;
     this.hasBegun = true;
     const {context, reservation} = this.spec;
-    const {prompt} = context.request;
     if (context.streamVersion === undefined)
       this.recordVersion(reservation.endpoint.entry.softwareVersion);
-    if (prompt) this.parts.onAnswerBegun(prompt);
+    this.parts.onAnswerBegun(context);
   }
 
   /** Records which version has begun the stream that the caller gets. */
--- a/source/forward/context.ts
+++ b/source/forward/context.ts
@@ -5,7 +5,7 @@
 import {Cancellation} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import {Refusal} from '../errors/index.js';
-import {fingerprintOf} from '../quarantine/index.js';
+import type {RequestTraits} from '../quarantine/index.js';
 import {
   allowedRegionsFor,
   tierOf,
@@ -74,11 +74,15 @@
   callerDisconnected = false;
   /** Endpoints that closed its connection before the answer had begun. */
   unbegunCuts = 0;
-  /** Settled when it is known whether the last endpoint to cut it has crashed. */
-  crashCheck: Promise<void> = Promise.resolve();
+  /**
+   * Settled when it is known whether the endpoint that cut it last has crashed;
+   * undefined before a cut, and once that has been looked at.
+   */
+  crashCheck: Promise<void> | undefined;
+  /** What in it may crash endpoints; undefined until its body has been read. */
+  traits: RequestTraits | undefined;
   private readonly clock: Clock;
   private readonly stopTimer: Cancel;
-  private knownFingerprint: string | undefined;
 
   constructor(options: RequestContextOptions) {
     const {request, route, clock} = options;
@@ -122,15 +126,6 @@
     return Math.max(this.deadline - this.clock.monotonic(), 0);
   }
 
-  /** Identifies requests that are alike; once the body has been read. */
-  get fingerprint(): string {
-    const {method, host, url} = this.request;
-    const {body} = this;
-    const team = this.team?.name ?? '';
-    this.knownFingerprint ??= fingerprintOf({method, host, url, team, body});
-    return this.knownFingerprint;
-  }
-
   /** Whether an endpoint may have run it. */
   get mayHaveRun(): boolean {
     return this.possibleRuns > 0 || this.underWay;
--- a/source/forward/crashguard.ts
+++ b/source/forward/crashguard.ts
@@ -1,12 +1,17 @@
 /**
- * Applies the quarantine to the requests of a host: refuses those with a part of
- * a prompt that crashes endpoints, and tells the quarantine which requests were
- * cut and which answers have begun.
+ * Applies the quarantine to the requests of a host: refuses those that crash
+ * endpoints, for themselves or for a part of their prompt, and tells the
+ * quarantine which requests were cut and which answers have begun.
  */
 import {sharedParts, type Prompt} from '../balance/index.js';
 import type {KnownEndpoint} from '../directory/index.js';
 import {Refusal, type Outcome} from '../errors/index.js';
-import type {Quarantine} from '../quarantine/index.js';
+import {
+  keyOf,
+  RequestTraits,
+  type Quarantine,
+  type Suspect,
+} from '../quarantine/index.js';
 import type {RequestContext} from './context.js';
 
 /**
@@ -16,14 +21,21 @@
 const MAX_UNBEGUN_CUTS = 2;
 
 /** Keeps requests away from the endpoints that they would crash. */
-export class PromptGuard {
+export class CrashGuard {
   constructor(private readonly quarantine: Quarantine) {}
 
-  /** Throws a Refusal if a part of the request's prompt is blocked. */
-  checkArrival({request}: RequestContext): void {
-    const parts = sharedPartIds(request.prompt);
-    const part = this.quarantine.blockedPart(parts);
-    if (part !== undefined) throw promptBlocked(part, 'not-run');
+  /**
+   * Notes what in a request whose body has been read may crash endpoints. Throws
+   * a Refusal if that is blocked.
+   */
+  checkArrival(context: RequestContext): void {
+    const {request, body, team} = context;
+    const {method, host, url, prompt} = request;
+    const content = {method, host, url, team: team?.name ?? '', body};
+    const traits = new RequestTraits(content, sharedPartIds(prompt));
+    context.traits = traits;
+    const suspect = this.quarantine.blockedSuspect(traits);
+    if (suspect) throw blocked(suspect, 'not-run');
   }
 
   /**
@@ -32,11 +44,12 @@
    * endpoint has crashed.
    */
   async checkRetry(context: RequestContext): Promise<void> {
-    if (context.unbegunCuts === 0) return;
-    await Promise.race([context.crashCheck, context.cancelled]);
-    const parts = sharedPartIds(context.request.prompt);
-    const isSuspect = this.quarantine.isSuspect(parts);
-    if (!isSuspect && context.unbegunCuts < MAX_UNBEGUN_CUTS) return;
+    const {traits, crashCheck, cancelled, unbegunCuts} = context;
+    if (!traits || !crashCheck) return;
+    await Promise.race([crashCheck, cancelled]);
+    context.crashCheck = undefined;
+    const isSuspect = this.quarantine.isSuspect(traits);
+    if (!isSuspect && unbegunCuts < MAX_UNBEGUN_CUTS) return;
     throw new Refusal(
       'endpoint-lost',
       'unknown',
@@ -50,33 +63,26 @@
     endpoint: KnownEndpoint,
     sentAt: number,
   ): void {
-    const {request, delivered: events} = context;
-    const {id, prompt} = request;
-    const {fingerprint} = context;
-    const parts = sharedPartIds(prompt);
-    const cut = {endpoint, request: id, fingerprint, parts, sentAt, events};
-    const crashCheck = this.quarantine.recordCut(cut);
-    if (!prompt) return;
-    if (events === 0) context.unbegunCuts++;
-    context.crashCheck = crashCheck;
+    const {request, traits, delivered: events} = context;
+    if (!traits) return;
+    if (request.prompt && events === 0) context.unbegunCuts++;
+    const cut = {endpoint, request: request.id, traits, sentAt, events};
+    context.crashCheck = this.quarantine.recordCut(cut);
   }
 
-  /** Records that an endpoint has begun the answer to a prompt. */
-  recordBegun(prompt: Prompt): void {
-    this.quarantine.recordBegun(sharedPartIds(prompt));
+  /** Records that an endpoint has begun the answer to a request. */
+  recordBegun({traits}: RequestContext): void {
+    if (traits) this.quarantine.recordBegun(traits);
   }
 
   /**
-   * Ends a request in progress if its prompt has a part that is blocked from now
-   * on, so that it does not crash the endpoint at which it waits. One whose
-   * answer has begun goes on.
+   * Ends a request in progress that is blocked from now on, so that it does not
+   * crash the endpoint at which it waits. One whose answer has begun goes on.
    */
-  endIfBlocked(context: RequestContext, part: string): void {
-    const {request, delivered, mayHaveRun} = context;
-    if (delivered > 0) return;
-    if (!sharedPartIds(request.prompt).includes(part)) return;
-    const outcome = mayHaveRun ? 'unknown' : 'not-run';
-    context.cancellation.abort(promptBlocked(part, outcome));
+  endIfBlocked(context: RequestContext, suspect: Suspect): void {
+    const {traits, delivered, mayHaveRun, cancellation} = context;
+    if (delivered > 0 || !traits?.keys.includes(keyOf(suspect))) return;
+    cancellation.abort(blocked(suspect, mayHaveRun ? 'unknown' : 'not-run'));
   }
 }
 
@@ -85,7 +91,13 @@
   return prompt ? sharedParts(prompt).map(({id}) => id) : [];
 }
 
-function promptBlocked(part: string, outcome: Outcome): Refusal {
-  const detail = `endpoints crash on the prompt part ${part}`;
+function blocked({kind, id}: Suspect, outcome: Outcome): Refusal {
+  if (kind === 'request')
+    return new Refusal(
+      'request-blocked',
+      outcome,
+      `endpoints crash on requests like this, ${id}`,
+    );
+  const detail = `endpoints crash on the prompt part ${id}`;
   return new Refusal('prompt-blocked', outcome, detail);
 }
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -6,7 +6,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import type {Admission, AdmissionRequest} from '../admission/index.js';
-import {decideAfterFailure} from '../attempt/index.js';
+import {decideAfterFailure, type RetryReason} from '../attempt/index.js';
 import {
   hashToUnitInterval,
   type EndpointSelector,
@@ -18,7 +18,7 @@
 import {Refusal} from '../errors/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
-import type {Quarantine} from '../quarantine/index.js';
+import type {Quarantine, Suspect} from '../quarantine/index.js';
 import type {RandomSource} from '../random/index.js';
 import type {StreamVersions} from '../versions/index.js';
 import {serviceFor, type RoutingTable} from '../routing/index.js';
@@ -26,11 +26,11 @@
 import {admissionRequestFor} from './admission.js';
 import {ResponseBuffers} from './buffers.js';
 import {CallerResponse} from './response.js';
+import {CrashGuard} from './crashguard.js';
 import {Attempt, AttemptFailure, type AttemptParts} from './attempt.js';
 import type {ConnectionPool} from './connections.js';
 import {RequestContext} from './context.js';
 import {refusalStatus, retryAfterSeconds} from './outcome.js';
-import {PromptGuard} from './promptguard.js';
 import type {Protocol} from './protocol.js';
 import {RequestLog} from './requestlog.js';
 import {RetryCounter} from './retries.js';
@@ -73,7 +73,7 @@
   /** Undefined until a configuration is known; requests are refused then. */
   routingTable: RoutingTable | undefined;
   private readonly retries: RetryCounter;
-  private readonly guard: PromptGuard;
+  private readonly guard: CrashGuard;
   private readonly log: RequestLog;
   private readonly attemptParts: AttemptParts;
   private readonly activeRequests = new Set<RequestContext>();
@@ -82,7 +82,7 @@
 
   constructor(private readonly parts: ForwarderParts) {
     const {clock, quarantine, retryBudget} = parts;
-    const guard = new PromptGuard(quarantine);
+    const guard = new CrashGuard(quarantine);
     this.retries = new RetryCounter(retryBudget, clock);
     this.guard = guard;
     this.log = new RequestLog(parts);
@@ -90,7 +90,7 @@
       ...parts,
       buffers: new ResponseBuffers(MAX_BUFFERED_BYTES),
       onStreamBegun: stream => parts.versions.recordBegun(stream),
-      onAnswerBegun: prompt => guard.recordBegun(prompt),
+      onAnswerBegun: context => guard.recordBegun(context),
     };
   }
 
@@ -120,12 +120,12 @@
   }
 
   /**
-   * Ends the requests in progress with a part of a prompt that is blocked from
-   * now on, unless their answers have begun.
+   * Ends the requests in progress that are blocked from now on, unless their
+   * answers have begun.
    */
-  endRequestsWith(part: string): void {
+  endRequestsWith(suspect: Suspect): void {
     for (const context of this.activeRequests)
-      this.guard.endIfBlocked(context, part);
+      this.guard.endIfBlocked(context, suspect);
   }
 
   /**
@@ -212,8 +212,9 @@
     for (;;) {
       const failure = await this.makeAttempt(context);
       if (!failure) return;
+      const reason = this.retryReason(context, failure);
       await this.guard.checkRetry(context);
-      this.continueOrRefuse(context, failure);
+      this.countRetry(context, failure, reason);
     }
   }
 
@@ -351,15 +352,14 @@
   }
 
   /**
-   * Returns where another attempt may follow. Otherwise throws what ends the
+   * Returns why another attempt may follow. Otherwise throws what ends the
    * request: a Refusal, or an EndpointErrorRelayed after it has passed the
    * endpoint's own error response on.
    */
-  private continueOrRefuse(
+  private retryReason(
     context: RequestContext,
     failure: AttemptFailure,
-  ): void {
-    const {metrics} = this.parts;
+  ): RetryReason {
     const {route} = context;
     const {stage, notRun} = failure;
     const provenNotRun = notRun || stage === 'connect';
@@ -373,15 +373,22 @@
       maxAttempts: provenNotRun ? MAX_SENDS : route.attempts,
       hasRetryBudget: stage === 'connect' || this.hasRetryBudget(context),
     });
-    if (decision.kind === 'refuse') {
-      if (failure.answer && !context.answer.isHeadSent) {
-        context.answer.sendComplete(failure.answer.head, failure.answer.body);
-        throw new EndpointErrorRelayed(failure.answer.head.status);
-      }
-      throw new Refusal(decision.code, decision.outcome, failure.message);
+    if (decision.kind === 'retry') return decision.reason;
+    if (failure.answer && !context.answer.isHeadSent) {
+      context.answer.sendComplete(failure.answer.head, failure.answer.body);
+      throw new EndpointErrorRelayed(failure.answer.head.status);
     }
-    if (stage !== 'connect') this.retries.count(context.service, 'repeat');
-    metrics.count('retry', {reason: decision.reason, route: route.name});
+    throw new Refusal(decision.code, decision.outcome, failure.message);
+  }
+
+  /** Counts another attempt towards the limit on retries. */
+  private countRetry(
+    {service, route}: RequestContext,
+    {stage}: AttemptFailure,
+    reason: RetryReason,
+  ): void {
+    if (stage !== 'connect') this.retries.count(service, 'repeat');
+    this.parts.metrics.count('retry', {reason, route: route.name});
   }
 
   /** Ends and logs a request that failed, was refused or was cancelled. */
--- a/source/forward/outcome.ts
+++ b/source/forward/outcome.ts
@@ -39,6 +39,7 @@
 /** Refusals whose reason lasts for longer than callers wait. */
 const LASTING_REFUSALS: ReadonlySet<RefusalCode> = new Set([
   'prompt-blocked',
+  'request-blocked',
   'stream-version-unknown',
 ]);
 
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -6,7 +6,7 @@
 
 import {sheetSchema, type Sheet} from '../platform/index.js';
 import {
-  begunPartSchema,
+  begunSuspectSchema,
   blocklistEntrySchema,
   crashReportSchema,
 } from '../quarantine/index.js';
@@ -101,7 +101,7 @@
    * that keeps their replica.
    */
   sheets: z.array(sheetSchema),
-  /** Parts of prompts that the sender blocks; older hosts send none. */
+  /** Some of what the sender blocks; older hosts send none. */
   blocked: z.array(blocklistEntrySchema).default([]),
   /** Limits that endpoints have named to the sender; older hosts send none. */
   limits: z.array(limitStatementSchema).default([]),
@@ -171,11 +171,11 @@
   report: crashReportSchema,
 });
 
-/** Parts of prompts with which answers have begun at the sender. */
+/** Suspects with which answers have begun at the sender. */
 const begunMessageSchema = z.object({
   kind: z.literal('begun'),
   from: hostAddressSchema,
-  parts: z.array(begunPartSchema),
+  parts: z.array(begunSuspectSchema),
 });
 
 /** Limits that have just begun, changed or ended, as the sender was told. */
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -20,7 +20,7 @@
 import {FrameReader} from '../peers/index.js';
 import type {Sheet} from '../platform/index.js';
 import type {
-  BegunPart,
+  BegunSuspect,
   BlocklistEntry,
   CrashReport,
 } from '../quarantine/index.js';
@@ -119,8 +119,8 @@
   readonly onPulse: (pulse: Pulse) => void;
   /** Called with what another host has seen of the crash of an endpoint. */
   readonly onCrashReport: (report: CrashReport) => void;
-  /** Called with parts with which answers have begun at another host. */
-  readonly onBegunParts: (parts: readonly BegunPart[]) => void;
+  /** Called with suspects with which answers have begun at another host. */
+  readonly onBegunSuspects: (begun: readonly BegunSuspect[]) => void;
   /** Called with limits of endpoints that another host has been told. */
   readonly onLimits: (limits: readonly LimitStatement[]) => void;
   /** Called with streams that another host leaves to this one to append. */
@@ -129,6 +129,8 @@
   readonly onSheets: (host: HostAddress, delivery: SheetDelivery) => void;
   /** Called when the sheets that this host has sent to another are stored. */
   readonly onSheetsStored: (number: number) => void;
+  /** Called when a host has turned up, started anew or become reachable again. */
+  readonly onHostFound: (host: HostAddress) => void;
   /** Called when a host has become unreachable or has started anew. */
   readonly onHostLost: (host: HostAddress) => void;
 }
@@ -411,7 +413,7 @@
       case 'crash':
         return this.options.onCrashReport(message.report);
       case 'begun':
-        return this.options.onBegunParts(message.parts);
+        return this.options.onBegunSuspects(message.parts);
       case 'limits':
         return this.options.onLimits(message.limits);
       case 'streams':
@@ -433,6 +435,7 @@
     if (before?.host.started !== started || !before.pulse) {
       logger.info('host-found', {name, zone, hosts: this.members.size + 1});
       this.sendPulse(name, this.ownState(), this.usageReplicaHost());
+      this.options.onHostFound(pulse.from);
     }
     const peer = this.peers.get(name);
     if (peer && pulse.heard > peer.acknowledged) {
--- a/source/quarantine/detector.ts
+++ b/source/quarantine/detector.ts
@@ -6,6 +6,7 @@
  */
 import type {Clock} from '../clock/index.js';
 import {endpointIncarnation, type KnownEndpoint} from '../directory/index.js';
+import type {RequestTraits} from './suspect.js';
 
 /** Milliseconds within which an endpoint that is alive accepts a connection. */
 const ACCEPT_TIMEOUT_MILLISECONDS = 250;
@@ -19,10 +20,7 @@
   readonly endpoint: KnownEndpoint;
   /** Id of the caller's attempt. */
   readonly request: string;
-  /** Identifies requests that are alike. */
-  readonly fingerprint: string;
-  /** Ids of the parts of its prompt that other requests may share. */
-  readonly parts: readonly string[];
+  readonly traits: RequestTraits;
   /** Monotonic milliseconds at which it was sent to the endpoint. */
   readonly sentAt: number;
   /** Events of its answer that this host has received, from any endpoint. */
--- a/source/quarantine/evidence.ts
+++ b/source/quarantine/evidence.ts
@@ -1,22 +1,24 @@
 /**
- * The evidence for each prompt part that it crashes endpoints, as an immutable
- * value. A part is suspected by the crashes that cut its requests before their
- * answers had begun, and cleared as soon as an answer with it begins, since the
- * part at fault never gets that far.
+ * The evidence for each suspect that it crashes endpoints, as an immutable value.
+ * A suspect is held to account for the crashes that cut its requests before their
+ * answers had begun, and cleared as soon as an answer with it begins, since what
+ * is at fault never gets that far.
  *
- * In an outage requests with a part that many share are cut at one endpoint after
- * the other. So a crash counts against a part only if the request with it was
- * sent after the crash that was counted before it, and a part is blocked only if
- * most of the endpoints that crashed meanwhile crashed with it.
+ * Requests are cut by crashes that others cause: in an outage, or by a request
+ * that waits at the same endpoint. What counts against a request and against a
+ * part is in guilt.ts.
  */
+import {isRequest, type SuspectKey} from './suspect.js';
 
-/** A part of a request that a crash cut before its answer had begun. */
-export interface Suspect {
-  readonly part: string;
+/** A suspect whose request a crash cut before its answer had begun. */
+export interface SuspectSend {
+  readonly key: SuspectKey;
   /** Monotonic milliseconds at which its request was sent to the endpoint. */
   readonly sentAt: number;
-  /** Index of the part in its prompt. */
+  /** Index of a part in its prompt; 0 for a request. */
   readonly position: number;
+  /** Name of the team whose request it is; empty for a part. */
+  readonly team: string;
 }
 
 /** The crash of one incarnation of an endpoint. */
@@ -24,26 +26,34 @@
   readonly endpoint: string;
   /** Monotonic milliseconds. */
   readonly at: number;
-  readonly suspects: readonly Suspect[];
+  readonly suspects: readonly SuspectSend[];
 }
 
-/** What speaks against one part. */
-interface Suspicion {
-  /** The endpoints whose crashes count. */
-  readonly counted: readonly string[];
-  /** All endpoints that crashed with the part, counted or not. */
+/** A crash that counts against a suspect. */
+export interface CountedCrash {
+  readonly endpoint: string;
+  /** Monotonic milliseconds. */
+  readonly at: number;
+}
+
+/** What speaks against one suspect. */
+export interface Suspicion {
+  /** The crashes that count, in the order in which they were found. */
+  readonly counted: readonly CountedCrash[];
+  /** All endpoints that crashed with the suspect, counted or not. */
   readonly endpoints: ReadonlySet<string>;
   /** Monotonic milliseconds of the last crash that counts. */
   readonly lastAt: number;
   /** Monotonic milliseconds of the first one. */
   readonly firstAt: number;
   readonly position: number;
+  readonly team: string;
 }
 
 /** The evidence of a host. */
 export interface Evidence {
-  /** Suspicions by part, the one that changed last at the end. */
-  readonly suspicions: ReadonlyMap<string, Suspicion>;
+  /** Suspicions by suspect, the one that changed last at the end. */
+  readonly suspicions: ReadonlyMap<SuspectKey, Suspicion>;
   /** Monotonic milliseconds of all crashes, by endpoint, the oldest first. */
   readonly crashes: ReadonlyMap<string, number>;
 }
@@ -54,16 +64,17 @@
   crashes: new Map(),
 };
 
-/** Crashes from which a part is blocked. */
-export const CRASHES_TO_BLOCK = 3;
-/** Crashes from which a request with the part is not sent again. */
-export const CRASHES_TO_SUSPECT = 2;
-/** Share of the endpoints that crashed meanwhile that must have had the part. */
-const MIN_CRASH_SHARE = 2 / 3;
 /** Time without another crash after which a suspicion is dropped. */
-const SUSPICION_MILLISECONDS = 60_000;
-/** Parts that are suspected at most; beyond that the oldest are dropped. */
-const MAX_SUSPICIONS = 2_048;
+export const SUSPICION_MILLISECONDS = 60_000;
+/**
+ * Milliseconds by which crashes of copies of one request at several endpoints
+ * differ that do not belong to one outage.
+ */
+export const SEPARATE_CRASHES_MILLISECONDS = 250;
+/** Suspects that are kept at most; beyond that the oldest are dropped. */
+const MAX_SUSPICIONS = 4_096;
+/** Requests of one team among them, so that no team displaces the others. */
+const MAX_SUSPECTED_REQUESTS_OF_TEAM = 256;
 /** Crashes that are kept at most; beyond that the oldest are dropped. */
 const MAX_CRASHES = 512;
 
@@ -77,10 +88,12 @@
 export function addCrash(before: Evidence, crash: SuspectedCrash): Evidence {
   const suspicions = new Map(before.suspicions);
   for (const suspect of crash.suspects) {
-    const suspicion = withCrash(suspicions.get(suspect.part), crash, suspect);
-    suspicions.delete(suspect.part);
-    suspicions.set(suspect.part, suspicion);
+    const suspicion = withCrash(suspicions.get(suspect.key), crash, suspect);
+    suspicions.delete(suspect.key);
+    suspicions.set(suspect.key, suspicion);
   }
+  for (const team of new Set(crash.suspects.map(({team}) => team)))
+    dropOldestOfTeam(suspicions, team);
   dropOldest(suspicions, MAX_SUSPICIONS, ({lastAt}) => lastAt, crash.at);
   const crashes = new Map(before.crashes);
   if (!crashes.has(crash.endpoint)) crashes.set(crash.endpoint, crash.at);
@@ -89,108 +102,94 @@
 }
 
 /**
- * The evidence after an answer with a part has begun at a monotonic time. The
- * same value if no earlier crash speaks against the part.
+ * The evidence after an answer with a suspect has begun at a monotonic time. The
+ * same value if no earlier crash speaks against the suspect.
  */
-export function clearPart(
+export function clearSuspect(
   before: Evidence,
-  part: string,
+  key: SuspectKey,
   begunAt: number,
 ): Evidence {
-  const suspicion = before.suspicions.get(part);
+  const suspicion = before.suspicions.get(key);
   if (!suspicion || suspicion.lastAt > begunAt) return before;
   const suspicions = new Map(before.suspicions);
-  suspicions.delete(part);
+  suspicions.delete(key);
   return {...before, suspicions};
 }
 
-/** Whether a crash speaks against a part. */
-export function isSuspected({suspicions}: Evidence, part: string): boolean {
-  return suspicions.has(part);
-}
-
-/**
- * The number of crashes that count against a part, without those of endpoints
- * that another part explains.
- */
-export function countCrashes(
-  evidence: Evidence,
-  part: string,
-  explained: ReadonlySet<string>,
-): number {
-  const {counted = []} = evidence.suspicions.get(part) ?? {};
-  return counted.filter(endpoint => !explained.has(endpoint)).length;
+/** Whether a crash speaks against a suspect. */
+export function isSuspected({suspicions}: Evidence, key: SuspectKey): boolean {
+  return suspicions.has(key);
 }
 
-/** All endpoints that crashed with a part. */
+/** All endpoints that crashed with a suspect. */
 export function crashedWith(
   {suspicions}: Evidence,
-  part: string,
+  key: SuspectKey,
 ): ReadonlySet<string> {
-  return suspicions.get(part)?.endpoints ?? new Set();
-}
-
-/**
- * The part to block, if there is one: that with the most crashes, and of equal
- * ones the last in its prompt, which the fewest other requests share.
- */
-export function partToBlock(
-  evidence: Evidence,
-  explained: ReadonlySet<string>,
-): string | undefined {
-  let chosen: string | undefined;
-  let most = CRASHES_TO_BLOCK - 1;
-  let last = -1;
-  for (const [part, suspicion] of evidence.suspicions) {
-    const {position} = suspicion;
-    const count = countCrashes(evidence, part, explained);
-    const isWorse = count > most || (count === most && position > last);
-    if (count < CRASHES_TO_BLOCK || !isWorse) continue;
-    if (crashShare(evidence, suspicion) < MIN_CRASH_SHARE) continue;
-    chosen = part;
-    most = count;
-    last = position;
-  }
-  return chosen;
+  return suspicions.get(key)?.endpoints ?? new Set();
 }
 
 function withCrash(
   before: Suspicion | undefined,
   {endpoint, at}: SuspectedCrash,
-  {sentAt, position}: Suspect,
+  suspect: SuspectSend,
 ): Suspicion {
+  const {position, team} = suspect;
   if (!before) {
     const endpoints = new Set([endpoint]);
-    const counted = [endpoint];
-    return {counted, endpoints, firstAt: at, lastAt: at, position};
+    const counted = [{endpoint, at}];
+    return {counted, endpoints, firstAt: at, lastAt: at, position, team};
   }
   const endpoints = new Set(before.endpoints).add(endpoint);
-  const isCounted = before.counted.includes(endpoint);
-  if (isCounted || sentAt < before.lastAt) return {...before, endpoints};
+  if (!isAnotherCrash(before, {endpoint, at}, suspect))
+    return {...before, endpoints};
   return {
-    counted: [...before.counted, endpoint],
+    counted: [...before.counted, {endpoint, at}],
     endpoints,
-    firstAt: before.firstAt,
-    lastAt: at,
+    firstAt: Math.min(before.firstAt, at),
+    lastAt: Math.max(before.lastAt, at),
     position: Math.max(before.position, position),
+    team,
   };
 }
 
-/** The share of the endpoints that crashed in its time that had the part. */
-function crashShare(
-  {crashes}: Evidence,
-  {endpoints, firstAt, lastAt}: Suspicion,
-): number {
-  const meanwhile = [...crashes].filter(
-    ([, at]) => at >= firstAt && at <= lastAt,
+/**
+ * Whether a crash counts beside those that count already. Many requests share a
+ * part, so only one that was sent after the last crash tells more of it. Of a
+ * request there are few copies: each tells more unless an outage has cut several
+ * at once.
+ */
+function isAnotherCrash(
+  {counted, lastAt}: Suspicion,
+  {endpoint, at}: CountedCrash,
+  {key, sentAt}: SuspectSend,
+): boolean {
+  if (counted.some(known => known.endpoint === endpoint)) return false;
+  if (sentAt >= lastAt) return true;
+  if (!isRequest(key)) return false;
+  return counted.every(
+    known => Math.abs(at - known.at) >= SEPARATE_CRASHES_MILLISECONDS,
+  );
+}
+
+/** Drops the first suspected requests of a team that are beyond its share. */
+function dropOldestOfTeam(
+  suspicions: Map<SuspectKey, Suspicion>,
+  team: string,
+): void {
+  if (suspicions.size <= MAX_SUSPECTED_REQUESTS_OF_TEAM) return;
+  const ofTeam = [...suspicions].filter(
+    ([key, suspicion]) => isRequest(key) && suspicion.team === team,
   );
-  const withPart = meanwhile.filter(([endpoint]) => endpoints.has(endpoint));
-  return withPart.length / Math.max(meanwhile.length, 1);
+  const excess = ofTeam.length - MAX_SUSPECTED_REQUESTS_OF_TEAM;
+  for (const [key] of ofTeam.slice(0, Math.max(excess, 0)))
+    suspicions.delete(key);
 }
 
 /** Drops the entries that are too old, and the first ones beyond a number. */
-function dropOldest<Entry>(
-  entries: Map<string, Entry>,
+function dropOldest<Key, Entry>(
+  entries: Map<Key, Entry>,
   most: number,
   timeOf: (entry: Entry) => number,
   now: number,
--- a/source/quarantine/index.ts
+++ b/source/quarantine/index.ts
@@ -1,4 +1,4 @@
-/** Finds out which parts of prompts crash endpoints, and keeps them away. */
+/** Finds out what crashes endpoints, a request or a part of prompts, and keeps it away. */
 export {
   block,
   EMPTY_BLOCKLIST,
@@ -7,8 +7,9 @@
   isBlocked,
   lift,
   merge,
+  requestToYield,
   withoutExpired,
-  type BlockedPart,
+  type BlockedSuspect,
   type Blocklist,
 } from './blocklist.js';
 export {
@@ -19,20 +20,25 @@
 } from './detector.js';
 export {
   addCrash,
-  clearPart,
-  countCrashes,
+  clearSuspect,
   NO_EVIDENCE,
-  partToBlock,
   type Evidence,
-  type Suspect,
   type SuspectedCrash,
+  type SuspectSend,
 } from './evidence.js';
 export {fingerprintOf, type RequestContent} from './fingerprint.js';
 export {
-  begunPartSchema,
+  countCrashes,
+  isDoubtful,
+  isTooRisky,
+  suspectsToBlock,
+  type Explanations,
+} from './guilt.js';
+export {
+  begunSuspectSchema,
   blocklistEntrySchema,
   crashReportSchema,
-  type BegunPart,
+  type BegunSuspect,
   type BlocklistEntry,
   type CrashReport,
 } from './message.js';
@@ -41,3 +47,11 @@
   type LiftReason,
   type QuarantineOptions,
 } from './quarantine.js';
+export {
+  keyOf,
+  RequestTraits,
+  suspectOf,
+  type Suspect,
+  type SuspectKey,
+  type SuspectKind,
+} from './suspect.js';
--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -1,16 +1,17 @@
 /**
- * Keeps requests away from the endpoints that would crash on a part of their
- * prompt. The hosts share what they see: which parts were on endpoints that
- * crashed, and with which of these an answer has begun after all. All hosts judge
- * the same evidence alike, and pulses bring the blocked parts to a host that has
- * missed it.
+ * Keeps requests away from the endpoints that they would crash, for what is in
+ * the request itself or for a part of its prompt. The hosts share what they see:
+ * which requests were on endpoints that crashed, and with which suspects an answer
+ * has begun after all. All hosts judge the same evidence alike, and pulses bring
+ * what is blocked to a host that has missed it.
  */
 import {rendezvousRank} from '../balance/index.js';
-import type {Cancel, Clock} from '../clock/index.js';
-import type {Logger} from '../logging/index.js';
+import type {Clock} from '../clock/index.js';
+import type {Fields, Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {RandomSource} from '../random/index.js';
 import {acceptsConnections} from '../wire/index.js';
+import {BegunReports} from './begunreports.js';
 import {
   block,
   EMPTY_BLOCKLIST,
@@ -19,9 +20,11 @@
   isBlocked,
   lift,
   merge,
+  requestToYield,
   withoutExpired,
   type Blocklist,
 } from './blocklist.js';
+import {crashOf, reportOf, reportsOf, suspectsOf} from './crashreport.js';
 import {
   CrashDetector,
   type CutRequest,
@@ -29,35 +32,49 @@
 } from './detector.js';
 import {
   addCrash,
-  clearPart,
-  countCrashes,
+  clearSuspect,
   crashedWith,
-  CRASHES_TO_SUSPECT,
-  NO_EVIDENCE,
   isSuspected,
-  partToBlock,
+  NO_EVIDENCE,
+  SUSPICION_MILLISECONDS,
   type Evidence,
-  type Suspect,
+  type SuspectedCrash,
 } from './evidence.js';
 import {
-  MAX_REPORTED_SUSPECTS,
-  type BegunPart,
+  countCrashes,
+  CRASHES_TO_SUSPECT,
+  isDoubtful,
+  isProperSubset,
+  isTooRisky,
+  suspectsToBlock,
+  type Endpoints,
+} from './guilt.js';
+import {
+  keyFromMessage,
+  type BegunSuspect,
   type BlocklistEntry,
   type CrashReport,
 } from './message.js';
-
 import {RecentAnswers} from './recentanswers.js';
+import {
+  isRequest,
+  keyOf,
+  suspectOf,
+  type RequestTraits,
+  type Suspect,
+  type SuspectKey,
+} from './suspect.js';
 
 /** Requests that a line about a crash names at most. */
 const MAX_LOGGED_REQUESTS = 8;
-/**
- * For each host, milliseconds over which hosts spread the news that a part is
- * sound: most of them then hear it from another before they would tell it.
- */
-const CLEARING_SPREAD_MILLISECONDS_PER_HOST = 2;
+/** Entries of the blocklist in a pulse; the next one has the next entries. */
+const ENTRIES_PER_PULSE = 4;
+/** Hosts that tell one that has just turned up which crashes they know. */
+const HOSTS_TO_INFORM_NEW_ONE = 2;
 
-/** Why a part is not blocked any more. */
-export type LiftReason = 'answered' | 'explained' | 'operator' | 'another-host';
+/** Why a suspect is not blocked any more. */
+export type LiftReason =
+  'answered' | 'explained' | 'yielded' | 'operator' | 'another-host';
 
 /** Dependencies of a quarantine. */
 export interface QuarantineOptions {
@@ -71,10 +88,10 @@
   readonly random: RandomSource;
   /** Sends what this host has seen of a crash to all other hosts. */
   readonly sendCrash: (report: CrashReport) => void;
-  /** Sends to all other hosts that answers with these parts have begun. */
-  readonly sendBegun: (parts: readonly BegunPart[]) => void;
-  /** Called with a part from which on no request with it may be sent. */
-  readonly onBlocked: (part: string) => void;
+  /** Sends to all other hosts that answers with these suspects have begun. */
+  readonly sendBegun: (begun: readonly BegunSuspect[]) => void;
+  /** Called with a suspect from which on no request with it may be sent. */
+  readonly onBlocked: (suspect: Suspect) => void;
 }
 
 /** The quarantine of one host. */
@@ -82,50 +99,55 @@
   private readonly detector: CrashDetector;
   private evidence: Evidence = NO_EVIDENCE;
   private blocklist: Blocklist = EMPTY_BLOCKLIST;
-  /** The endpoints whose crashes a blocked part explains, by part. */
-  private readonly explanations = new Map<string, ReadonlySet<string>>();
-  /** Monotonic milliseconds of begun answers that are still to be sent. */
-  private readonly unsentBegun = new Map<string, number>();
-  private stopSending: Cancel | undefined;
-  private isFullLogged = false;
+  /** The endpoints whose crashes a blocked suspect explains. */
+  private readonly explanations = new Map<SuspectKey, Endpoints>();
+  private readonly begun: BegunReports;
   private readonly recentAnswers = new RecentAnswers();
+  /** Monotonic milliseconds until which crashes speak against suspects. */
+  private suspectsUntil = -Infinity;
+  private isFullLogged = false;
+  /** Index of the first entry in the next pulse. */
+  private nextEntry = 0;
 
   constructor(private readonly options: QuarantineOptions) {
-    const {clock} = options;
+    const {clock, random, hosts, sendBegun: send} = options;
     this.detector = new CrashDetector({
       clock,
       accepts: (address, timeout) =>
         acceptsConnections(address, timeout, clock),
       onCrash: crash => this.handleCrash(crash),
     });
+    const hostCount = () => hosts().length;
+    this.begun = new BegunReports({clock, random, hostCount, send});
   }
 
   /**
-   * Returns the part for which a request must not be sent; undefined if it may.
-   * Once in a long while, a request with a blocked part is let through on one
-   * host, to find out whether endpoints still crash on it.
+   * Returns what a request must not be sent for; undefined if it may. Once in a
+   * long while, a request with a blocked suspect is let through on one host, to
+   * find out whether endpoints still crash on it.
    *
    * ```ts
-   * const part = quarantine.blockedPart(['5c1e07a2', '91bd3f06']);
-   * if (part !== undefined) refuse(`engines crash on ${part}`);
+   * const suspect = quarantine.blockedSuspect(traits);
+   * if (suspect) refuse(`endpoints crash on ${suspect.kind} ${suspect.id}`);
    * ```
    */
-  blockedPart(parts: readonly string[]): string | undefined {
+  blockedSuspect(traits: RequestTraits): Suspect | undefined {
     if (this.blocklist.size === 0) return undefined;
     this.dropExpired();
-    const blocked = parts.filter(part => isBlocked(this.blocklist, part));
-    const refused = blocked.find(part => !this.isReviewDue(part));
-    if (refused !== undefined) return refused;
-    for (const part of blocked) this.startReview(part);
+    const blocked = traits.keys.filter(key => isBlocked(this.blocklist, key));
+    const refused = blocked.find(key => !this.isReviewDue(key));
+    if (refused !== undefined) return suspectOf(refused);
+    for (const key of blocked) this.startReview(key);
     return undefined;
   }
 
   /** Whether a request that a crash has cut must not be sent again. */
-  isSuspect(parts: readonly string[]): boolean {
-    return parts.some(
-      part =>
-        isBlocked(this.blocklist, part) ||
-        this.count(part) >= CRASHES_TO_SUSPECT,
+  isSuspect(traits: RequestTraits): boolean {
+    if (!this.isWatching) return false;
+    return traits.keys.some(
+      key =>
+        isBlocked(this.blocklist, key) ||
+        isTooRisky(this.evidence, key, this.explanations),
     );
   }
 
@@ -134,53 +156,70 @@
    * Resolves when that is known.
    *
    * ```ts
-   * await quarantine.recordCut({endpoint, request, parts, sentAt, events: 0});
+   * await quarantine.recordCut({endpoint, request, traits, sentAt, events: 0});
    * ```
    */
   recordCut(cut: CutRequest): Promise<void> {
     return this.detector.recordCut(cut);
   }
 
-  /** Records that an endpoint has begun the answer to a request with parts. */
-  recordBegun(parts: readonly string[]): void {
+  /** Records that an endpoint has begun the answer to a request. */
+  recordBegun(traits: RequestTraits): void {
     const now = this.options.clock.monotonic();
-    for (const part of parts) {
-      this.recentAnswers.record(part, now);
-      const isKnown = isSuspected(this.evidence, part);
-      if (!isKnown && !isBlocked(this.blocklist, part)) continue;
-      this.clear(part, now);
-      this.unsentBegun.set(part, now);
+    for (const part of traits.parts) this.recentAnswers.record(part, now);
+    if (!this.isWatching) return;
+    for (const key of traits.keys) {
+      const isKnown = isSuspected(this.evidence, key);
+      if (!isKnown && !isBlocked(this.blocklist, key)) continue;
+      this.clear(key, now);
+      this.begun.add(key, now);
     }
-    if (this.unsentBegun.size > 0) this.sendBegunSoon();
   }
 
   /** Applies what another host has seen of a crash. */
-  handleCrashReport({endpoint, ago, suspects}: CrashReport): void {
-    const now = this.options.clock.monotonic();
-    const known = suspects.map(({part, sentAgo, position}) => {
-      return {part, sentAt: now - sentAgo, position};
-    });
-    this.addEvidence(endpoint, now - ago, known);
+  handleCrashReport(report: CrashReport): void {
+    this.addEvidence(crashOf(report, this.options.clock.monotonic()));
   }
 
   /** Applies that answers have begun for other hosts. */
-  handleBegun(parts: readonly BegunPart[]): void {
+  handleBegun(begun: readonly BegunSuspect[]): void {
     const now = this.options.clock.monotonic();
-    for (const {part, ago} of parts) {
-      const begunAt = now - ago;
-      this.clear(part, begunAt);
-      const unsentAt = this.unsentBegun.get(part) ?? Infinity;
-      if (unsentAt <= begunAt) this.unsentBegun.delete(part);
+    for (const suspect of begun) {
+      const key = keyFromMessage(suspect);
+      const begunAt = now - suspect.ago;
+      this.clear(key, begunAt);
+      this.begun.drop(key, begunAt);
     }
   }
 
-  /** What this host blocks or has blocked, for the other hosts. */
+  /**
+   * What a host that has just turned up must be told of earlier crashes; nothing
+   * unless it is this host that tells it.
+   */
+  reportsForNewHost(name: string): CrashReport[] {
+    const {clock, host, hosts} = this.options;
+    const others = hosts().filter(other => other !== name);
+    if (rendezvousRank(name, host, others) >= HOSTS_TO_INFORM_NEW_ONE)
+      return [];
+    return reportsOf(this.evidence, clock.monotonic());
+  }
+
+  /** What this host blocks or has blocked. */
   get entries(): BlocklistEntry[] {
     if (this.blocklist.size === 0) return [];
     this.dropExpired();
     return entriesOf(this.blocklist, this.options.clock.monotonic());
   }
 
+  /** Some of the entries for the other hosts, the next ones each time. */
+  takeEntriesForPulse(): BlocklistEntry[] {
+    const {entries} = this;
+    const first = this.nextEntry % Math.max(entries.length, 1);
+    const next = [...entries.slice(first), ...entries.slice(0, first)];
+    this.nextEntry = first + ENTRIES_PER_PULSE;
+    return next.slice(0, ENTRIES_PER_PULSE);
+  }
+
   /** Applies what another host blocks. */
   handleEntries(entries: readonly BlocklistEntry[]): void {
     if (entries.length === 0) return;
@@ -188,159 +227,163 @@
     const now = this.options.clock.monotonic();
     this.blocklist = merge(before, entries, now);
     if (this.blocklist === before) return;
-    for (const {part} of entries) {
-      const was = isBlocked(before, part);
-      const is = isBlocked(this.blocklist, part);
-      if (is && !was) this.handleBlockedElsewhere(part, now);
-      if (was && !is) this.handleLifted(part, 'another-host');
+    for (const key of entries.map(keyFromMessage)) {
+      const was = isBlocked(before, key);
+      const is = isBlocked(this.blocklist, key);
+      if (is && !was) this.handleBlockedElsewhere(key, now);
+      if (was && !is) this.handleLifted(key, 'another-host');
     }
   }
 
+  /**
+   * Lifts the block of a suspect on all hosts, as when the software of the
+   * endpoints has been mended. Returns whether it was blocked.
+   */
+  lift(suspect: Suspect): boolean {
+    return this.liftKey(keyOf(suspect), 'operator');
+  }
+
+  /** Whether anything is suspected or blocked. */
+  private get isWatching(): boolean {
+    if (this.blocklist.size > 0) return true;
+    return this.options.clock.monotonic() < this.suspectsUntil;
+  }
+
   /** Blocks what another host blocks, unless this one knows better. */
-  private handleBlockedElsewhere(part: string, now: number): void {
-    if (this.recentAnswers.has(part, now)) this.lift(part, 'answered');
-    else this.handleBlocked(part, 'another-host');
+  private handleBlockedElsewhere(key: SuspectKey, now: number): void {
+    if (this.wasAnswered(key, now)) this.liftKey(key, 'answered');
+    else this.handleBlocked(key, 'another-host');
   }
 
-  /**
-   * Lifts the block of a part on all hosts, as when the software of the endpoints
-   * has been mended. Returns whether it was blocked.
-   */
-  lift(part: string, reason: LiftReason = 'operator'): boolean {
+  private liftKey(key: SuspectKey, reason: LiftReason): boolean {
     const before = this.blocklist;
-    this.blocklist = lift(before, part, this.options.clock.monotonic());
+    this.blocklist = lift(before, key, this.options.clock.monotonic());
     if (this.blocklist === before) return false;
-    this.evidence = clearPart(this.evidence, part, Infinity);
-    this.handleLifted(part, reason);
+    this.evidence = clearSuspect(this.evidence, key, Infinity);
+    this.handleLifted(key, reason);
     return true;
   }
 
-  private handleCrash({endpoint, at, requests}: EndpointCrash): void {
+  private handleCrash(crash: EndpointCrash): void {
     const {clock, metrics, sendCrash} = this.options;
+    const {endpoint, at, requests} = crash;
     this.logCrash(endpoint, requests);
     metrics.count('endpoint-crashed');
-    const suspects = suspectsOf(requests);
-    const now = clock.monotonic();
-    sendCrash({
-      endpoint,
-      ago: now - at,
-      suspects: suspects.map(({part, sentAt, position}) => {
-        return {part, sentAgo: now - sentAt, position};
-      }),
-    });
-    this.addEvidence(endpoint, at, suspects);
+    const suspected = {endpoint, at, suspects: suspectsOf(crash)};
+    sendCrash(reportOf(suspected, clock.monotonic()));
+    this.addEvidence(suspected);
+  }
+
+  private addEvidence(crash: SuspectedCrash): void {
+    const {clock} = this.options;
+    this.suspectsUntil = clock.monotonic() + SUSPICION_MILLISECONDS;
+    this.evidence = addCrash(this.evidence, crash);
+    for (const {key} of crash.suspects) {
+      if (this.explanations.has(key))
+        this.explanations.set(key, crashedWith(this.evidence, key));
+      this.logSuspected(key, crash.endpoint);
+    }
+    this.judge();
+    this.liftExplained();
   }
 
-  private addEvidence(
-    endpoint: string,
-    at: number,
-    suspects: readonly Suspect[],
-  ): void {
-    this.evidence = addCrash(this.evidence, {endpoint, at, suspects});
-    for (const {part} of suspects) {
-      if (this.explanations.has(part))
-        this.explanations.set(part, crashedWith(this.evidence, part));
-      const crashes = this.count(part);
-      if (crashes < CRASHES_TO_SUSPECT) continue;
-      this.options.logger.info('part-suspected', {part, crashes, endpoint});
+  /** Blocks what is guilty, until what is blocked explains the rest. */
+  private judge(): void {
+    const now = this.options.clock.monotonic();
+    for (;;) {
+      const before = this.explanations.size;
+      const guilty = suspectsToBlock(this.evidence, this.explanations).filter(
+        key => !this.wasAnswered(key, now),
+      );
+      const explanations = new Map(this.explanations);
+      for (const key of guilty)
+        explanations.set(key, crashedWith(this.evidence, key));
+      for (const key of guilty)
+        this.block(key, isDoubtful(this.evidence, key, explanations));
+      if (this.explanations.size === before) return;
     }
-    const part = partToBlock(this.evidence, this.explained());
-    if (part === undefined) return;
-    if (this.recentAnswers.has(part, this.options.clock.monotonic())) return;
-    this.block(part);
   }
 
-  /** Blocks a part, and lifts the parts whose crashes it explains as well. */
-  private block(part: string): void {
-    if (!hasRoom(this.blocklist)) return this.logFull(part);
+  /** Whether an answer with a part has begun at this host recently. */
+  private wasAnswered(key: SuspectKey, now: number): boolean {
+    return !isRequest(key) && this.recentAnswers.has(suspectOf(key).id, now);
+  }
+
+  private block(key: SuspectKey, isDoubtful: boolean): void {
+    const team = this.evidence.suspicions.get(key)?.team ?? '';
+    const yielding = isRequest(key) && requestToYield(this.blocklist, team);
+    if (yielding) this.liftKey(yielding, 'yielded');
+    if (!hasRoom(this.blocklist, key)) return this.logFull(key);
     const now = this.options.clock.monotonic();
-    const endpoints = crashedWith(this.evidence, part);
-    for (const [other, explained] of this.explanations) {
-      if (other === part || explained.size === 0) continue;
-      if ([...explained].every(id => endpoints.has(id)))
-        this.lift(other, 'explained');
+    this.blocklist = block(this.blocklist, key, now, {team, isDoubtful});
+    this.handleBlocked(key, 'crashes');
+  }
+
+  /** Lifts what is blocked where another suspect explains its crashes and more. */
+  private liftExplained(): void {
+    for (const [key, endpoints] of [...this.explanations]) {
+      const isExplained = [...this.explanations.values()].some(other =>
+        isProperSubset(endpoints, other),
+      );
+      if (isExplained) this.liftKey(key, 'explained');
     }
-    this.blocklist = block(this.blocklist, part, now);
-    this.handleBlocked(part, 'crashes');
   }
 
-  private handleBlocked(part: string, reason: string): void {
+  private handleBlocked(key: SuspectKey, reason: string): void {
     const {logger, metrics, onBlocked} = this.options;
-    const endpoints = crashedWith(this.evidence, part);
-    this.explanations.set(part, endpoints);
+    const endpoints = crashedWith(this.evidence, key);
+    this.explanations.set(key, endpoints);
     this.isFullLogged = false;
-    logger.error('part-blocked', {part, reason, crashes: endpoints.size});
-    metrics.count('part-blocked', {reason});
-    onBlocked(part);
+    const suspect = suspectOf(key);
+    const {team = ''} = this.blocklist.get(key) ?? {};
+    const crashes = endpoints.size;
+    const fields = {...fieldsOf(suspect), team, reason, crashes};
+    logger.error(`${suspect.kind}-blocked`, fields);
+    metrics.count(`${suspect.kind}-blocked`, {reason});
+    onBlocked(suspect);
   }
 
-  private handleLifted(part: string, reason: LiftReason): void {
+  private handleLifted(key: SuspectKey, reason: LiftReason): void {
     const {logger, metrics} = this.options;
-    this.explanations.delete(part);
-    logger.warn('part-unblocked', {part, reason});
-    metrics.count('part-unblocked', {reason});
+    this.explanations.delete(key);
+    const suspect = suspectOf(key);
+    logger.warn(`${suspect.kind}-unblocked`, {...fieldsOf(suspect), reason});
+    metrics.count(`${suspect.kind}-unblocked`, {reason});
   }
 
-  /** Applies that an answer with a part has begun. */
-  private clear(part: string, begunAt: number): void {
-    const crashes = this.count(part);
-    this.evidence = clearPart(this.evidence, part, begunAt);
-    this.lift(part, 'answered');
+  /** Applies that an answer with a suspect has begun. */
+  private clear(key: SuspectKey, begunAt: number): void {
+    const crashes = this.count(key);
+    this.evidence = clearSuspect(this.evidence, key, begunAt);
+    this.liftKey(key, 'answered');
     if (crashes < CRASHES_TO_SUSPECT) return;
-    if (isSuspected(this.evidence, part)) return;
-    this.options.logger.info('part-cleared', {part, crashes});
+    if (isSuspected(this.evidence, key)) return;
+    const suspect = suspectOf(key);
+    const fields = {...fieldsOf(suspect), crashes};
+    this.options.logger.info(`${suspect.kind}-cleared`, fields);
   }
 
   /**
-   * Whether a request with a blocked part may be tried now. Only one host may, so
-   * that a single request is tried.
+   * Whether a request with a blocked suspect may be tried now. Only one host may,
+   * so that a single request is tried.
    */
-  private isReviewDue(part: string): boolean {
+  private isReviewDue(key: SuspectKey): boolean {
     const {clock, host, hosts} = this.options;
-    const {reviewAt = Infinity} = this.blocklist.get(part) ?? {};
+    const {reviewAt = Infinity} = this.blocklist.get(key) ?? {};
     if (clock.monotonic() < reviewAt) return false;
-    return rendezvousRank(part, host, hosts()) === 0;
+    return rendezvousRank(suspectOf(key).id, host, hosts()) === 0;
   }
 
-  /** Blocks a part further, until the one request that is tried succeeds. */
-  private startReview(part: string): void {
+  /** Blocks a suspect further, until the one request that is tried succeeds. */
+  private startReview(key: SuspectKey): void {
     const {clock, logger} = this.options;
-    this.blocklist = block(this.blocklist, part, clock.monotonic());
-    logger.warn('part-reviewed', {part});
-  }
-
-  private count(part: string): number {
-    return countCrashes(this.evidence, part, this.explained(part));
-  }
-
-  /** The endpoints whose crashes blocked parts explain, other than `part`. */
-  private explained(part?: string): ReadonlySet<string> {
-    const explained = new Set<string>();
-    for (const [other, endpoints] of this.explanations) {
-      if (other === part) continue;
-      for (const endpoint of endpoints) explained.add(endpoint);
-    }
-    return explained;
-  }
-
-  private sendBegunSoon(): void {
-    if (this.stopSending) return;
-    const {clock, hosts, random} = this.options;
-    const spread = hosts().length * CLEARING_SPREAD_MILLISECONDS_PER_HOST;
-    this.stopSending = clock.after(random.next() * spread, () => {
-      this.stopSending = undefined;
-      this.sendBegun();
-    });
+    this.blocklist = block(this.blocklist, key, clock.monotonic());
+    const suspect = suspectOf(key);
+    logger.warn(`${suspect.kind}-reviewed`, fieldsOf(suspect));
   }
 
-  private sendBegun(): void {
-    if (this.unsentBegun.size === 0) return;
-    const now = this.options.clock.monotonic();
-    const parts = [...this.unsentBegun].map(([part, at]) => {
-      return {part, ago: now - at};
-    });
-    this.unsentBegun.clear();
-    this.options.sendBegun(parts);
+  private count(key: SuspectKey): number {
+    return countCrashes(this.evidence, key, this.explanations);
   }
 
   private dropExpired(): void {
@@ -348,8 +391,8 @@
     const before = this.blocklist;
     this.blocklist = withoutExpired(before, now);
     if (this.blocklist === before) return;
-    for (const part of this.explanations.keys()) {
-      if (!this.blocklist.has(part)) this.explanations.delete(part);
+    for (const key of this.explanations.keys()) {
+      if (!this.blocklist.has(key)) this.explanations.delete(key);
     }
   }
 
@@ -360,30 +403,31 @@
       requests: requests
         .slice(0, MAX_LOGGED_REQUESTS)
         .map(
-          ({request, fingerprint, events, parts}) =>
-            `${request} like ${fingerprint} events ${events} parts ${parts.join(' ')}`,
+          ({request, traits, events}) =>
+            `${request} like ${traits.fingerprint} events ${events} parts ${traits.parts.join(' ')}`,
         )
         .join(', '),
     });
   }
 
-  private logFull(part: string): void {
-    this.options.metrics.count('quarantine-full');
+  private logSuspected(key: SuspectKey, endpoint: string): void {
+    const crashes = this.count(key);
+    if (crashes < CRASHES_TO_SUSPECT) return;
+    const suspect = suspectOf(key);
+    const fields = {...fieldsOf(suspect), crashes, endpoint};
+    this.options.logger.info(`${suspect.kind}-suspected`, fields);
+  }
+
+  private logFull(key: SuspectKey): void {
+    const suspect = suspectOf(key);
+    this.options.metrics.count('quarantine-full', {kind: suspect.kind});
     if (this.isFullLogged) return;
     this.isFullLogged = true;
-    this.options.logger.error('quarantine-full', {part});
+    this.options.logger.error('quarantine-full', fieldsOf(suspect));
   }
 }
 
-/** The parts of the requests whose answers had not begun, each part once. */
-function suspectsOf(requests: readonly CutRequest[]): Suspect[] {
-  const suspects = new Map<string, Suspect>();
-  for (const {parts, sentAt, events} of requests) {
-    if (events > 0) continue;
-    for (const [position, part] of parts.entries()) {
-      const known = suspects.get(part)?.sentAt ?? -Infinity;
-      if (sentAt > known) suspects.set(part, {part, sentAt, position});
-    }
-  }
-  return [...suspects.values()].slice(0, MAX_REPORTED_SUSPECTS);
+/** How log lines name a suspect. */
+function fieldsOf({kind, id}: Suspect): Fields {
+  return kind === 'part' ? {part: id} : {fingerprint: id};
 }
