Log on which ground a host lets a stream go on

The metric counted decisions only, so a stream that went on at another version could not be told from one whose version a record named. The line stream-version names the ground: known here, the only version, the records, or none.

--- a/source/versions/streamversions.ts
+++ b/source/versions/streamversions.ts
@@ -39,6 +39,12 @@
 /** Milliseconds by which the clocks of hosts and endpoints may differ. */
 const CLOCK_TOLERANCE_MILLISECONDS = 8_000;
 
+/**
+ * What a decision about a stream rests on: that its begin is known here, that only
+ * one version has served, the records of all hosts, or that these cannot be read.
+ */
+type DecisionGround = 'begun' | 'only-version' | 'records' | 'unread';
+
 /** What the memory of stream versions is created from. */
 export interface StreamVersionsOptions {
   readonly store: RecordStore;
@@ -137,9 +143,14 @@
     attempt: string | undefined,
   ): Promise<VersionDecision> {
     const own = this.known(attempt);
-    if (own) return own;
+    if (own) return this.logged(own, 'begun', service, attempt);
     if (this.hasFollowed && this.versionsOf(service).size <= 1)
-      return this.decide(service);
+      return this.logged(
+        this.decide(service),
+        'only-version',
+        service,
+        attempt,
+      );
     const {clock, logger} = this.options;
     const deadline = clock.monotonic() + RECORD_WAIT_MILLISECONDS;
     let wait = 0;
@@ -149,14 +160,33 @@
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
         logger.warn('streams-not-read', {detail: error.message});
-        return this.decide(service);
+        return this.logged(this.decide(service), 'unread', service, attempt);
       }
       const decision = this.known(attempt) ?? this.decide(service);
       wait = Math.floor(deadline - clock.monotonic());
-      if (decision.kind !== 'unknown' || wait <= 0) return decision;
+      if (decision.kind !== 'unknown' || wait <= 0)
+        return this.logged(decision, 'records', service, attempt);
     }
   }
 
+  /** Logs on which ground a stream goes on or not; returns the decision. */
+  private logged(
+    decision: VersionDecision,
+    ground: DecisionGround,
+    service: string,
+    attempt = '',
+  ): VersionDecision {
+    this.options.logger.info('stream-version', {
+      attempt,
+      service,
+      ground,
+      decision: decision.kind,
+      version: decision.kind === 'known' ? decision.version : '',
+      versions: [...this.versionsOf(service)].join(),
+    });
+    return decision;
+  }
+
   private known(attempt: string | undefined): VersionDecision | undefined {
     const version = attempt && this.begun.version(attempt);
     return version === undefined ? undefined : {kind: 'known', version};
