Show that a host out of step in a release joins the text of two versions

Two tests on real host processes: one host hears nothing of the store or of the other host, or stands still, while endpoints of a new version join and begin streams through the other host; callers then take these streams up at the host out of step. The readers and writers of streams move from the test of versions into test/support.

--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -87,6 +87,8 @@
   born = 1_000;
   /** Files and sockets that a host may have open; undefined for no limit. */
   openFilesLimit: number | undefined;
+  /** Whether hosts that are started next know of the others. */
+  knowsOthers = true;
   /** Seconds between SIGTERM and the kill, for hosts that are started next. */
   graceSeconds = 8;
 
@@ -297,7 +299,7 @@
       zone: 'palermo',
       zones: {palermo: 'sicilia'},
       listen: {front, readiness, control},
-      seedNodes: this.seeds.slice(0, 3),
+      seedNodes: this.knowsOthers ? this.seeds.slice(0, 3) : [],
       limits: {memoryMb: 200},
       bounds: {
         graceS: this.graceSeconds,
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -2,22 +2,17 @@
  * Endpoints of several software versions side by side in one service, whose
  * streams do not fit together, before two host processes.
  */
-import {request, type IncomingMessage} from 'node:http';
-
 import test from 'ava';
 
+import {EdgeFleet, type HostProcess} from './support/edgeprocess.js';
 import {
-  EdgeFleet,
-  sealed,
-  type EndpointAnswer,
-  type HostProcess,
-} from './support/edgeprocess.js';
+  BROKEN_AFTER,
+  EVENTS,
+  readStream as read,
+  streamOf,
+} from './support/streams.js';
 
 const STREAMS = 8;
-const EVENTS = 4;
-/** The event after which the caller's connection breaks. */
-const BROKEN_AFTER = 2;
-const PAUSE_MILLISECONDS = 30;
 /** Time by which hosts have recorded what has begun. */
 const RECORDED_MILLISECONDS = 500;
 /** The endpoints with their software versions. */
@@ -28,58 +23,6 @@
   ['b-3', 'v2'],
 ] as const;
 
-/** Streams events whose data name the endpoint, after the last that is known. */
-function streamOf(id: string): EndpointAnswer {
-  return (message, response) => {
-    response.writeHead(200, sealed(message));
-    let event = Number(message.headers['last-event-id'] ?? 0);
-    const next = () => {
-      if (response.destroyed) return;
-      if (++event > EVENTS) return void response.end();
-      response.write(`id: ${event}\ndata: ${id}\n\n`);
-      setTimeout(next, PAUSE_MILLISECONDS);
-    };
-    next();
-  };
-}
-
-/** Reads a stream; leaves after so many events. Returns the endpoints' names. */
-function read(
-  host: HostProcess,
-  headers: Readonly<Record<string, string>>,
-  events: number,
-): Promise<string[]> {
-  return new Promise(resolve => {
-    const sent = request(
-      `http://${host.callers}/draft/1`,
-      {
-        agent: false,
-        method: 'POST',
-        headers: {
-          host: 'register.example',
-          authorization: 'Bearer key',
-          'x-deadline-ms': '4000',
-          ...headers,
-        },
-      },
-      (message: IncomingMessage) => {
-        let text = '';
-        const names = () => [...text.matchAll(/data: (\S+)\n\n/g)];
-        message.on('data', (part: Buffer) => {
-          text += part.toString();
-          if (names().length >= events) sent.destroy();
-        });
-        message.on('error', () => {});
-        message.on('close', () =>
-          resolve(names().map(([, name = '']) => name)),
-        );
-      },
-    );
-    sent.on('error', () => resolve([]));
-    sent.end();
-  });
-}
-
 /** Streams that began, with the version of each, when all hosts are killed. */
 async function beginThenKillAll(
   fleet: EdgeFleet,
