Let a stream go on by what a host has provably heard

A caller whose stream had begun at an endpoint of a new version, and took it up at a host that had been cut off or had stood still, got the rest from the old version: 200, to the end, with the text of two versions and nothing to show it.

Cause: a host took the only version that it had seen for the only one there was. It asked when its first directory came, never whether it had heard anything since. The class: certainty without a date.

Now a host that does not know a stream itself reads the endpoints' topic to its end, beside its long poll, before it relies on what it has seen. Every endpoint that can have begun the stream was in the store before the caller came, so a read that begins after that has it. Calls during a read share the next one. Where the read fails, the stream goes on only if its begin is known; otherwise the caller gets 503 stream-version-unknown, not run. The history counts entries rather than directories, so a version that came and went within one page is seen, and it begins anew after a gap: a full page in place of a follow-up, or the removal of an endpoint that was never seen.

--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -163,6 +163,8 @@
       random,
       drain: settings.drainMilliseconds,
       changed: () => this.applyPlatformView(),
+      onEntries: changes => this.versions.recordEntries(changes),
+      onEntriesMissed: () => this.versions.recordMissedEntries(),
       isFed: () => this.feeder?.isFed ?? false,
       isFeeder: () => this.feeder?.isFeeding ?? false,
     });
@@ -358,6 +360,7 @@
       clock,
       logger,
       metrics,
+      catchUpWithEndpoints: () => this.platformView.catchUpWithEndpoints(),
       recorder: () => recorder.name,
       sendToRecorder: (name, groups) => recorder.sendStreams(name, groups),
     });
--- a/source/edge/platformview.ts
+++ b/source/edge/platformview.ts
@@ -53,6 +53,10 @@
   readonly drain: number;
   /** Called after each change of the view. */
   readonly changed: () => void;
+  /** Called with the entries of endpoints that were written or removed. */
+  readonly onEntries: (changes: readonly EntryChange[]) => void;
+  /** Called when entries may have come and gone unseen. */
+  readonly onEntriesMissed: () => void;
   /** Whether other hosts follow the store on behalf of this one. */
   readonly isFed: () => boolean;
   /** Whether this host follows the store on behalf of others. */
@@ -109,6 +113,7 @@
       ...common,
       topic: reader.endpointTopic,
       fed,
+      onMissed: () => options.onEntriesMissed(),
       onChanges: (records, isRestored) =>
         this.applyEndpointRecords(
           isRestored ? this.deferUnknownEntries(records) : records,
@@ -177,6 +182,14 @@
     this.storeLostAt = Math.max(this.storeLostAt, at);
   }
 
+  /**
+   * Reads what the store has of the endpoints now. Resolves with whether the
+   * directory has all that was written until the call.
+   */
+  catchUpWithEndpoints(): Promise<boolean> {
+    return this.endpointFollower.catchUp();
+  }
+
   private get followers(): readonly KeyedFollower[] {
     return [this.operatorFollower, this.endpointFollower];
   }
@@ -267,6 +280,7 @@
     const {clock} = this.options;
     for (const {key} of records) this.deferredEntries.drop(key);
     const changes = records.map(record => this.entryChange(record));
+    this.options.onEntries(changes);
     const before = this.directory;
     const now = clock.monotonic();
     const lapse = lapseGracePeriod(this.options.drain);
--- a/source/store/follower.ts
+++ b/source/store/follower.ts
@@ -29,6 +29,10 @@
  * wait.
  */
 const PROBE_TIMEOUT_MILLISECONDS = 600;
+/** Milliseconds after which a read that a request waits for counts as failed. */
+const CATCH_UP_TIMEOUT_MILLISECONDS = 600;
+/** Reads after which a topic that is still being written is not caught up with. */
+const MAX_CATCH_UP_READS = 4;
 /** Milliseconds between two checks of whether the host is still fed. */
 const FED_CHECK_INTERVAL_MILLISECONDS = 200;
 /**
@@ -57,6 +61,11 @@
     records: readonly KeyedRecord[],
     isRestored: boolean,
   ) => void;
+  /**
+   * Called when records may have been missed that were written and dropped or
+   * replaced since the last read, as after a loss of the store's history.
+   */
+  readonly onMissed?: () => void;
   /** Whether other hosts follow the topic for this one. */
   readonly fed: () => boolean;
   /** Whether this host follows the topic for others. */
@@ -78,6 +87,8 @@
    */
   answeredAt = -Infinity;
   private failures = 0;
+  private catchingUp: Promise<boolean> | undefined;
+  private nextCatchUp: Promise<boolean> | undefined;
   private stopped = false;
   private endPause: Cancel = () => {};
 
@@ -131,12 +142,56 @@
     }
   }
 
+  /**
+   * Reads, beside the long poll, what has been written until now. Resolves with
+   * whether this host then knows all that the store had when it was called. Calls
+   * that come during a read share the next one, since the store may have answered
+   * that read already.
+   *
+   * ```ts
+   * const isUpToDate = await follower.catchUp();
+   * ```
+   */
+  catchUp(): Promise<boolean> {
+    if (!this.catchingUp) {
+      this.catchingUp = this.readToEnd().finally(
+        () => (this.catchingUp = undefined),
+      );
+      return this.catchingUp;
+    }
+    this.nextCatchUp ??= this.catchingUp.then(() => {
+      this.nextCatchUp = undefined;
+      return this.catchUp();
+    });
+    return this.nextCatchUp;
+  }
+
   /** Stops following once the read in progress has ended. */
   stop(): void {
     this.stopped = true;
     this.endPause();
   }
 
+  /** Reads until there is nothing more; resolves with whether that was reached. */
+  private async readToEnd(): Promise<boolean> {
+    const {store, topic, logger} = this.options;
+    try {
+      for (let read = 0; read < MAX_CATCH_UP_READS; read++) {
+        const {next: from, era} = this.state;
+        if (from === undefined) return false;
+        const timeout = CATCH_UP_TIMEOUT_MILLISECONDS;
+        const page = await store.readKeyed(topic, {from, wait: 0}, timeout);
+        if (!isSameEra(page.era, era)) return false;
+        if (page.end <= from) return true;
+        this.applyUpdate(applyPage(this.state, page));
+      }
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      logger.info('store-not-caught-up', {topic, detail: error.message});
+    }
+    return false;
+  }
+
   private get isPaused(): boolean {
     return this.state.next !== undefined && this.options.fed();
   }
@@ -169,6 +224,8 @@
 
   private applyUpdate({state, changes, isRestored}: KeyedUpdate): void {
     const {logger, metrics, topic, store} = this.options;
+    if (this.hasRead && state.fullPageEnd !== this.state.fullPageEnd)
+      this.options.onMissed?.();
     if (isRestored) {
       const {offset: before} = this.position;
       const {era = 0, next = 0} = state;
--- a/source/versions/decide.ts
+++ b/source/versions/decide.ts
@@ -2,7 +2,8 @@
  * Decides at which software version a stream may go on when this host does not
  * know which one began it. It may have begun on any host at any moment of the
  * last seconds, so the version is certain only if every version that can have
- * served in that time is the same one.
+ * served in that time is the same one. What a host has not heard of by the time at
+ * which the caller came may have served as well.
  */
 
 /** Longest time after its first event at which a caller takes a stream up. */
@@ -12,8 +13,10 @@
 export interface VersionEvidence {
   /** Versions that this host has seen in the directory within that time. */
   readonly seen: ReadonlySet<string>;
-  /** Whether it has followed the directory for all of that time. */
+  /** Whether it has followed the directory, if that is up to date, all that time. */
   readonly hasFollowed: boolean;
+  /** Whether the directory had all that was written when the caller came. */
+  readonly isUpToDate: boolean;
   /** Whether a recent record says that several versions served side by side. */
   readonly isMixed: boolean;
   /** Versions that recent records name. */
@@ -41,11 +44,12 @@
  * ```
  */
 export function decideVersion(evidence: VersionEvidence): VersionDecision {
-  const {seen, hasFollowed, isMixed, recorded, hasLongRunning} = evidence;
+  const {seen, hasFollowed, isUpToDate} = evidence;
+  const {isMixed, recorded, hasLongRunning} = evidence;
   const versions = new Set([...seen, ...recorded]);
   const [version] = versions;
   if (version === undefined) return {kind: 'unversioned'};
-  if (versions.size > 1 || isMixed) return {kind: 'unknown'};
+  if (versions.size > 1 || isMixed || !isUpToDate) return {kind: 'unknown'};
   const isPastKnown = hasFollowed || hasLongRunning || recorded.size > 0;
   return isPastKnown ? {kind: 'known', version} : {kind: 'unknown'};
 }
--- a/source/versions/history.ts
+++ b/source/versions/history.ts
@@ -1,16 +1,24 @@
 /**
  * The software versions that this host has seen of each service, with the time
- * at which each was last seen.
+ * at which each was last seen, and since when it has missed none.
  */
-import type {Directory} from '../directory/index.js';
+import type {Directory, EntryChange} from '../directory/index.js';
+
+/** Endpoints that are remembered; beyond that the oldest are forgotten. */
+const MAX_KNOWN_ENDPOINTS = 4_096;
 
 /** The versions of all services over the last time. */
 export class VersionHistory {
   private directory: Directory = new Map();
-  /** Monotonic milliseconds of the first directory; Infinity before it. */
+  /**
+   * Monotonic milliseconds since which no entry has come and gone unseen;
+   * Infinity before the first directory.
+   */
   private followedSince = Infinity;
   /** By service and version: when it was last in a directory, monotonic. */
   private readonly lastSeen = new Map<string, Map<string, number>>();
+  /** Ids of the endpoints that have been seen, the oldest first. */
+  private readonly known = new Set<string>();
 
   /** Replaces the directory. */
   setDirectory(directory: Directory, now: number): void {
@@ -22,6 +30,24 @@
       this.followedSince = Math.min(this.followedSince, now);
   }
 
+  /**
+   * Records entries that were written or removed, those too that are replaced
+   * before the next directory. The removal of an endpoint that was never seen
+   * says that its version served unseen.
+   */
+  recordEntries(changes: readonly EntryChange[], now: number): void {
+    for (const {id, entry} of changes) {
+      if (!entry && !this.known.has(id)) this.recordMissed(now);
+      this.remember(id);
+      if (entry) this.recordSeen(entry, now);
+    }
+  }
+
+  /** Records that entries may have come and gone unseen until now. */
+  recordMissed(now: number): void {
+    if (this.followedSince !== Infinity) this.followedSince = now;
+  }
+
   /** The versions of a service that were there at some time since `since`. */
   versionsSince(
     service: string,
@@ -33,7 +59,10 @@
     return new Set(seen.filter(([, at]) => at >= since).map(([name]) => name));
   }
 
-  /** Whether this host has followed the directory since a monotonic time. */
+  /**
+   * Whether this host has missed no entry since a monotonic time, if the directory
+   * is up to date.
+   */
   hasFollowedSince(since: number): boolean {
     return this.followedSince <= since;
   }
@@ -48,11 +77,26 @@
   }
 
   private recordPresent(now: number): void {
-    for (const {entry} of this.directory.values()) {
-      const {service, softwareVersion} = entry;
-      if (softwareVersion === undefined) continue;
-      const versions = this.lastSeen.get(service) ?? new Map<string, number>();
-      this.lastSeen.set(service, versions.set(softwareVersion, now));
-    }
+    for (const {entry} of this.directory.values()) this.recordSeen(entry, now);
   }
+
+  private recordSeen({service, softwareVersion}: SeenEntry, now: number): void {
+    if (softwareVersion === undefined) return;
+    const versions = this.lastSeen.get(service) ?? new Map<string, number>();
+    this.lastSeen.set(service, versions.set(softwareVersion, now));
+  }
+
+  private remember(id: string): void {
+    this.known.delete(id);
+    this.known.add(id);
+    if (this.known.size <= MAX_KNOWN_ENDPOINTS) return;
+    const [oldest] = this.known;
+    if (oldest !== undefined) this.known.delete(oldest);
+  }
+}
+
+/** What an entry says of the version that serves. */
+interface SeenEntry {
+  readonly service: string;
+  readonly softwareVersion?: string | undefined;
 }
--- a/source/versions/streamversions.ts
+++ b/source/versions/streamversions.ts
@@ -6,7 +6,7 @@
  * since the only version is known anyway.
  */
 import type {Cancel, Clock} from '../clock/index.js';
-import type {Directory} from '../directory/index.js';
+import type {Directory, EntryChange} from '../directory/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import {StoreError, TopicReader, type RecordStore} from '../store/index.js';
@@ -51,6 +51,11 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /**
+   * Reads what the store has of the endpoints now, and applies it. Resolves with
+   * whether the directory then has all that was written until the call.
+   */
+  readonly catchUpWithEndpoints: () => Promise<boolean>;
   /**
    * The host that appends for this one, in a large fleet; undefined where this
    * host appends itself.
@@ -117,6 +122,16 @@
     this.mixedServices = mixed;
   }
 
+  /** Records entries of endpoints that were written or removed. */
+  recordEntries(changes: readonly EntryChange[]): void {
+    this.history.recordEntries(changes, this.options.clock.monotonic());
+  }
+
+  /** Records that entries of endpoints may have come and gone unseen. */
+  recordMissedEntries(): void {
+    this.history.recordMissed(this.options.clock.monotonic());
+  }
+
   /** Records a stream whose first event this host has received. */
   recordBegun(stream: BegunStream): void {
     this.begun.add(stream, this.options.clock.monotonic());
@@ -144,13 +159,12 @@
   ): Promise<VersionDecision> {
     const own = this.known(attempt);
     if (own) return this.logged(own, 'begun', service, attempt);
-    if (this.hasFollowed && this.versionsOf(service).size <= 1)
-      return this.logged(
-        this.decide(service),
-        'only-version',
-        service,
-        attempt,
-      );
+    const isUpToDate = await this.options.catchUpWithEndpoints();
+    const isOnlyVersion = this.versionsOf(service).size <= 1;
+    if (isUpToDate && this.hasFollowed && isOnlyVersion) {
+      const decision = this.decide(service, isUpToDate);
+      return this.logged(decision, 'only-version', service, attempt);
+    }
     const {clock, logger} = this.options;
     const deadline = clock.monotonic() + RECORD_WAIT_MILLISECONDS;
     let wait = 0;
@@ -160,9 +174,10 @@
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
         logger.warn('streams-not-read', {detail: error.message});
-        return this.logged(this.decide(service), 'unread', service, attempt);
+        const decision = this.decide(service, isUpToDate);
+        return this.logged(decision, 'unread', service, attempt);
       }
-      const decision = this.known(attempt) ?? this.decide(service);
+      const decision = this.known(attempt) ?? this.decide(service, isUpToDate);
       wait = Math.floor(deadline - clock.monotonic());
       if (decision.kind !== 'unknown' || wait <= 0)
         return this.logged(decision, 'records', service, attempt);
@@ -192,11 +207,12 @@
     return version === undefined ? undefined : {kind: 'known', version};
   }
 
-  private decide(service: string): VersionDecision {
+  private decide(service: string, isUpToDate: boolean): VersionDecision {
     const unixNow = this.options.clock.now().getTime();
     return decideVersion({
       seen: this.versionsOf(service),
       hasFollowed: this.hasFollowed,
+      isUpToDate,
       isMixed: this.recorded.isMixed(service, unixNow),
       recorded: this.recorded.versions(service, unixNow),
       hasLongRunning: this.hasLongRunning(service),
--- a/test/platformview.test.ts
+++ b/test/platformview.test.ts
@@ -41,6 +41,8 @@
     random: seededRandom(1),
     drain: 2_000,
     changed: () => {},
+    onEntries: () => {},
+    onEntriesMissed: () => {},
     isFed: () => isFed,
     isFeeder: () => isFeeder,
   });
--- a/test/streamversions.test.ts
+++ b/test/streamversions.test.ts
@@ -125,6 +125,7 @@
       clock: this.clock,
       logger: {debug: quiet, info: quiet, warn: quiet, error: quiet},
       metrics: new Metrics(),
+      catchUpWithEndpoints: () => Promise.resolve(!this.store.isAway),
       recorder: () => (recorder ? 'recorder' : undefined),
       sendToRecorder: (_: string, groups: readonly BegunGroup[]) =>
         recorder?.().appendFor(groups),
@@ -276,6 +277,7 @@
   const evidence = {
     seen: new Set(['v1']),
     hasFollowed: false,
+    isUpToDate: true,
     isMixed: false,
     recorded: new Set<string>(),
     hasLongRunning: false,
@@ -289,6 +291,8 @@
   t.deepEqual(decideVersion({...evidence, recorded: other}), UNKNOWN);
   const mixed = {...evidence, hasFollowed: true, isMixed: true};
   t.deepEqual(decideVersion(mixed), UNKNOWN);
+  const late = {...evidence, hasFollowed: true, isUpToDate: false};
+  t.deepEqual(decideVersion(late), UNKNOWN);
   const none = {...evidence, seen: new Set<string>()};
   t.deepEqual(decideVersion(none), {kind: 'unversioned'});
 });
@@ -310,3 +314,44 @@
   await world.pass(1_000);
   t.is(world.store.records.length, 1);
 });
+
+test('a stream of a version that came and went unseen goes on at another one', async t => {
+  const world = new World();
+  world.serve({a: 'v1', b: 'v1'}, LONG_RUNNING_MILLISECONDS);
+  const host = world.host();
+  await world.pass(STREAM_LIFETIME_MILLISECONDS);
+  const {entry} = createEndpoint('c', '127.0.0.1:1', 'v2');
+  host.recordEntries([
+    {id: 'c', entry},
+    {id: 'c', entry: undefined},
+  ]);
+  t.deepEqual(await host.versionOf(SERVICE, 'one'), UNKNOWN);
+});
+
+test('a host that has missed entries reads the records of all hosts', async t => {
+  const world = new World();
+  world.serve({a: 'v1', b: 'v1'}, LONG_RUNNING_MILLISECONDS);
+  const host = world.host();
+  await world.pass(STREAM_LIFETIME_MILLISECONDS);
+  await host.versionOf(SERVICE, 'one');
+  t.is(world.store.calls, 0);
+  host.recordEntries([{id: 'never seen', entry: undefined}]);
+  await host.versionOf(SERVICE, 'one');
+  t.true(world.store.calls > 0);
+  const calls = world.store.calls;
+  await world.pass(STREAM_LIFETIME_MILLISECONDS);
+  host.recordMissedEntries();
+  await host.versionOf(SERVICE, 'one');
+  t.true(world.store.calls > calls);
+});
+
+test('a host whose directory is not up to date takes its only version for the only one', async t => {
+  const world = new World();
+  world.serve({a: 'v1', b: 'v1'}, LONG_RUNNING_MILLISECONDS);
+  const host = world.host();
+  await world.pass(STREAM_LIFETIME_MILLISECONDS);
+  begin(host, 'own', 'v1');
+  world.store.isAway = true;
+  t.deepEqual(await host.versionOf(SERVICE, 'one'), UNKNOWN);
+  t.deepEqual(await host.versionOf(SERVICE, 'own'), KNOWN_V1);
+});
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -345,6 +345,7 @@
     clock,
     logger,
     metrics: new Metrics(),
+    catchUpWithEndpoints: () => Promise.resolve(true),
     recorder: () => 'another host',
     sendToRecorder: () => {},
   });
