End no request for endpoints that break off and live on

Callers that took a stream up got 502 after two endpoints had broken off before the next event, also where a third was allowed and no endpoint had crashed.

Cause: a request was taken for what crashes endpoints by the number of its cut connections, whatever had cut them. Crashes are told from cuts by the quarantine, which counts them for each request over all hosts, so that count is no longer needed. How many endpoints one attempt may reach is the route's to say, as before.

Evidence: test/cutwithoutcrash.test.ts got 502 at the parent commit and passes; the tests of crashing requests and parts pass as before.

--- a/source/forward/context.ts
+++ b/source/forward/context.ts
@@ -72,8 +72,6 @@
   /** Monotonic milliseconds of the first byte to the caller; 0 before it. */
   firstByteAt = 0;
   callerDisconnected = false;
-  /** Endpoints that closed its connection before the answer had begun. */
-  unbegunCuts = 0;
   /**
    * Settled when it is known whether the endpoint that cut it last has crashed;
    * undefined before a cut, and once that has been looked at.
--- a/source/forward/crashguard.ts
+++ b/source/forward/crashguard.ts
@@ -14,12 +14,6 @@
 } from '../quarantine/index.js';
 import type {RequestContext} from './context.js';
 
-/**
- * Endpoints that may cut a request before its answer has begun; the request is
- * not sent to another one after that, since it may be what crashes them.
- */
-const MAX_UNBEGUN_CUTS = 2;
-
 /** Keeps requests away from the endpoints that they would crash. */
 export class CrashGuard {
   constructor(private readonly quarantine: Quarantine) {}
@@ -44,12 +38,11 @@
    * endpoint has crashed.
    */
   async checkRetry(context: RequestContext): Promise<void> {
-    const {traits, crashCheck, cancelled, unbegunCuts} = context;
+    const {traits, crashCheck, cancelled} = context;
     if (!traits || !crashCheck) return;
     await Promise.race([crashCheck, cancelled]);
     context.crashCheck = undefined;
-    const isSuspect = this.quarantine.isSuspect(traits);
-    if (!isSuspect && unbegunCuts < MAX_UNBEGUN_CUTS) return;
+    if (!this.quarantine.isSuspect(traits)) return;
     throw new Refusal(
       'endpoint-lost',
       'unknown',
@@ -65,7 +58,6 @@
   ): void {
     const {request, traits, delivered: events} = context;
     if (!traits) return;
-    if (request.prompt && events === 0) context.unbegunCuts++;
     const cut = {endpoint, request: request.id, traits, sentAt, events};
     context.crashCheck = this.quarantine.recordCut(cut);
   }
