Pass on nothing late in a drain that cannot be expected to end in it

Cause: a host that drains passed requests on until it ended them all, shortly before its grace was over. Requests come that late on connections that were opened in time, with a body that is still being sent, out of the queue, or as a second attempt.

What is not sent is refused as not run, and its caller may go to another host at once.

--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -241,6 +241,8 @@
     const {settings} = this.parts;
     const maxDrainMilliseconds =
       settings.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
+    const stopAt = this.clock.monotonic() + maxDrainMilliseconds;
+    this.forwarder.announceStop(stopAt);
     const drainTimeout = this.wait(maxDrainMilliseconds);
     await this.wait(BALANCER_DEREGISTRATION_MILLISECONDS);
     this.callers.closeIdle();
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -34,6 +34,7 @@
 import type {Protocol} from './protocol.js';
 import {RequestLog} from './requestlog.js';
 import {RetryCounter} from './retries.js';
+import {StopSchedule} from './stopschedule.js';
 
 /**
  * Most that the buffered responses of a host may take, a tenth of the memory of
@@ -73,6 +74,7 @@
   /** Undefined until a configuration is known; requests are refused then. */
   routingTable: RoutingTable | undefined;
   private readonly retries: RetryCounter;
+  private readonly stopSchedule = new StopSchedule();
   private readonly guard: CrashGuard;
   private readonly log: RequestLog;
   private readonly attemptParts: AttemptParts;
@@ -110,6 +112,14 @@
     return new Promise(resolve => this.onIdle.push(resolve));
   }
 
+  /**
+   * From now on, passes on only what can be expected to end before a time in
+   * monotonic milliseconds, at which `stop` is to be called.
+   */
+  announceStop(stopAt: number): void {
+    this.stopSchedule.announce(stopAt);
+  }
+
   /**
    * Ends the requests in progress, each with a final response that says whether
    * it may have run, and refuses all further ones.
@@ -276,6 +286,8 @@
     const {book, clock} = this.parts;
     const {service, request, failedEndpoints, homes} = context;
     const {prompt} = request;
+    if (!this.stopSchedule.allows(context, clock.monotonic()))
+      throw new Refusal('not-ready', 'not-run', 'the host stops too soon');
     const reservation = book.reserve({
       service,
       prompt,
@@ -308,6 +320,8 @@
     const sentAt = clock.monotonic();
     try {
       await attempt.run();
+      const duration = clock.monotonic() - sentAt;
+      this.stopSchedule.recordDuration(context.route, duration);
     } catch (error) {
       const isOverdue =
         attempt.hasPartialResponse && !context.callerDisconnected;
