Block no request that endpoints have just answered

Callers of a resource that many read would have been refused for up to a minute where three crashes in a row cut such reads, each before one was answered again: their requests are alike, so the crashes of an outage count against all of them.

Cause: recent answers spoke for parts of prompts only. Now they speak for requests as well, while anything is suspected; in calm no digest is made.

Evidence: the new test in test/requestguilt.test.ts fails without the change; the tests of crashing requests pass as before.

--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -166,9 +166,10 @@
   /** Records that an endpoint has begun the answer to a request. */
   recordBegun(traits: RequestTraits): void {
     const now = this.options.clock.monotonic();
-    for (const part of traits.parts) this.recentAnswers.record(part, now);
-    if (!this.isWatching) return;
-    for (const key of traits.keys) {
+    // A digest costs more than a part, and only matters while crashes are recent.
+    const keys = this.isWatching ? traits.keys : traits.partKeys;
+    for (const key of keys) {
+      this.recentAnswers.record(key, now);
       const isKnown = isSuspected(this.evidence, key);
       if (!isKnown && !isBlocked(this.blocklist, key)) continue;
       this.clear(key, now);
@@ -304,9 +305,9 @@
     }
   }
 
-  /** Whether an answer with a part has begun at this host recently. */
+  /** Whether an answer with a suspect has begun at this host recently. */
   private wasAnswered(key: SuspectKey, now: number): boolean {
-    return !isRequest(key) && this.recentAnswers.has(suspectOf(key).id, now);
+    return this.recentAnswers.has(key, now);
   }
 
   private block(key: SuspectKey, isDoubtful: boolean): void {
--- a/source/quarantine/suspect.ts
+++ b/source/quarantine/suspect.ts
@@ -58,9 +58,12 @@
 
   /** The keys of the request and of the parts, the request first. */
   get keys(): SuspectKey[] {
-    return [
-      keyOf({kind: 'request', id: this.fingerprint}),
-      ...this.parts.map(id => keyOf({kind: 'part', id})),
-    ];
+    const request = keyOf({kind: 'request', id: this.fingerprint});
+    return [request, ...this.partKeys];
+  }
+
+  /** The keys of the parts. */
+  get partKeys(): SuspectKey[] {
+    return this.parts.map(id => keyOf({kind: 'part', id}));
   }
 }
--- a/test/requestguilt.test.ts
+++ b/test/requestguilt.test.ts
@@ -276,3 +276,17 @@
   fleet.clock.advance(10);
   t.true(fleet.hosts.every(host => !host.blockedSuspect(traits)));
 });
+
+test('a request that many send and endpoints answer is blocked when crashes cut it in a row', t => {
+  const fleet = new Fleet();
+  const host = fleet.add();
+  const traits = traitsOf('popular');
+  fleet.crash('engine-1', traits);
+  host.recordBegun(traits);
+  for (const endpoint of ['engine-2', 'engine-3', 'engine-4'])
+    fleet.crash(endpoint, traits);
+  t.is(host.blockedSuspect(traits), undefined);
+  fleet.clock.advance(10_000);
+  fleet.crash('engine-5', traits);
+  t.is(host.blockedSuspect(traits)?.kind, 'request');
+});
