Let the soak play deadly requests, leaving headers and endpoints that want nothing

A request on which endpoints crash comes at all hosts, beside the other faults and once in the calm at the end, where it may end six endpoints at most. Endpoints that leave say so in their answers before their entries, and every second one names in Retry-After for how long it wants nothing when it is full; what comes from a host in that time is counted.

--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -1,7 +1,7 @@
 /** One request of a caller, on the connection that its agent keeps. */
 import {request, type Agent} from 'node:http';
 
-import type {Asked, Got} from './ledger.js';
+import {DEADLY_RESOURCE, type Asked, type Got} from './ledger.js';
 
 const CALLER_MILLISECONDS = 3_000;
 const PATIENCE_MILLISECONDS = 2_000;
@@ -17,9 +17,10 @@
 /** Asks the host at an address; never throws. */
 export function askHost(
   address: string,
-  {route, key, id, work}: Asked,
+  {route, key, id, work, isDeadly}: Asked,
   agent: Agent,
 ): Promise<Reply> {
+  const resource = isDeadly ? DEADLY_RESOURCE : '1';
   let body = '';
   let overdue = false;
   return new Promise(resolve => {
@@ -28,7 +29,7 @@
       resolve({status, body, whole, overdue});
     };
     const sent = request(
-      `http://${address}/${route}/1?work=${work}`,
+      `http://${address}/${route}/${resource}?work=${work}`,
       {
         agent,
         method: route === 'record' ? 'POST' : 'GET',
--- a/soak/endpoint.ts
+++ b/soak/endpoint.ts
@@ -7,21 +7,45 @@
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
 
-import {answerTo, eventOf, STREAM_EVENTS, type Arrived} from './ledger.js';
+import {
+  answerTo,
+  DEADLY_RESOURCE,
+  eventOf,
+  STREAM_EVENTS,
+  type Arrived,
+} from './ledger.js';
 
 /** Requests that an endpoint works on at once. */
 export const SLOTS = 6;
 const EVENT_MILLISECONDS = 15;
+/** Seconds for which an endpoint wants nothing that says so when it is full. */
+export const BACKOFF_SECONDS = 1;
+
+/** What an endpoint tells the soak. */
+export interface EndpointEvents {
+  /** It has got a request, which it runs. */
+  readonly onArrived: (arrived: Omit<Arrived, 'left'>) => void;
+  /** It has got a request, which it may turn away. */
+  readonly onReceived: (request: string) => void;
+  /** It has told the host of a request to send it nothing for a while. */
+  readonly onBackoff: (request: string) => void;
+  /** It has crashed on a request. */
+  readonly onCrash: () => void;
+}
 
 /** One endpoint. */
 export class SoakEndpoint {
   address = '';
   private readonly server: Server;
   private running = 0;
+  /** Whether it says in its answers that it leaves. */
+  isLeaving = false;
 
   constructor(
     readonly id: string,
-    private readonly arrived: (arrived: Omit<Arrived, 'left'>) => void,
+    /** Whether it says for how long it wants nothing when it is full. */
+    private readonly namesBackoff: boolean,
+    private readonly events: EndpointEvents,
   ) {
     this.server = createServer((message, response) => {
       message.resume();
@@ -58,17 +82,18 @@
       response.end();
       return;
     }
-    if (this.running >= SLOTS) {
-      response.writeHead(503, {'x-not-executed': '1', 'x-attempt-id': id});
-      response.end();
-      return;
-    }
+    this.events.onReceived(id);
+    if (this.running >= SLOTS) return this.turnAway(id, response);
     this.running++;
     response.once('close', () => this.running--);
     const team = String(headers['x-tenant']);
     const text = `${url} ${rawHeaders.join(' ')}`;
-    this.arrived({id, endpoint: this.id, team, headers: text});
-    response.writeHead(200, {'x-attempt-id': id, 'x-response-seal': 'seal'});
+    this.events.onArrived({id, endpoint: this.id, team, headers: text});
+    if (url.includes(`/${DEADLY_RESOURCE}?`)) {
+      this.stop();
+      return this.events.onCrash();
+    }
+    response.writeHead(200, this.headersOf(id));
     if (!url.startsWith('/draft/')) {
       const body = answerTo({id, route: 'read'});
       const {searchParams} = new URL(url, 'http://endpoint');
@@ -78,6 +103,24 @@
     }
     stream(response, id, Number(headers['last-event-id'] ?? 0));
   }
+
+  private turnAway(id: string, response: ServerResponse): void {
+    const headers: Record<string, string> = {
+      'x-not-executed': '1',
+      'x-attempt-id': id,
+    };
+    if (this.namesBackoff) {
+      headers['retry-after'] = String(BACKOFF_SECONDS);
+      this.events.onBackoff(id);
+    }
+    response.writeHead(503, headers);
+    response.end();
+  }
+
+  private headersOf(id: string): Record<string, string> {
+    const headers = {'x-attempt-id': id, 'x-response-seal': 'seal'};
+    return this.isLeaving ? {...headers, 'server-leaving': '1'} : headers;
+  }
 }
 
 function stream(response: ServerResponse, id: string, sent: number): void {
--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -14,6 +14,8 @@
     | 'no-key-passes'
     | 'withdrawn-key-stops'
     | 'leaving-endpoint-rests'
+    | 'endpoint-is-left-alone'
+    | 'crashing-request-stops'
     | 'window-reported-once'
     | 'fences-grow'
     | 'nothing-cut-at-a-stop'
@@ -34,6 +36,8 @@
   readonly withdrawn: boolean;
   /** Milliseconds that an endpoint works on it. */
   readonly work: number;
+  /** Whether endpoints crash when they run it. */
+  readonly isDeadly?: boolean;
 }
 
 /** What a caller got. */
@@ -58,6 +62,8 @@
   readonly left: boolean;
 }
 
+/** Last segment of the path of requests on which endpoints crash. */
+export const DEADLY_RESOURCE = 'deadly';
 /** Events of a whole stream. */
 export const STREAM_EVENTS = 8;
 export const TEAM = 'guides';
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -47,7 +47,9 @@
       /** Milliseconds from the first signal to the second. */
       readonly gap: number;
     }
-  | {readonly kind: 'overload'; readonly lasts: number};
+  | {readonly kind: 'overload'; readonly lasts: number}
+  /** A request on which endpoints crash comes again and again at all hosts. */
+  | {readonly kind: 'deadly'; readonly lasts: number};
 
 /** A fault with its time, in milliseconds from the start. */
 export interface PlannedFault {
@@ -75,6 +77,7 @@
 const RESTORE_GAP_MILLISECONDS_MOST = 9_000;
 const RESTORED_AGE_MILLISECONDS_MOST = 6_000;
 const REWRITE_MILLISECONDS_MOST = 1_200;
+const DEADLY_GAP_MILLISECONDS_MOST = 9_000;
 
 /**
  * The faults of a run.
@@ -147,6 +150,27 @@
   return plan;
 }
 
+/**
+ * Times in which a request that crashes endpoints comes, beside the faults of a run.
+ *
+ * ```ts
+ * const plan = deadlyPlanOf(seededRandom(4), {hosts: 3, endpoints: 4, lasts: 8_000});
+ * ```
+ */
+export function deadlyPlanOf(
+  random: RandomSource,
+  {lasts: end}: SoakSize,
+): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  const nextAt = (at: number) =>
+    at + random.next() * DEADLY_GAP_MILLISECONDS_MOST;
+  for (let at = nextAt(FIRST_MILLISECONDS); at < end; at = nextAt(at)) {
+    const lasts = random.next() * LASTS_MILLISECONDS_MOST;
+    plan.push({at, fault: {kind: 'deadly', lasts}});
+  }
+  return plan;
+}
+
 function faultOf(random: RandomSource, {hosts, endpoints}: SoakSize): Fault {
   const pick = (count: number) => Math.floor(random.next() * count);
   const host = pick(hosts);
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -15,9 +15,11 @@
   type Line,
 } from '../test/support/edgeprocess.js';
 import {askHost} from './caller.js';
-import {SoakEndpoint} from './endpoint.js';
+import {Backoffs, type SendingHost} from './backoffs.js';
+import {BACKOFF_SECONDS, SoakEndpoint} from './endpoint.js';
 import {Ledger, TEAM, type Asked, type Got, type Violation} from './ledger.js';
 import {
+  deadlyPlanOf,
   loadPlanOf,
   planOf,
   restorePlanOf,
@@ -76,6 +78,12 @@
 const LOAD_SEED = 2_000_003;
 /** Keeps the restores of the store apart from the plan of the faults. */
 const RESTORE_SEED = 3_000_000;
+/** Keeps the deadly requests apart from the plan of the faults. */
+const DEADLY_SEED = 4_000_003;
+const DEADLY_INTERVAL_MILLISECONDS = 120;
+/** Deadly requests in the calm at the end, and crashes that they may cause. */
+const LAST_DEADLY_REQUESTS = 24;
+const LAST_CRASHES_MOST = 6;
 const SCRAPE_MILLISECONDS = 1_000;
 const WORK_MILLISECONDS = 20;
 const OVERLOAD_WORK_MILLISECONDS = 150;
@@ -122,6 +130,9 @@
   /** Disturbances of the whole deployment, and how many have ended. */
   private troubles = 0;
   private calmed = 0;
+  private readonly backoffs = new Backoffs();
+  /** Endpoints that have crashed on deadly requests. */
+  private crashes = 0;
   /** When each host has said that it knows an endpoint to leave. */
   private readonly leaves = new Map<string, number>();
 
@@ -141,6 +152,8 @@
       await this.disturb();
       await Promise.all(this.repairs);
       await this.recover();
+      await this.checkDeadly();
+      await this.recover();
       this.over = true;
       this.copies?.stop();
       await Promise.all([...asking, ...scraping]);
@@ -184,10 +197,20 @@
   }
 
   private async newSeat(): Promise<Seat> {
-    const id = `register-${this.endpointCount++}`;
-    const endpoint = new SoakEndpoint(id, arrived =>
-      this.ledger.arrive({...arrived, left: this.hasLeft(id, arrived.id)}),
-    );
+    const number = this.endpointCount++;
+    const id = `register-${number}`;
+    const endpoint = new SoakEndpoint(id, number % 2 === 1, {
+      onArrived: arrived =>
+        this.ledger.arrive({...arrived, left: this.hasLeft(id, arrived.id)}),
+      onReceived: request => this.checkBackoff(id, request),
+      onBackoff: request =>
+        this.backoffs.begin(
+          this.senderOf(request, id),
+          BACKOFF_SECONDS * 1_000,
+          performance.now(),
+        ),
+      onCrash: () => this.replaceCrashed(id),
+    });
     await endpoint.start();
     const proxy = new FaultyProxy(endpoint.address);
     await proxy.start();
@@ -202,6 +225,7 @@
       ...planOf(seededRandom(seed), this.options),
       ...loadPlanOf(seededRandom(seed + LOAD_SEED), this.options),
       ...restorePlanOf(seededRandom(seed + RESTORE_SEED), this.options),
+      ...deadlyPlanOf(seededRandom(seed + DEADLY_SEED), this.options),
     ].sort((one, other) => one.at - other.at);
     for (const {at, fault} of plan) {
       await wait(Math.max(began + at - performance.now(), 0));
@@ -219,6 +243,8 @@
         return this.restart(this.station(fault.host), 'stop', fault.gap);
       case 'overload':
         return this.overload(fault.lasts);
+      case 'deadly':
+        return this.sendDeadly(fault.lasts / DEADLY_INTERVAL_MILLISECONDS);
       case 'reload':
         return void this.signal(this.station(fault.host), 'SIGHUP');
       case 'freeze':
@@ -376,12 +402,61 @@
     rewrite?.();
   }
 
+  /** Sends a request on which endpoints crash so many times, to each host in turn. */
+  private async sendDeadly(count: number): Promise<void> {
+    const agent = new Agent({keepAlive: false});
+    const asked = {
+      route: 'read',
+      work: WORK_MILLISECONDS,
+      isDeadly: true,
+    } as const;
+    for (let number = 0; number < count; number++) {
+      const index = number % this.stations.length;
+      void this.askFor(index, {...asked, key: this.newestKey}, agent);
+      await wait(DEADLY_INTERVAL_MILLISECONDS);
+    }
+  }
+
+  /** Checks that a deadly request stops to crash endpoints, in the calm. */
+  private async checkDeadly(): Promise<void> {
+    const before = this.crashes;
+    await this.sendDeadly(LAST_DEADLY_REQUESTS);
+    const crashes = this.crashes - before;
+    if (crashes > LAST_CRASHES_MOST)
+      this.ledger.broken('crashing-request-stops', `${crashes} crashes`);
+  }
+
+  /** Another endpoint takes the seat of one that has crashed on a request. */
+  private replaceCrashed(id: string): void {
+    const index = this.seats.findIndex(({endpoint}) => endpoint.id === id);
+    this.crashes++;
+    if (index < 0) return;
+    this.seat(index).proxy.stop();
+    this.repairs.push(this.replace(index, false));
+  }
+
+  private checkBackoff(endpoint: string, request: string): void {
+    const sender = this.senderOf(request, endpoint);
+    if (this.backoffs.arrive(sender, performance.now()))
+      this.ledger.broken('endpoint-is-left-alone', `${request} at ${endpoint}`);
+  }
+
+  /** The host process that sends a request to an endpoint. */
+  private senderOf(request: string, endpoint: string): SendingHost {
+    const [host = ''] = request.split('.');
+    const station = this.station(Number(host));
+    const process = station.process.child.pid ?? 0;
+    const disturbances = this.disturbancesOf(station);
+    return {process, endpoint, disturbances};
+  }
+
   /** An endpoint leaves or crashes, and another takes its seat. */
   private async replace(index: number, planned: boolean): Promise<void> {
     const {endpoint, proxy} = this.seat(index);
     const {id} = endpoint;
     this.seats[index] = await this.newSeat();
     if (planned) {
+      endpoint.isLeaving = true;
       this.fleet.enter(id, proxy.address, 'draining', 'v1', 2);
       await wait(LEAVE_MILLISECONDS);
     } else {
@@ -406,9 +481,10 @@
     const {process} = this.station(Number(host));
     const said = process.lines.some(
       ({event, fields}) =>
-        event === 'endpoint' &&
-        fields['id'] === endpoint &&
-        (fields['state'] === 'leaving' || fields['state'] === 'gone'),
+        (event === 'endpoint' &&
+          fields['id'] === endpoint &&
+          (fields['state'] === 'leaving' || fields['state'] === 'gone')) ||
+        (event === 'endpoint-leaving' && fields['endpoint'] === endpoint),
     );
     if (!said) return false;
     const key = `${process.child.pid} ${endpoint}`;
@@ -454,7 +530,7 @@
 
   private async askFor(
     index: number,
-    spec: Pick<Asked, 'key' | 'route' | 'work'>,
+    spec: Pick<Asked, 'key' | 'route' | 'work' | 'isDeadly'>,
     agent: Agent,
   ): Promise<Got> {
     const station = this.station(index);
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -6,7 +6,8 @@
 import test from 'ava';
 
 import {answerTo, Ledger, TEAM, type Asked} from '../soak/ledger.js';
-import {loadPlanOf, planOf, restorePlanOf} from '../soak/plan.js';
+import {Backoffs} from '../soak/backoffs.js';
+import {deadlyPlanOf, loadPlanOf, planOf, restorePlanOf} from '../soak/plan.js';
 import {REGRESSIONS} from '../soak/seeds.js';
 import {Soak} from '../soak/soak.js';
 import {seededRandom} from '../source/random/index.js';
@@ -37,6 +38,24 @@
     restorePlanOf(seededRandom(seed), {...SIZE, lasts: 30_000});
   t.deepEqual(restores(7), restores(7));
   t.notDeepEqual(restores(7), restores(8));
+  const deadly = (seed: number) =>
+    deadlyPlanOf(seededRandom(seed), {...SIZE, lasts: 30_000});
+  t.deepEqual(deadly(7), deadly(7));
+  t.notDeepEqual(deadly(7), deadly(8));
+});
+
+test('a host that sends on to an endpoint that wants nothing is noticed', t => {
+  const backoffs = new Backoffs();
+  const host = {process: 7, endpoint: 'register-1', disturbances: 0};
+  backoffs.begin(host, 1_000, 0);
+  const arrivals = [400, 600, 700, 800, 900, 1_100];
+  t.deepEqual(
+    arrivals.map(at => backoffs.arrive(host, at)),
+    [false, false, false, true, true, false],
+  );
+  t.false(backoffs.arrive({...host, process: 8}, 800));
+  t.false(backoffs.arrive({...host, disturbances: 1}, 800));
+  t.false(backoffs.arrive({...host, endpoint: 'register-2'}, 800));
 });
 
 const ASKED: Asked = {
