--- a/source/quarantine/index.ts
+++ b/source/quarantine/index.ts
@@ -42,11 +42,8 @@
   type BlocklistEntry,
   type CrashReport,
 } from './message.js';
-export {
-  Quarantine,
-  type LiftReason,
-  type QuarantineOptions,
-} from './quarantine.js';
+export {Quarantine, type QuarantineOptions} from './quarantine.js';
+export type {LiftReason} from './quarantinelog.js';
 export {
   keyOf,
   RequestTraits,
--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -7,7 +7,7 @@
  */
 import {rendezvousRank} from '../balance/index.js';
 import type {Clock} from '../clock/index.js';
-import type {Fields, Logger} from '../logging/index.js';
+import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {RandomSource} from '../random/index.js';
 import {acceptsConnections} from '../wire/index.js';
@@ -42,7 +42,6 @@
 } from './evidence.js';
 import {
   countCrashes,
-  CRASHES_TO_SUSPECT,
   isDoubtful,
   isProperSubset,
   isTooRisky,
@@ -55,6 +54,11 @@
   type BlocklistEntry,
   type CrashReport,
 } from './message.js';
+import {
+  QuarantineLog,
+  type BlockReason,
+  type LiftReason,
+} from './quarantinelog.js';
 import {RecentAnswers} from './recentanswers.js';
 import {
   isRequest,
@@ -65,17 +69,11 @@
   type SuspectKey,
 } from './suspect.js';
 
-/** Requests that a line about a crash names at most. */
-const MAX_LOGGED_REQUESTS = 8;
 /** Entries of the blocklist in a pulse; the next one has the next entries. */
 const ENTRIES_PER_PULSE = 4;
 /** Hosts that tell one that has just turned up which crashes they know. */
 const HOSTS_TO_INFORM_NEW_ONE = 2;
 
-/** Why a suspect is not blocked any more. */
-export type LiftReason =
-  'answered' | 'explained' | 'yielded' | 'operator' | 'another-host';
-
 /** Dependencies of a quarantine. */
 export interface QuarantineOptions {
   /** The name of this host. */
@@ -102,15 +100,16 @@
   /** The endpoints whose crashes a blocked suspect explains. */
   private readonly explanations = new Map<SuspectKey, Endpoints>();
   private readonly begun: BegunReports;
+  private readonly log: QuarantineLog;
   private readonly recentAnswers = new RecentAnswers();
   /** Monotonic milliseconds until which crashes speak against suspects. */
   private suspectsUntil = -Infinity;
-  private isFullLogged = false;
   /** Index of the first entry in the next pulse. */
   private nextEntry = 0;
 
   constructor(private readonly options: QuarantineOptions) {
     const {clock, random, hosts, sendBegun: send} = options;
+    this.log = new QuarantineLog(options);
     this.detector = new CrashDetector({
       clock,
       accepts: (address, timeout) =>
@@ -266,10 +265,9 @@
   }
 
   private handleCrash(crash: EndpointCrash): void {
-    const {clock, metrics, sendCrash} = this.options;
-    const {endpoint, at, requests} = crash;
-    this.logCrash(endpoint, requests);
-    metrics.count('endpoint-crashed');
+    const {clock, sendCrash} = this.options;
+    const {endpoint, at} = crash;
+    this.log.crash(crash);
     const suspected = {endpoint, at, suspects: suspectsOf(crash)};
     sendCrash(reportOf(suspected, clock.monotonic()));
     this.addEvidence(suspected);
@@ -282,7 +280,7 @@
     for (const {key} of crash.suspects) {
       if (this.explanations.has(key))
         this.explanations.set(key, crashedWith(this.evidence, key));
-      this.logSuspected(key, crash.endpoint);
+      this.log.suspected(suspectOf(key), this.count(key), crash.endpoint);
     }
     this.judge();
     this.liftExplained();
@@ -314,7 +312,7 @@
     const team = this.evidence.suspicions.get(key)?.team ?? '';
     const yielding = isRequest(key) && requestToYield(this.blocklist, team);
     if (yielding) this.liftKey(yielding, 'yielded');
-    if (!hasRoom(this.blocklist, key)) return this.logFull(key);
+    if (!hasRoom(this.blocklist, key)) return this.log.full(suspectOf(key));
     const now = this.options.clock.monotonic();
     this.blocklist = block(this.blocklist, key, now, {team, isDoubtful});
     this.handleBlocked(key, 'crashes');
@@ -330,26 +328,18 @@
     }
   }
 
-  private handleBlocked(key: SuspectKey, reason: string): void {
-    const {logger, metrics, onBlocked} = this.options;
+  private handleBlocked(key: SuspectKey, reason: BlockReason): void {
     const endpoints = crashedWith(this.evidence, key);
     this.explanations.set(key, endpoints);
-    this.isFullLogged = false;
-    const suspect = suspectOf(key);
     const {team = ''} = this.blocklist.get(key) ?? {};
-    const crashes = endpoints.size;
-    const fields = {...fieldsOf(suspect), team, reason, crashes};
-    logger.error(`${suspect.kind}-blocked`, fields);
-    metrics.count(`${suspect.kind}-blocked`, {reason});
-    onBlocked(suspect);
+    const suspect = suspectOf(key);
+    this.log.blocked(suspect, {team, reason, crashes: endpoints.size});
+    this.options.onBlocked(suspect);
   }
 
   private handleLifted(key: SuspectKey, reason: LiftReason): void {
-    const {logger, metrics} = this.options;
     this.explanations.delete(key);
-    const suspect = suspectOf(key);
-    logger.warn(`${suspect.kind}-unblocked`, {...fieldsOf(suspect), reason});
-    metrics.count(`${suspect.kind}-unblocked`, {reason});
+    this.log.lifted(suspectOf(key), reason);
   }
 
   /** Applies that an answer with a suspect has begun. */
@@ -357,11 +347,8 @@
     const crashes = this.count(key);
     this.evidence = clearSuspect(this.evidence, key, begunAt);
     this.liftKey(key, 'answered');
-    if (crashes < CRASHES_TO_SUSPECT) return;
     if (isSuspected(this.evidence, key)) return;
-    const suspect = suspectOf(key);
-    const fields = {...fieldsOf(suspect), crashes};
-    this.options.logger.info(`${suspect.kind}-cleared`, fields);
+    this.log.cleared(suspectOf(key), crashes);
   }
 
   /**
@@ -377,10 +364,9 @@
 
   /** Blocks a suspect further, until the one request that is tried succeeds. */
   private startReview(key: SuspectKey): void {
-    const {clock, logger} = this.options;
-    this.blocklist = block(this.blocklist, key, clock.monotonic());
-    const suspect = suspectOf(key);
-    logger.warn(`${suspect.kind}-reviewed`, fieldsOf(suspect));
+    const now = this.options.clock.monotonic();
+    this.blocklist = block(this.blocklist, key, now);
+    this.log.reviewed(suspectOf(key));
   }
 
   private count(key: SuspectKey): number {
@@ -396,39 +382,4 @@
       if (!this.blocklist.has(key)) this.explanations.delete(key);
     }
   }
-
-  private logCrash(endpoint: string, requests: readonly CutRequest[]): void {
-    this.options.logger.warn('endpoint-crashed', {
-      endpoint,
-      cut: requests.length,
-      requests: requests
-        .slice(0, MAX_LOGGED_REQUESTS)
-        .map(
-          ({request, traits, events}) =>
-            `${request} like ${traits.fingerprint} events ${events} parts ${traits.parts.join(' ')}`,
-        )
-        .join(', '),
-    });
-  }
-
-  private logSuspected(key: SuspectKey, endpoint: string): void {
-    const crashes = this.count(key);
-    if (crashes < CRASHES_TO_SUSPECT) return;
-    const suspect = suspectOf(key);
-    const fields = {...fieldsOf(suspect), crashes, endpoint};
-    this.options.logger.info(`${suspect.kind}-suspected`, fields);
-  }
-
-  private logFull(key: SuspectKey): void {
-    const suspect = suspectOf(key);
-    this.options.metrics.count('quarantine-full', {kind: suspect.kind});
-    if (this.isFullLogged) return;
-    this.isFullLogged = true;
-    this.options.logger.error('quarantine-full', fieldsOf(suspect));
-  }
-}
-
-/** How log lines name a suspect. */
-function fieldsOf({kind, id}: Suspect): Fields {
-  return kind === 'part' ? {part: id} : {fingerprint: id};
 }
