Split the relay of a stream and the failure of an attempt from the attempt

The relay of events was one function of 110 lines with a dozen closures; it is a class of its own now.

--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -5,7 +5,6 @@
 import type {Reservation} from '../balance/index.js';
 import {Cancellation, type CancellationSignal} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
-import {WireError} from '../errors/index.js';
 import {readWhole} from '../relay/index.js';
 import {discardBody} from '../wire/index.js';
 import type {Logger} from '../logging/index.js';
@@ -14,7 +13,8 @@
 import type {ConnectionPool, EndpointResponse} from './connections.js';
 import type {RequestContext} from './context.js';
 import type {BegunStream} from '../versions/index.js';
-import {EventSplitter} from './events.js';
+import {AttemptFailure, toAttemptFailure} from './attemptfailure.js';
+import {StreamRelay} from './streamrelay.js';
 import type {ResponseHead, Protocol} from './protocol.js';
 
 /** Largest body of a response that is buffered. */
@@ -27,28 +27,6 @@
 const MIN_SERVER_ERROR_STATUS = 500;
 const MIN_REDIRECT_STATUS = 300;
 const MAX_LOGGED_TEXT_LENGTH = 80;
-/** Time without an event after which another endpoint resumes a stream. */
-const STREAM_IDLE_TIMEOUT_MILLISECONDS = 1_000;
-
-/** An endpoint's complete response. */
-export interface BufferedResponse {
-  readonly head: ResponseHead;
-  readonly body: Buffer;
-}
-
-/** The failure of an attempt, by stage. */
-export class AttemptFailure extends WireError {
-  constructor(
-    stage: WireError['stage'],
-    detail: string,
-    /** Whether the endpoint stated that it did not run the request. */
-    readonly notRun: boolean,
-    /** The endpoint's own response, where that reports a server error. */
-    readonly answer?: BufferedResponse,
-  ) {
-    super(stage, detail);
-  }
-}
 
 /** What all attempts of a host share. */
 export interface AttemptParts {
@@ -312,105 +290,29 @@
   }
 
   private relayStream(
-    {message, isDelimited, isComplete}: EndpointResponse,
+    response: EndpointResponse,
     head: ResponseHead,
   ): Promise<void> {
-    const {parts} = this;
-    const {context} = this.spec;
-    const {answer, route} = context;
-    const splitter = new EventSplitter(context.lastEvent);
-    const deliveredBefore = context.delivered;
-    return new Promise((resolve, reject) => {
-      let ended = false;
-      let finished = false;
-      const finish = (failure?: AttemptFailure) => {
-        if (finished) return;
-        finished = true;
-        stopIdleTimer();
-        stopWatching();
-        if (!failure) return resolve();
-        message.destroy();
-        reject(failure);
-      };
-      const fail = (stage: WireError['stage'], detail: string) =>
-        finish(new AttemptFailure(stage, detail, false));
-      let stopIdleTimer: Cancel = () => {};
-      const restartIdleTimer = () => {
-        stopIdleTimer();
-        if (!route.resumable) return;
-        stopIdleTimer = parts.clock.after(
-          STREAM_IDLE_TIMEOUT_MILLISECONDS,
-          () => {
-            // A slow stream is better than none.
-            if (!this.spec.mayTryAnother()) return restartIdleTimer();
-            fail('between-events', 'the stream is silent');
-          },
-        );
-      };
-      /** Pauses the endpoint while the caller lags. */
-      const pause = () => {
-        stopIdleTimer();
-        message.pause();
-        answer.onDrain(() => {
-          if (finished) return;
-          restartIdleTimer();
-          message.resume();
-        });
-      };
-      message.on('data', (bytes: Buffer) => {
-        const events = splitter.push(bytes);
-        if (finished) return;
-        if (context.delivered === 0) this.partial = true;
-        if (splitter.count > 0) {
-          this.partial = false;
-          restartIdleTimer();
-          this.recordBegun();
-          this.recordFirstEvent();
-        }
-        // Comments do not begin a response, so that another endpoint can.
-        if (events.length > 0 && (splitter.count > 0 || answer.isHeadSent)) {
-          this.sendStreamHead(head);
-          if (!answer.write(events)) pause();
-        }
-        context.lastEvent = splitter.lastId;
-        context.delivered += splitter.count;
-        splitter.count = 0;
-        if (splitter.isEventTooLarge) {
-          fail('malformed', 'an event is too large');
-        }
-      });
-      const end = (complete: boolean) => {
-        if (finished) return;
-        const isEmpty = context.delivered === deliveredBefore;
-        // The connection of an endpoint that crashes ends like such a stream, and
-        // nothing shows that a stream which has begun had no more events.
-        const isDoubtful = isEmpty && (!isDelimited || answer.isHeadSent);
-        if (!complete || splitter.hasPartialEvent || isDoubtful) {
-          return fail('cut', 'the stream is cut short');
-        }
-        this.sendStreamHead(head);
-        answer.end();
-        finish();
-      };
-      message.on('end', () => {
-        ended = true;
-        if (message.complete) void isComplete().then(end);
-        else end(false);
-      });
-      message.on('error', error => fail('cut', error.message));
-      message.on('close', () => {
-        if (!ended) fail('cut', 'the connection is closed');
-      });
-      const stopWatching = this.cancellation.onAbort(() =>
-        fail('cut', 'ended'),
-      );
-      restartIdleTimer();
-      // It may have failed together with its head, before the listeners were
-      // set.
-      if (message.destroyed && !message.complete) {
-        fail('cut', message.errored?.message ?? 'the connection is closed');
-      }
+    const {context, mayTryAnother} = this.spec;
+    const relay = new StreamRelay({
+      response,
+      context,
+      clock: this.parts.clock,
+      cancellation: this.cancellation,
+      mayTryAnother,
+      onBytes: hasEvent => this.recordBytes(hasEvent),
+      sendHead: () => this.sendStreamHead(head),
     });
+    return relay.run();
+  }
+
+  /** Records bytes of a stream, with whether an event of it has come. */
+  private recordBytes(hasEvent: boolean): void {
+    if (this.spec.context.delivered === 0) this.partial = true;
+    if (!hasEvent) return;
+    this.partial = false;
+    this.recordBegun();
+    this.recordFirstEvent();
   }
 
   /** Sends the head of the stream, unless the caller has got one. */
@@ -449,10 +351,3 @@
     metrics.time('first-event', first, {route: context.route.name});
   }
 }
-
-/** Converts a WireError to an AttemptFailure; throws any other error. */
-function toAttemptFailure(error: unknown): AttemptFailure {
-  if (error instanceof AttemptFailure) return error;
-  if (!(error instanceof WireError)) throw error;
-  return new AttemptFailure(error.stage, error.message, false);
-}
--- /dev/null
+++ b/source/forward/attemptfailure.ts
@@ -0,0 +1,30 @@
+/** How an attempt of a request at an endpoint fails. */
+import {WireError} from '../errors/index.js';
+import type {ResponseHead} from './protocol.js';
+
+/** An endpoint's complete response. */
+export interface BufferedResponse {
+  readonly head: ResponseHead;
+  readonly body: Buffer;
+}
+
+/** The failure of an attempt, by stage. */
+export class AttemptFailure extends WireError {
+  constructor(
+    stage: WireError['stage'],
+    detail: string,
+    /** Whether the endpoint stated that it did not run the request. */
+    readonly notRun: boolean,
+    /** The endpoint's own response, where that reports a server error. */
+    readonly answer?: BufferedResponse,
+  ) {
+    super(stage, detail);
+  }
+}
+
+/** Converts a WireError to an AttemptFailure; throws any other error. */
+export function toAttemptFailure(error: unknown): AttemptFailure {
+  if (error instanceof AttemptFailure) return error;
+  if (!(error instanceof WireError)) throw error;
+  return new AttemptFailure(error.stage, error.message, false);
+}
--- a/source/forward/requestlog.ts
+++ b/source/forward/requestlog.ts
@@ -3,7 +3,7 @@
 import type {Clock} from '../clock/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
-import type {AttemptFailure} from './attempt.js';
+import type {AttemptFailure} from './attemptfailure.js';
 import type {RequestContext} from './context.js';
 import type {CallerRequest} from './protocol.js';
 
