Keep in the store what is blocked, so that it outlives a kill of all hosts

After all hosts had been killed at once, callers lost their streams to three more crashes by a request that all hosts had known.

Cause: a verdict lived in the memory of the hosts only. Now two hosts, by rendezvous order, write each change to the topic keyed.blocked, and again after the store came back from a copy; a host reads it once when it starts. That is one call for each start and two for each change.

--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -29,7 +29,7 @@
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Load} from '../process/index.js';
-import {Quarantine} from '../quarantine/index.js';
+import {BlockedRecords, Quarantine} from '../quarantine/index.js';
 import type {RandomSource} from '../random/index.js';
 import {StreamVersions} from '../versions/index.js';
 import {listen} from '../wire/index.js';
@@ -84,6 +84,7 @@
   private readonly selector: EndpointSelector;
   private readonly admission: Admission;
   private readonly quarantine: Quarantine;
+  private readonly blockedRecords: BlockedRecords;
   private readonly versions: StreamVersions;
   private readonly forwarder: Forwarder;
   private readonly prober: Prober;
@@ -140,6 +141,7 @@
       logger,
     });
     this.quarantine = this.createQuarantine();
+    this.blockedRecords = this.createBlockedRecords();
     this.versions = this.createStreamVersions();
     this.forwarder = new Forwarder({
       protocol,
@@ -200,6 +202,7 @@
     this.transition('listen');
     this.platformView.start();
     this.prober.start();
+    this.blockedRecords.start();
     this.usage?.start();
     this.leaderElector?.start();
     await this.gossip?.start();
@@ -254,6 +257,7 @@
     await Promise.race([this.callers.flush(), drainTimeout]);
     this.platformView.stop();
     this.prober.stop();
+    this.blockedRecords.stop();
     this.feeder?.stop();
     this.gossip?.stop();
     this.transition('stop');
@@ -350,10 +354,25 @@
         this.gossip?.broadcast({kind: 'crash', from, report}),
       sendBegun: begun =>
         this.gossip?.broadcast({kind: 'begun', from, parts: [...begun]}),
+      onChange: suspect => this.blockedRecords.noteChange(suspect),
       onBlocked: suspect => this.forwarder.endRequestsWith(suspect),
     });
   }
 
+  private createBlockedRecords(): BlockedRecords {
+    const {settings, platform, logger} = this.parts;
+    const {clock, quarantine} = this;
+    return new BlockedRecords({
+      store: platform.store,
+      host: settings.name,
+      hosts: () => this.gossip?.hostsSharingLimits ?? [settings.name],
+      clock,
+      logger,
+      entries: () => quarantine.entries,
+      onLoaded: entries => quarantine.handleEntries(entries),
+    });
+  }
+
   private createStreamVersions(): StreamVersions {
     const {platform, logger, metrics} = this.parts;
     const {clock, recorder} = this;
--- a/source/quarantine/index.ts
+++ b/source/quarantine/index.ts
@@ -12,6 +12,7 @@
   type BlockedSuspect,
   type Blocklist,
 } from './blocklist.js';
+export {BlockedRecords, type BlockedRecordsOptions} from './blockedrecords.js';
 export {
   CrashDetector,
   type CrashDetectorOptions,
--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -88,6 +88,8 @@
   readonly sendCrash: (report: CrashReport) => void;
   /** Sends to all other hosts that answers with these suspects have begun. */
   readonly sendBegun: (begun: readonly BegunSuspect[]) => void;
+  /** Called with a suspect that is blocked, reviewed or no longer blocked. */
+  readonly onChange: (suspect: Suspect) => void;
   /** Called with a suspect from which on no request with it may be sent. */
   readonly onBlocked: (suspect: Suspect) => void;
 }
@@ -334,12 +336,14 @@
     const {team = ''} = this.blocklist.get(key) ?? {};
     const suspect = suspectOf(key);
     this.log.blocked(suspect, {team, reason, crashes: endpoints.size});
+    this.options.onChange(suspect);
     this.options.onBlocked(suspect);
   }
 
   private handleLifted(key: SuspectKey, reason: LiftReason): void {
     this.explanations.delete(key);
     this.log.lifted(suspectOf(key), reason);
+    this.options.onChange(suspectOf(key));
   }
 
   /** Applies that an answer with a suspect has begun. */
@@ -367,6 +371,7 @@
     const now = this.options.clock.monotonic();
     this.blocklist = block(this.blocklist, key, now);
     this.log.reviewed(suspectOf(key));
+    this.options.onChange(suspectOf(key));
   }
 
   private count(key: SuspectKey): number {
--- a/source/store/counted.ts
+++ b/source/store/counted.ts
@@ -6,6 +6,7 @@
   type GroupAssignment,
   type JoinRequest,
   type KeyedPage,
+  type KeyedValue,
   type PlainPage,
   type ReadOptions,
 } from './store.js';
@@ -60,6 +61,15 @@
     return this.store.append(topic, records, timeout, expectedEnd);
   }
 
+  override appendKeyed(
+    topic: string,
+    values: readonly KeyedValue[],
+    timeout: number,
+  ): Promise<void> {
+    this.count('append', topic);
+    return this.store.appendKeyed(topic, values, timeout);
+  }
+
   override join(
     request: JoinRequest,
     timeout: number,
--- a/source/store/index.ts
+++ b/source/store/index.ts
@@ -8,6 +8,7 @@
   type JoinRequest,
   type KeyedPage,
   type KeyedRecord,
+  type KeyedValue,
   type PlainPage,
   type StoreFailure,
   type ReadOptions,
--- a/source/store/store.ts
+++ b/source/store/store.ts
@@ -40,6 +40,12 @@
   readonly offset: number;
 }
 
+/** What is written for a key; without a value it removes the key. */
+export interface KeyedValue {
+  readonly key: string;
+  readonly value: Buffer | undefined;
+}
+
 /**
  * Consecutive records of a keyed topic; `end` is the offset to continue from.
  */
@@ -121,6 +127,12 @@
     timeout: number,
     expectedEnd?: number,
   ): Promise<number>;
+  /** Appends the values of keys to a keyed topic, atomically. */
+  abstract appendKeyed(
+    topic: string,
+    values: readonly KeyedValue[],
+    timeout: number,
+  ): Promise<void>;
   /** Joins a group, or keeps the member in it. */
   abstract join(
     request: JoinRequest,
--- a/test/crashingrequest.test.ts
+++ b/test/crashingrequest.test.ts
@@ -27,6 +27,8 @@
 const SOUND_INTERVAL_MILLISECONDS = 60;
 const LENGTH_MILLISECONDS = 9_000;
 const LAST_MILLISECONDS = 1_500;
+/** Time after the start of traffic at which all hosts are killed. */
+const KILL_MILLISECONDS = 3_500;
 
 /** An answer, with when its request was sent. */
 interface TimedAnswer extends KeptAnswer {
@@ -234,3 +236,28 @@
   checkCulprit(t, played, 'second');
   checkSound(t, played);
 });
+
+test('a request that crashes endpoints crashes more of them after all hosts were killed', async t => {
+  let returnedAt = Infinity;
+  const played = await play(t, {
+    culprits: {draft: draft('deadly draft')},
+    culpritOf: ({body}) => (body === 'deadly draft' ? 'draft' : undefined),
+    disturb: async (fleet, _, hosts) => {
+      await wait(KILL_MILLISECONDS);
+      const before = [...hosts];
+      for (const {child} of before) child.kill('SIGKILL');
+      await Promise.all(before.map(({ended}) => ended));
+      for (const [index, host] of before.entries())
+        hosts[index] = fleet.restart(host);
+      await Promise.all(hosts.map(host => fleet.ready(host)));
+      returnedAt = performance.now();
+    },
+  });
+  const arrivals = played.endpoints.flatMap(endpoint => endpoint.guilty);
+  t.true(arrivals.length >= KNOWN_AFTER_CRASHES);
+  t.deepEqual(
+    arrivals.filter(at => at > returnedAt),
+    [],
+  );
+  checkSound(t, played);
+});
--- a/test/crashtraffic.test.ts
+++ b/test/crashtraffic.test.ts
@@ -69,6 +69,7 @@
         send({kind: 'begun', from, parts: [...begun]}, host =>
           host.handleBegun(begun),
         ),
+      onChange: () => {},
       onBlocked: () => {},
     });
   }
--- a/test/operatorserver.test.ts
+++ b/test/operatorserver.test.ts
@@ -44,6 +44,7 @@
     random: seededRandom(1),
     sendCrash: () => {},
     sendBegun: () => {},
+    onChange: () => {},
     onBlocked: () => {},
   });
   const blocked = {revision: 1, isBlocked: true, reviewIn: 60_000, team: ''};
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -186,6 +186,7 @@
       sendCrash: report =>
         others().forEach(other => other.handleCrashReport(report)),
       sendBegun: parts => others().forEach(other => other.handleBegun(parts)),
+      onChange: () => {},
       onBlocked: ({id}) => this.ended.push(`${host} ${id}`),
     });
     this.names.push(host);
--- a/test/replicas.test.ts
+++ b/test/replicas.test.ts
@@ -46,6 +46,10 @@
     return this.sheets.length;
   }
 
+  override async appendKeyed(): Promise<void> {
+    throw new Error('not used');
+  }
+
   override async readNewest(): Promise<KeyedPage> {
     throw new Error('not used');
   }
--- a/test/requestguilt.test.ts
+++ b/test/requestguilt.test.ts
@@ -192,6 +192,7 @@
       sendCrash: report =>
         others().forEach(other => other.handleCrashReport(report)),
       sendBegun: begun => others().forEach(other => other.handleBegun(begun)),
+      onChange: () => {},
       onBlocked: () => {},
     });
     this.names.push(name);
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -362,6 +362,7 @@
     random: seededRandom(1),
     sendCrash: () => {},
     sendBegun: () => {},
+    onChange: () => {},
     onBlocked: () => {},
   });
 }
--- a/test/support/unusedstore.ts
+++ b/test/support/unusedstore.ts
@@ -11,6 +11,10 @@
     throw new Error('not used');
   }
 
+  override async appendKeyed(): Promise<void> {
+    throw new Error('not used');
+  }
+
   override async readNewest(): Promise<KeyedPage> {
     throw new Error('not used');
   }
