Let a record that a host cannot take end no request that waits for the store

A caller that took a stream up would have got 500 where an entry of an endpoint threw as it was applied. Cause: reading to the end of a topic beside the long poll passed on all errors but the store's, while the long poll logs and counts them. Both do now; the record counts as taken, and the next read goes on. The new test in test/catchup.test.ts fails without it.

--- a/source/store/follower.ts
+++ b/source/store/follower.ts
@@ -186,8 +186,8 @@
         this.applyUpdate(applyPage(this.state, page));
       }
     } catch (error) {
-      if (!(error instanceof StoreError)) throw error;
-      logger.info('store-not-caught-up', {topic, detail: error.message});
+      if (!(error instanceof StoreError)) this.reportUnexpected(error);
+      else logger.info('store-not-caught-up', {topic, detail: error.message});
     }
     return false;
   }
@@ -274,12 +274,16 @@
   }
 
   private async handleUnexpectedError(error: unknown): Promise<void> {
+    this.reportUnexpected(error);
+    await this.pause(MAX_BACKOFF_MILLISECONDS);
+  }
+
+  private reportUnexpected(error: unknown): void {
     const {logger, metrics, topic} = this.options;
     const reason = error instanceof Error ? error.name : 'unknown';
     const detail = error instanceof Error ? (error.stack ?? '') : 'unknown';
     metrics.count('records-not-taken', {topic, reason});
     logger.error('records-not-taken', {topic, reason, detail});
-    await this.pause(MAX_BACKOFF_MILLISECONDS);
   }
 
   private waitForBatch(): Promise<void> {
--- a/test/catchup.test.ts
+++ b/test/catchup.test.ts
@@ -41,7 +41,7 @@
   }
 }
 
-async function follow() {
+async function follow(onRecord: (key: string) => void = () => {}) {
   const store = new DeafStore();
   const keys: string[] = [];
   const follower = new KeyedFollower({
@@ -51,7 +51,12 @@
     logger: SILENT,
     metrics: new Metrics(),
     random: seededRandom(1),
-    onChanges: records => keys.push(...records.map(({key}) => key)),
+    onChanges: records => {
+      for (const {key} of records) {
+        onRecord(key);
+        keys.push(key);
+      }
+    },
     fed: () => false,
     feeds: () => false,
     heard: () => {},
@@ -97,3 +102,17 @@
   t.false(await follower.catchUp());
   follower.stop();
 });
+
+test('a record that a host cannot take ends the request that waits for it', async t => {
+  const {store, follower, answerAll} = await follow(key => {
+    if (key === 'engine-1') throw new RangeError('odd');
+  });
+  store.end = 2;
+  const caughtUp = follower.catchUp();
+  await answerAll();
+  t.false(await caughtUp);
+  const again = follower.catchUp();
+  await answerAll();
+  t.true(await again);
+  follower.stop();
+});
