Let no connection of the soak deliver bytes after a gap; split its endpoints off

The soak said whole-own-answer beside a heavy load: a stream had events 1 and 3 to 8, and its end. Cause: the soak's proxy. A silent proxy swallowed the bytes of event 2, and when it passed again let the rest of that connection through, which no TCP connection does and no host can notice where each event is a chunk. On a quiet machine a stream is over within the shortest silence, so it did not show. Now a connection that has lost bytes delivers none after them, and new ones work.

The violation names the route and the body now. The endpoints of the soak, with their proxies and what is checked of them, are a module of their own.

--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -131,7 +131,8 @@
       this.served++;
       return;
     }
-    if (status === 200 && whole) this.broken('whole-own-answer', id);
+    if (status === 200 && whole)
+      this.broken('whole-own-answer', `${id} ${route}: ${body}`);
     if (PROMISES_NOT_RUN.has(status)) this.turnedAway++;
     if (PROMISES_NOT_RUN.has(status) && route === 'record') {
       this.refused.add(id);
--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -52,17 +52,21 @@
     this.pipe(far, near, false);
   }
 
-  /** Bytes that are swallowed are lost for good; none overtakes another. */
+  /**
+   * Bytes that are swallowed are lost for good, and so is what follows on them, as
+   * no connection delivers bytes after a gap; none overtakes another.
+   */
   private pipe(from: Socket, to: Socket, outward: boolean): void {
     const line = new Line();
     const wait = () => (this.mode === 'delay' ? DELAY_MILLISECONDS : 0);
+    let hasGap = false;
     from.on('data', bytes => {
-      if (this.mode === 'silent') return;
-      if (this.mode === 'one-way' && !outward) return;
-      line.add(wait(), () => to.write(bytes));
+      const isOneWay = this.mode === 'one-way' && !outward;
+      hasGap ||= this.mode === 'silent' || isOneWay;
+      if (!hasGap) line.add(wait(), () => to.write(bytes));
     });
     from.on('end', () => {
-      if (this.mode !== 'silent') line.add(wait(), () => to.end());
+      if (this.mode !== 'silent' && !hasGap) line.add(wait(), () => to.end());
     });
     from.on('error', () => to.destroy());
     from.on('close', () => this.sockets.delete(from));
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -15,8 +15,7 @@
   type Line,
 } from '../test/support/edgeprocess.js';
 import {askHost} from './caller.js';
-import {Backoffs, type SendingHost} from './backoffs.js';
-import {BACKOFF_SECONDS, SoakEndpoint} from './endpoint.js';
+import {SoakEndpoints, type Sender} from './endpoints.js';
 import {Ledger, TEAM, type Asked, type Got, type Violation} from './ledger.js';
 import {
   deadlyPlanOf,
@@ -28,6 +27,7 @@
 } from './plan.js';
 import {StoreCopies} from './restore.js';
 import {FaultyProxy} from './proxy.js';
+import type {Station} from './station.js';
 
 /** What a soak is. */
 export interface SoakOptions extends SoakSize {
@@ -51,24 +51,6 @@
   readonly violations: readonly Violation[];
 }
 
-/** One host with all that is done to it. */
-interface Station {
-  process: HostProcess;
-  readonly store: FaultyProxy;
-  /** Disturbances other than planned work, and how many have ended. */
-  disturbed: number;
-  calmed: number;
-  /** Whether its process is meant to run. */
-  up: boolean;
-  /** Whether it has been told to stop. */
-  stopping: boolean;
-}
-
-interface Seat {
-  endpoint: SoakEndpoint;
-  proxy: FaultyProxy;
-}
-
 const ROUTES = ['read', 'record', 'draft'] as const;
 /** Share of requests that bear a key which may be withdrawn. */
 const OLD_KEY_SHARE = 0.2;
@@ -94,14 +76,11 @@
 /** A request that waited longer before it was sent had been queued. */
 const QUEUED_MILLISECONDS = 100;
 const RESTART_MILLISECONDS = 300;
-const LEAVE_MILLISECONDS = 2_500;
 const RETRY_MILLISECONDS = 40;
 const PAUSE_MILLISECONDS_MOST = 60;
 /** Within which everything is served again once the faults are over. */
 const RECOVERY_MILLISECONDS = 60_000;
 
-/** Milliseconds that what is under way may take to arrive. */
-const FLIGHT_MILLISECONDS = 1_000;
 const UNDISTURBED = {disturbed: 0, calmed: 0, up: true, stopping: false};
 
 const wait = (duration: number) =>
@@ -116,12 +95,11 @@
   private readonly random: RandomSource;
   private readonly stations: Station[] = [];
   private copies: StoreCopies | undefined;
-  private readonly seats: Seat[] = [];
+  private readonly endpoints: SoakEndpoints;
   private readonly faults: string[] = [];
   private readonly repairs: Promise<void>[] = [];
   private keys: string[] = ['key-0'];
   private keyCount = 1;
-  private endpointCount = 0;
   private over = false;
   private attempts = 0;
   private scrapes = 0;
@@ -130,14 +108,17 @@
   /** Disturbances of the whole deployment, and how many have ended. */
   private troubles = 0;
   private calmed = 0;
-  private readonly backoffs = new Backoffs();
-  /** Endpoints that have crashed on deadly requests. */
-  private crashes = 0;
-  /** When each host has said that it knows an endpoint to leave. */
-  private readonly leaves = new Map<string, number>();
 
   constructor(private readonly options: SoakOptions) {
     this.random = seededRandom(options.seed + CALLERS_SEED);
+    this.endpoints = new SoakEndpoints({
+      fleet: this.fleet,
+      ledger: this.ledger,
+      senderOf: request => this.senderOf(request),
+      onTrouble: () => this.troubles++,
+      onCalm: () => this.calmed++,
+      onRepair: repair => this.repairs.push(repair),
+    });
   }
 
   /** Plays it; everything that it started has ended when it resolves. */
@@ -181,9 +162,7 @@
     await this.fleet.site.start();
     this.copies = new StoreCopies(this.fleet.site);
     this.fleet.configure(this.keys);
-    for (let index = 0; index < endpoints; index++) {
-      this.seats.push(await this.newSeat());
-    }
+    await this.endpoints.start(endpoints);
     for (let index = 0; index < hosts; index++) {
       const store = new FaultyProxy(this.fleet.site.address);
       await store.start();
@@ -196,28 +175,6 @@
     for (const {process} of this.stations) await this.fleet.ready(process);
   }
 
-  private async newSeat(): Promise<Seat> {
-    const number = this.endpointCount++;
-    const id = `register-${number}`;
-    const endpoint = new SoakEndpoint(id, number % 2 === 1, {
-      onArrived: arrived =>
-        this.ledger.arrive({...arrived, left: this.hasLeft(id, arrived.id)}),
-      onReceived: request => this.checkBackoff(id, request),
-      onBackoff: request =>
-        this.backoffs.begin(
-          this.senderOf(request, id),
-          BACKOFF_SECONDS * 1_000,
-          performance.now(),
-        ),
-      onCrash: () => this.replaceCrashed(id),
-    });
-    await endpoint.start();
-    const proxy = new FaultyProxy(endpoint.address);
-    await proxy.start();
-    this.fleet.enter(id, proxy.address, 'ready');
-    return {endpoint, proxy};
-  }
-
   private async disturb(): Promise<void> {
     const began = performance.now();
     const {seed} = this.options;
@@ -254,7 +211,7 @@
         return this.cut(station.store, fault.mode, fault.lasts);
       }
       case 'endpoint-cut': {
-        const {proxy} = this.seat(fault.endpoint);
+        const proxy = this.endpoints.proxy(fault.endpoint);
         return this.cut(proxy, fault.mode, fault.lasts);
       }
       case 'store-away':
@@ -269,9 +226,9 @@
       case 'store-restored':
         return this.restoreStore(fault);
       case 'endpoint-leaves':
-        return this.replace(fault.endpoint, true);
+        return this.endpoints.leave(fault.endpoint);
       case 'endpoint-crashes':
-        return this.replace(fault.endpoint, false);
+        return this.endpoints.crash(fault.endpoint);
       case 'keys-change':
         return this.changeKeys();
     }
@@ -419,81 +376,18 @@
 
   /** Checks that a deadly request stops to crash endpoints, in the calm. */
   private async checkDeadly(): Promise<void> {
-    const before = this.crashes;
+    const before = this.endpoints.crashes;
     await this.sendDeadly(LAST_DEADLY_REQUESTS);
-    const crashes = this.crashes - before;
+    const crashes = this.endpoints.crashes - before;
     if (crashes > LAST_CRASHES_MOST)
       this.ledger.broken('crashing-request-stops', `${crashes} crashes`);
   }
 
-  /** Another endpoint takes the seat of one that has crashed on a request. */
-  private replaceCrashed(id: string): void {
-    const index = this.seats.findIndex(({endpoint}) => endpoint.id === id);
-    this.crashes++;
-    if (index < 0) return;
-    this.seat(index).proxy.stop();
-    this.repairs.push(this.replace(index, false));
-  }
-
-  private checkBackoff(endpoint: string, request: string): void {
-    const sender = this.senderOf(request, endpoint);
-    if (this.backoffs.arrive(sender, performance.now()))
-      this.ledger.broken('endpoint-is-left-alone', `${request} at ${endpoint}`);
-  }
-
-  /** The host process that sends a request to an endpoint. */
-  private senderOf(request: string, endpoint: string): SendingHost {
-    const [host = ''] = request.split('.');
-    const station = this.station(Number(host));
-    const process = station.process.child.pid ?? 0;
-    const disturbances = this.disturbancesOf(station);
-    return {process, endpoint, disturbances};
-  }
-
-  /** An endpoint leaves or crashes, and another takes its seat. */
-  private async replace(index: number, planned: boolean): Promise<void> {
-    const {endpoint, proxy} = this.seat(index);
-    const {id} = endpoint;
-    this.seats[index] = await this.newSeat();
-    if (planned) {
-      endpoint.isLeaving = true;
-      this.fleet.enter(id, proxy.address, 'draining', 'v1', 2);
-      await wait(LEAVE_MILLISECONDS);
-    } else {
-      this.troubles++;
-      endpoint.stop();
-      await wait(LEAVE_MILLISECONDS);
-      this.calmed++;
-    }
-    this.fleet.remove(id);
-    endpoint.stop();
-    proxy.stop();
-  }
-
   private changeKeys(): void {
     this.keys = [...this.keys, `key-${this.keyCount++}`].slice(-2);
     this.fleet.configure(this.keys);
   }
 
-  /** Whether the host that sends a request has said that an endpoint leaves. */
-  private hasLeft(endpoint: string, request: string): boolean {
-    const [host = ''] = request.split('.');
-    const {process} = this.station(Number(host));
-    const said = process.lines.some(
-      ({event, fields}) =>
-        (event === 'endpoint' &&
-          fields['id'] === endpoint &&
-          (fields['state'] === 'leaving' || fields['state'] === 'gone')) ||
-        (event === 'endpoint-leaving' && fields['endpoint'] === endpoint),
-    );
-    if (!said) return false;
-    const key = `${process.child.pid} ${endpoint}`;
-    const now = performance.now();
-    const since = this.leaves.get(key) ?? now;
-    this.leaves.set(key, since);
-    return now - since > FLIGHT_MILLISECONDS;
-  }
-
   /** Whether a host has said that it knows the newest configuration. */
   private isCurrent({process: {lines}}: Station): boolean {
     const known = lines.findLast(({event}) => event === 'configuration');
@@ -615,26 +509,25 @@
     this.ledger.checkUsage([...runs.values()].reduce((a, b) => a + b, 0));
   }
 
+  /** The host that sends a request. */
+  private senderOf(request: string): Sender {
+    const [host = ''] = request.split('.');
+    const station = this.station(Number(host));
+    const {process} = station;
+    return {process, disturbances: this.disturbancesOf(station)};
+  }
+
   private station(index: number): Station {
     const station = this.stations[index];
     if (!station) throw new RangeError(`no host ${index}`);
     return station;
   }
 
-  private seat(index: number): Seat {
-    const seat = this.seats[index];
-    if (!seat) throw new RangeError(`no endpoint ${index}`);
-    return seat;
-  }
-
   /** Ends everything that this soak has started. */
   end(): void {
     this.over = true;
     for (const {store} of this.stations) store.stop();
     this.fleet.stop();
-    for (const {endpoint, proxy} of this.seats) {
-      endpoint.stop();
-      proxy.stop();
-    }
+    this.endpoints.stop();
   }
 }
