--- a/soak/endpoints.ts
+++ b/soak/endpoints.ts
@@ -2,7 +2,11 @@
  * The endpoints of a soak, each behind a proxy. One that leaves or crashes is
  * replaced by another. Checks what hosts send to those that leave or want nothing.
  */
-import type {EdgeFleet, HostProcess} from '../test/support/edgeprocess.js';
+import type {
+  EdgeFleet,
+  HostProcess,
+  Line,
+} from '../test/support/edgeprocess.js';
 import {Backoffs, type SendingHost} from './backoffs.js';
 import {BACKOFF_SECONDS, SoakEndpoint} from './endpoint.js';
 import type {Ledger} from './ledger.js';
@@ -141,17 +145,21 @@
     return {process: process.child.pid ?? 0, endpoint, disturbances};
   }
 
-  /** Whether the host that sends a request has said that an endpoint leaves. */
+  /**
+   * Whether a host has sent a request after it had said that an endpoint leaves:
+   * by the order of its own lines where it logs the send, else by the time.
+   */
   private hasLeft(endpoint: string, request: string): boolean {
     const {process} = this.options.senderOf(request);
-    const said = process.lines.some(
+    const said = process.lines.findIndex(line => saysLeaving(line, endpoint));
+    if (said < 0) return false;
+    const sent = process.lines.findLastIndex(
       ({event, fields}) =>
-        (event === 'endpoint' &&
-          fields['id'] === endpoint &&
-          (fields['state'] === 'leaving' || fields['state'] === 'gone')) ||
-        (event === 'endpoint-leaving' && fields['endpoint'] === endpoint),
+        event === 'request-sent' &&
+        fields['request'] === request &&
+        fields['endpoint'] === endpoint,
     );
-    if (!said) return false;
+    if (sent >= 0) return sent > said;
     const key = `${process.child.pid} ${endpoint}`;
     const now = performance.now();
     const since = this.leaves.get(key) ?? now;
@@ -165,3 +173,11 @@
     return found;
   }
 }
+
+/** Whether a line says that a host knows an endpoint to leave. */
+function saysLeaving({event, fields}: Line, endpoint: string): boolean {
+  if (event === 'endpoint-leaving') return fields['endpoint'] === endpoint;
+  const {state} = fields;
+  const isGone = state === 'leaving' || state === 'gone';
+  return event === 'endpoint' && fields['id'] === endpoint && isGone;
+}
--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -146,7 +146,7 @@
     const cut = status === 0 || (status === 200 && !whole);
     // A request that crosses the close of its connection reaches no endpoint.
     if (cut && plannedOnly && this.runs.has(id))
-      this.broken('nothing-cut-at-a-stop', id);
+      this.broken('nothing-cut-at-a-stop', `${id} ${route}: ${status} ${body}`);
   }
 
   /** Notes a report of a usage window. */
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -283,7 +283,11 @@
       const isBooting = signalCode === 'SIGHUP' && age < BOOT_MILLISECONDS;
       const error = process.errors.join('').slice(-ERROR_LENGTH);
       if (!isBooting)
-        this.ledger.ended(process.name, `${code} ${signalCode} ${error}`);
+        this.ledger.ended(
+          process.name,
+          `${code} ${signalCode} after ${Math.round(age)} ms, ` +
+            `${process.lines.length} lines ${error}`,
+        );
       if (signal) return;
       await wait(RESTART_MILLISECONDS);
       if (station.process === process && station.up) this.launch(station);
