--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -104,8 +104,8 @@
   private readonly begun: BegunReports;
   private readonly log: QuarantineLog;
   private readonly recentAnswers = new RecentAnswers();
-  /** Monotonic milliseconds until which crashes speak against suspects. */
-  private suspectsUntil = -Infinity;
+  /** Monotonic milliseconds until which a crash may speak against a request. */
+  private watchUntil = -Infinity;
   /** Index of the first entry in the next pulse. */
   private nextEntry = 0;
 
@@ -248,7 +248,7 @@
   /** Whether anything is suspected or blocked. */
   private get isWatching(): boolean {
     if (this.blocklist.size > 0) return true;
-    return this.options.clock.monotonic() < this.suspectsUntil;
+    return this.options.clock.monotonic() < this.watchUntil;
   }
 
   /** Blocks what another host blocks, unless this one knows better. */
@@ -277,7 +277,7 @@
 
   private addEvidence(crash: SuspectedCrash): void {
     const {clock} = this.options;
-    this.suspectsUntil = clock.monotonic() + SUSPICION_MILLISECONDS;
+    this.watchUntil = clock.monotonic() + SUSPICION_MILLISECONDS;
     this.evidence = addCrash(this.evidence, crash);
     for (const {key} of crash.suspects) {
       if (this.explanations.has(key))
