--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -2,7 +2,7 @@
  * A client sends a body of the largest size that the configuration allows, in
  * chunks of eight bytes; the others send short requests on kept connections.
  * Counts the requests that came on a kept connection, were passed on to a sound
- * engine, and whose connection ended without an answer.
+ * engine, and whose connection ended without any part of an answer.
  */
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'node:http';
@@ -114,6 +114,7 @@
         service: 'redattore',
         events: 42,
         eventMilliseconds: 100,
+        prefill: 400,
       }),
   );
   const registers = [0, 1].map(
@@ -156,7 +157,10 @@
   const results = await Promise.all(pending);
   const ran = new Set(engines.flatMap(({runs}) => [...runs.keys()]));
   const lost = results.filter(({status}) => status === 0);
-  const closed = lost.filter(({id, isKept}) => isKept && ran.has(id));
+  const closed = lost.filter(
+    ({id, isKept, hasHead}) => isKept && !hasHead && ran.has(id),
+  );
+  const cut = lost.filter(({hasHead}) => hasHead);
   for (const {id, isKept, error, milliseconds} of lost) {
     const kind = isKept ? 'kept' : 'new';
     const passed = ran.has(id) ? 'run by an engine' : 'not passed on';
@@ -167,7 +171,8 @@
   }
   record.add(
     `sent ${results.length}, without an answer ${lost.length}, of these on a ` +
-      `kept connection and run by an engine ${closed.length}; large ` +
+      `kept connection, run by an engine and without a head ${closed.length}, ` +
+      `cut in the answer ${cut.length}; large ` +
       `${(await Promise.all(large)).join(', ')}; ends of processes ` +
       `${deployment.hosts.map(({ends}) => ends.length).join(', ')}`,
   );
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -19,8 +19,8 @@
 /** One in so many answers of the engine in trouble is spoiled. */
 const SPOILED_ONE_IN = 20;
 const REQUESTS_PER_SECOND = 40;
-/** The timeout of the route of the reads, and the rule's half second. */
-const ROUTE_TIMEOUT_MILLISECONDS = 800;
+/** The timeouts of the routes, and the rule's half second. */
+const TIMEOUTS_MILLISECONDS = {read: 800, draft: 12_000};
 const LATE_MILLISECONDS = 500;
 /** Requests from which the rule counts. */
 const MIN_OVERDUE = 8;
@@ -119,17 +119,13 @@
     Promise.all(pending),
     sleep(16_000).then(() => []),
   ]);
-  const reads = results.filter(({path}) => path.startsWith('/read/'));
-  const overdue = reads.filter(
-    ({milliseconds}) => milliseconds > ROUTE_TIMEOUT_MILLISECONDS,
-  );
-  const late = overdue.filter(
-    ({milliseconds}) =>
-      milliseconds > ROUTE_TIMEOUT_MILLISECONDS + LATE_MILLISECONDS,
-  );
+  const overtime = ({path, milliseconds}) =>
+    milliseconds - TIMEOUTS_MILLISECONDS[path.split('/')[1]];
+  const overdue = results.filter(result => overtime(result) > 0);
+  const late = overdue.filter(result => overtime(result) > LATE_MILLISECONDS);
   const ends = deployment.hosts.map(host => host.ends.length);
   record.add(
-    `reads ${reads.length}, unanswered at ${ROUTE_TIMEOUT_MILLISECONDS} ms ` +
+    `requests ${results.length}, unanswered at their route's timeout ` +
       `${overdue.length}, of these unanswered ${LATE_MILLISECONDS} ms later ` +
       `${late.length}; spoiled ${spoiled}; ends ${ends.join(', ')}; ` +
       `longest delay of this script ${ownDelay()} ms`,
--- a/review/support/client.mjs
+++ b/review/support/client.mjs
@@ -27,8 +27,9 @@
       const milliseconds = performance.now() - sentAt;
       const received = answer?.headers ?? {};
       const isKept = sent.reusedSocket;
+      const hasHead = answer !== undefined;
       const result = {id, path, status, text, error, milliseconds, isKept};
-      resolve({...result, headers: received});
+      resolve({...result, hasHead, headers: received});
     };
     const sent = request(
       `http://${front}${path}`,
--- a/review/support/engine.mjs
+++ b/review/support/engine.mjs
@@ -38,6 +38,10 @@
     Object.assign(this, {deployment, id, service, zone, slots});
     Object.assign(this, {version, events, eventMilliseconds});
     this.firstHeartbeat = options.firstHeartbeat ?? 0;
+    /** Milliseconds for which it is cold after its start. */
+    this.cold = options.cold ?? 0;
+    /** Milliseconds before the head and the first event of a stream. */
+    this.prefill = options.prefill ?? 0;
     this.spoil = options.spoil ?? (() => false);
     this.sequence = 0;
     this.running = 0;
@@ -77,6 +81,10 @@
     this.server.close();
   }
 
+  get coldLeft() {
+    return Math.max(this.cold - (Date.now() - this.born), 0);
+  }
+
   register() {
     const {service, address, zone, version, slots, born} = this;
     this.sequence++;
@@ -87,7 +95,7 @@
       version,
       slots,
       state: 'ready',
-      coldLeftMs: 0,
+      coldLeftMs: this.coldLeft,
       sequence: this.sequence,
       born,
     });
@@ -97,7 +105,10 @@
     const {headers, url} = message;
     const id = headers['x-attempt-id'];
     if (url === '/health') {
-      response.writeHead(200, {'x-instance-id': this.id});
+      response.writeHead(200, {
+        'x-instance-id': this.id,
+        'x-cold-ms': String(this.coldLeft),
+      });
       return response.end();
     }
     if (url === '/-/report') return this.report(response);
@@ -149,6 +160,15 @@
 
   /** Streams the events after the last one that the client has. */
   stream(id, response, last) {
+    const begin = setTimeout(
+      () => this.sendEvents(id, response, last),
+      this.prefill,
+    );
+    response.once('close', () => clearTimeout(begin));
+  }
+
+  sendEvents(id, response, last) {
+    if (response.destroyed) return;
     response.writeHead(200, {
       'content-type': 'text/event-stream',
       'x-attempt-id': id,
