--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# A client sends a body within the limit in chunks of eight bytes.
+# A part of prompts crashes each engine that begins to write an answer on it.
 cd "$(dirname "$0")" && exec node run.mjs
