Hold bodies by their bytes, not by their pieces

Cause: pieces of a body were kept as a list and bounded by the sum of their bytes. Node makes an object of some 150 bytes of each chunk, which also keeps the 64 KiB read with it.

Pieces are now copied into blocks, so that what is held is in proportion to the bytes, and ResponseBuffers counts the blocks. The same collector serves callers' bodies, whole answers, the own interface and the replies of the store.

--- a/source/exchange/response.ts
+++ b/source/exchange/response.ts
@@ -69,14 +69,13 @@
   response: Answer,
   signal: CancellationSignal,
 ): Promise<Buffer> {
-  const silenceTimeout = resources.settings.firstByteBoundMilliseconds;
+  const silence = resources.settings.firstByteBoundMilliseconds;
   try {
-    return await readWhole(
-      response.body,
-      MAX_RESPONSE_BYTES,
-      silenceTimeout,
+    return await readWhole(response.body, {
+      limit: MAX_RESPONSE_BYTES,
+      silence,
       signal,
-    );
+    });
   } catch (error) {
     throw toAttemptFailure(error);
   }
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -9,7 +9,7 @@
 import {discardBody} from '../wire/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
-import type {ResponseBuffers} from './buffers.js';
+import type {BufferShare, ResponseBuffers} from './buffers.js';
 import type {ConnectionPool, EndpointResponse} from './connections.js';
 import type {RequestContext} from './context.js';
 import type {BegunStream} from '../versions/index.js';
@@ -19,6 +19,13 @@
 
 /** Largest body of a response that is buffered. */
 const MAX_BUFFERED_BODY_BYTES = 16_777_216;
+/**
+ * Most that a buffered response may have beside its body. In chunks of one byte
+ * that is five times the body, and takes seconds to read.
+ */
+const MAX_FRAMING_BYTES = 4_194_304;
+/** Pieces of a body after which its framing is compared with that. */
+const PIECES_PER_CHECK = 256;
 /** Body whose memory counts until the caller has received it. */
 const LARGE_BODY_BYTES = 65_536;
 /** The statuses of a final response. */
@@ -249,9 +256,9 @@
       if (isSent) answer.abort();
       else message.destroy(new Error('too many bytes are buffered'));
     });
-    message.on('data', (bytes: Buffer) => share.add(bytes.length));
+    limitFraming(response);
     try {
-      const body = await this.receive(response, head);
+      const body = await this.receive(response, head, share);
       answer.sendComplete(head, body);
       isSent = body.length > LARGE_BODY_BYTES;
       if (isSent) answer.onClose(() => share.close());
@@ -264,15 +271,15 @@
   private async receive(
     {message, isComplete}: EndpointResponse,
     head: ResponseHead,
+    share: BufferShare,
   ): Promise<Buffer> {
     const {context} = this.spec;
-    const {timeLeft} = context;
-    const body = await readWhole(
-      message,
-      MAX_BUFFERED_BODY_BYTES,
-      timeLeft,
-      this.cancellation,
-    );
+    const body = await readWhole(message, {
+      limit: MAX_BUFFERED_BODY_BYTES,
+      silence: context.timeLeft,
+      signal: this.cancellation,
+      onMemory: bytes => share.add(bytes),
+    });
     if (!(await isComplete())) {
       throw new AttemptFailure('cut', 'the answer is cut short', false);
     }
@@ -351,3 +358,16 @@
     metrics.time('first-event', first, {route: context.route.name});
   }
 }
+
+/** Closes the connection of a response that has too much framing. */
+function limitFraming({message, receivedBytes}: EndpointResponse): void {
+  let pieces = 0;
+  let bodyBytes = 0;
+  message.on('data', (bytes: Buffer) => {
+    pieces++;
+    bodyBytes += bytes.length;
+    if (pieces % PIECES_PER_CHECK !== 0) return;
+    if (receivedBytes() - bodyBytes <= MAX_FRAMING_BYTES) return;
+    message.destroy(new Error('the response has too much framing'));
+  });
+}
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -63,6 +63,8 @@
    * may repeat a response to one of them.
    */
   readonly isReused: boolean;
+  /** Bytes that have come on the connection since the request was sent. */
+  readonly receivedBytes: () => number;
   /**
    * Resolves with whether a message that has ended is complete. A connection
    * reset that arrives together with the last bytes looks like a normal end. So
@@ -135,7 +137,9 @@
         sent.end(body);
       };
       let stopCounting = () => 0;
+      let bytesReadBefore = 0;
       sent.once('socket', (socket: Socket) => {
+        bytesReadBefore = socket.bytesRead;
         stopCounting = limitBytes(socket, MAX_HEAD_BYTES, () =>
           sent.destroy(new Error('the head of the response is too large')),
         );
@@ -160,7 +164,15 @@
         const isDelimited = hasDelimitedBody(message);
         const isComplete = completenessCheck(message, isDelimited);
         const isReused = sent.reusedSocket;
-        resolve({message, isDelimited, isReused, isComplete});
+        const {socket} = message;
+        const receivedBytes = () => socket.bytesRead - bytesReadBefore;
+        resolve({
+          message,
+          isDelimited,
+          isReused,
+          isComplete,
+          receivedBytes,
+        });
       });
       sent.once('upgrade', (_, socket) => {
         socket.destroy();
--- a/source/relay/whole.ts
+++ b/source/relay/whole.ts
@@ -3,25 +3,34 @@
 
 import type {CancellationSignal} from '../cancellation/index.js';
 import {WireError} from '../errors/index.js';
+import {ByteCollector} from '../wire/index.js';
+
+/** Within what bounds an answer is read. */
+export interface WholeAnswerOptions {
+  /** Bytes. */
+  readonly limit: number;
+  /** Milliseconds. */
+  readonly silence: number;
+  readonly signal: CancellationSignal;
+  /** Called with the further bytes of memory that the answer takes. */
+  readonly onMemory?: (bytes: number) => void;
+}
 
 /**
  * The bytes of a whole answer. Throws a WireError where it is cut short, too
  * large or silent for too long.
  *
  * ```ts
- * const body = await readWhole(answer.body, 8_388_608, 5_000, signal);
+ * const options = {limit: 8_388_608, silence: 5_000, signal};
+ * const body = await readWhole(answer.body, options);
  * ```
  */
 export function readWhole(
   body: IncomingMessage,
-  limit: number,
-  /** Milliseconds. */
-  silence: number,
-  signal: CancellationSignal,
+  {limit, silence, signal, onMemory}: WholeAnswerOptions,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const parts: Buffer[] = [];
-    let length = 0;
+    const collector = new ByteCollector();
     let ended = false;
     const fail = (stage: WireError['stage'], detail: string) => {
       if (ended) return;
@@ -35,18 +44,21 @@
       () => fail('between-events', 'answer is silent'),
       silence,
     );
-    body.on('data', (part: Buffer) => {
+    body.on('data', (bytes: Buffer) => {
       timer.refresh();
-      parts.push(part);
-      length += part.length;
-      if (length > limit) fail('malformed', `answer is over ${limit} bytes`);
+      const heldBefore = collector.heldBytes;
+      collector.push(bytes);
+      const held = collector.heldBytes - heldBefore;
+      if (held > 0) onMemory?.(held);
+      if (collector.length > limit)
+        fail('malformed', `answer is over ${limit} bytes`);
     });
     body.on('end', () => {
       if (!body.complete) return fail('cut', 'answer is cut short');
       ended = true;
       clearTimeout(timer);
       stopWatching();
-      resolve(Buffer.concat(parts));
+      resolve(collector.take());
     });
     body.on('error', error => fail('cut', error.message));
     body.on('close', () => fail('cut', 'connection is closed'));
--- a/source/wire/body.ts
+++ b/source/wire/body.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage} from 'node:http';
 
 import {Refusal} from '../errors/index.js';
+import {ByteCollector} from './collector.js';
 
 /**
  * The whole body. Throws a Refusal for one that is too large, or that ends
@@ -16,20 +17,19 @@
   limit: number,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const parts: Buffer[] = [];
-    let length = 0;
-    message.on('data', (part: Buffer) => {
-      length += part.length;
-      if (length <= limit) {
-        parts.push(part);
+    const collector = new ByteCollector();
+    message.on('data', (bytes: Buffer) => {
+      if (collector.length + bytes.length <= limit) {
+        collector.push(bytes);
         return;
       }
+      collector.clear();
       message.removeAllListeners('data');
       message.resume();
       const detail = `the body is over ${limit} bytes`;
       reject(new Refusal('body-too-large', 'not-run', detail));
     });
-    message.on('end', () => resolve(Buffer.concat(parts)));
+    message.on('end', () => resolve(collector.take()));
     message.on('error', () => {
       const detail = 'the body is cut short';
       reject(new Refusal('malformed-request', 'not-run', detail));
--- a/source/wire/exchange.ts
+++ b/source/wire/exchange.ts
@@ -6,6 +6,7 @@
 import type {Agent, IncomingHttpHeaders} from 'node:http';
 
 import {WireError} from '../errors/index.js';
+import {ByteCollector} from './collector.js';
 import {partsOf} from './listen.js';
 import {abandonRequest, createRequest} from './request.js';
 
@@ -72,12 +73,10 @@
     });
     sent.once('response', message => {
       responded = true;
-      const parts: Buffer[] = [];
-      let length = 0;
-      message.on('data', (part: Buffer) => {
-        parts.push(part);
-        length += part.length;
-        if (length > MAX_REPLY_BYTES) {
+      const collector = new ByteCollector();
+      message.on('data', (bytes: Buffer) => {
+        collector.push(bytes);
+        if (collector.length > MAX_REPLY_BYTES) {
           message.destroy(new Error('the reply is too large'));
         }
       });
@@ -86,7 +85,7 @@
         clearTimeout(timer);
         if (!message.complete) return fail(new Error('answer is cut short'));
         const {statusCode: status = 0, headers} = message;
-        resolve({status, headers, body: Buffer.concat(parts)});
+        resolve({status, headers, body: collector.take()});
       });
     });
     sent.end(body);
--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -59,7 +59,11 @@
   const signal = new Cancellation();
   const pool = createPool();
   const response = await pool.send(requestTo(address), signal);
-  const body = await readWhole(response.message, 1_000, 5_000, signal);
+  const body = await readWhole(response.message, {
+    limit: 1_000,
+    silence: 5_000,
+    signal,
+  });
   return [body.toString(), await response.isComplete()];
 }
 
@@ -115,7 +119,11 @@
   const signal = new Cancellation();
   for (let round = 0; round < 3; round++) {
     const {message} = await pool.send(requestTo(address, false), signal);
-    const body = await readWhole(message, 1_000, 5_000, signal);
+    const body = await readWhole(message, {
+      limit: 1_000,
+      silence: 5_000,
+      signal,
+    });
     t.is(body.toString(), 'ok');
     await new Promise(resolve => setTimeout(resolve, 20));
   }
@@ -132,7 +140,7 @@
   const signal = new Cancellation();
   for (let round = 0; round < 3; round++) {
     const {message} = await pool.send(requestTo(address, false), signal);
-    await readWhole(message, 1_000, 5_000, signal);
+    await readWhole(message, {limit: 1_000, silence: 5_000, signal});
     await new Promise(resolve => setImmediate(resolve));
   }
   t.is(seen.size, 1);
--- /dev/null
+++ b/test/smallpieces.test.ts
@@ -0,0 +1,257 @@
+/**
+ * Bodies that come in tiny pieces. Guards against processes that ended by
+ * themselves, since each piece took memory of its own.
+ */
+import {Agent, createServer, request, type Server} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+
+import test, {type ExecutionContext} from 'ava';
+
+import {
+  EdgeFleet,
+  sealed,
+  until,
+  type HostProcess,
+} from './support/edgeprocess.js';
+import {sendEndlessly} from './support/endless.js';
+
+const KEY = 'key-of-guides';
+const HOST = 'register.example';
+/** The flags of deploy/system.toml. */
+const NODE_FLAGS = ['--max-old-space-size=96', '--max-semi-space-size=2'];
+const TIMEOUT_MILLISECONDS = 4_000;
+/** How late an answer may be at a client that also works in this process. */
+const SLACK_MILLISECONDS = 500;
+
+/** Sends a request; resolves with its status, 0 where it was cut, and its time. */
+function ask(
+  host: HostProcess,
+  path: string,
+  agent: Agent | false = false,
+): Promise<{status: number; milliseconds: number}> {
+  const sentAt = performance.now();
+  return new Promise(resolve => {
+    const finish = (status: number) =>
+      resolve({status, milliseconds: performance.now() - sentAt});
+    const sent = request(
+      `http://${host.callers}${path}`,
+      {
+        agent,
+        headers: {
+          host: HOST,
+          authorization: `Bearer ${KEY}`,
+          'x-attempt-id': `request-${sentAt}`,
+          'x-deadline-ms': '10000',
+        },
+      },
+      message => {
+        message.on('error', () => {});
+        message.on('close', () =>
+          finish(message.complete ? (message.statusCode ?? 0) : 0),
+        );
+        message.resume();
+      },
+    );
+    sent.on('error', () => finish(0));
+    sent.end();
+  });
+}
+
+function framed(chunk: string): string {
+  const one = `${chunk.length.toString(16)}\r\n${chunk}\r\n`;
+  return one.repeat(Math.ceil(65_536 / one.length));
+}
+
+interface EndlessAnswer {
+  readonly what: string;
+  readonly path: string;
+  readonly status: string;
+  readonly chunk: string;
+  /** Milliseconds between writes of 64 KiB; 0 for as fast as they are read. */
+  readonly pause: number;
+}
+
+/**
+ * Starts a host with the memory of the deploy file, before an endpoint that
+ * answers plain requests, and some paths without end.
+ */
+async function start(
+  t: ExecutionContext,
+  endless?: EndlessAnswer,
+): Promise<HostProcess> {
+  const fleet = await EdgeFleet.start(t);
+  fleet.routeTimeoutMilliseconds = TIMEOUT_MILLISECONDS;
+  const server: Server = createServer((message, response) => {
+    message.resume();
+    message.on('error', () => {});
+    message.on('end', () => {
+      if (!endless || message.url !== endless.path) {
+        response.writeHead(200, sealed(message));
+        return void response.end('answer');
+      }
+      const fields = Object.entries(sealed(message));
+      const lines = fields.map(([name, value]) => `${name}: ${value}\r\n`);
+      const head =
+        `HTTP/1.1 ${endless.status}\r\n${lines.join('')}` +
+        'content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n';
+      const part = framed(endless.chunk);
+      const socket = response.socket as Socket;
+      sendEndlessly(socket, {head, part, pause: endless.pause});
+    });
+  });
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  fleet.enter('engine-0', `127.0.0.1:${port}`, 'ready');
+  // Spoiled answers take the first one out of the choice for a moment.
+  fleet.enter('engine-1', `127.0.0.1:${port}`, 'ready');
+  fleet.configure([KEY]);
+  const host = await fleet.host('host-1', undefined, undefined, {
+    node: NODE_FLAGS,
+  });
+  await fleet.ready(host);
+  await until(async () => (await ask(host, '/read/1')).status === 200);
+  return host;
+}
+
+const ANSWERS: readonly EndlessAnswer[] = [
+  {
+    what: 'an error in chunks of 16 bytes',
+    path: '/draft/1',
+    status: '500 Internal Server Error',
+    chunk: 'data: pasticcio ',
+    pause: 0,
+  },
+  {
+    what: 'an answer in chunks of one byte',
+    path: '/read/2',
+    status: '200 OK',
+    chunk: 'x',
+    pause: 0,
+  },
+  {
+    what: 'an answer in chunks of one byte, slowly',
+    path: '/read/2',
+    status: '200 OK',
+    chunk: 'x',
+    pause: 30,
+  },
+];
+
+for (const endless of ANSWERS) {
+  test.serial(`${endless.what} without end ends no process`, async t => {
+    const host = await start(t, endless);
+    const spoiled = await Promise.all([
+      ask(host, endless.path),
+      ask(host, endless.path),
+    ]);
+    t.is(host.child.exitCode, null);
+    t.is(host.child.signalCode, null);
+    for (const {status, milliseconds} of spoiled) {
+      t.true([500, 502, 504].includes(status), `status ${status}`);
+      t.true(milliseconds < TIMEOUT_MILLISECONDS + SLACK_MILLISECONDS);
+    }
+  });
+}
+
+/** Sends a body in chunks of some bytes; resolves with the status. */
+function sendInChunks(
+  host: HostProcess,
+  bytes: number,
+  chunk: string,
+  extension = '',
+): Promise<number> {
+  return new Promise(resolve => {
+    const sent = request(
+      `http://${host.callers}/record/1`,
+      {
+        method: 'POST',
+        agent: false,
+        headers: {
+          host: HOST,
+          authorization: `Bearer ${KEY}`,
+          'x-attempt-id': `body-${performance.now()}`,
+          'x-deadline-ms': '10000',
+          'transfer-encoding': 'chunked',
+        },
+      },
+      answer => {
+        answer.resume();
+        answer.on('error', () => resolve(0));
+        answer.on('end', () => resolve(answer.statusCode ?? 0));
+      },
+    );
+    sent.on('error', () => resolve(0));
+    sent.flushHeaders();
+    sent.once('socket', socket => {
+      const begin = () => writeChunks(socket, bytes, chunk, extension);
+      // The head goes out first.
+      socket.once('connect', () => setTimeout(begin, 20));
+    });
+  });
+}
+
+function writeChunks(
+  socket: Socket,
+  bytes: number,
+  chunk: string,
+  extension: string,
+): void {
+  const one = `${chunk.length.toString(16)}${extension}\r\n${chunk}\r\n`;
+  const perWrite = Math.max(Math.floor(65_536 / one.length), 1);
+  const part = Buffer.from(one.repeat(perWrite));
+  let left = Math.floor(bytes / chunk.length / perWrite);
+  const next = () => {
+    if (socket.destroyed) return;
+    if (left-- === 0) return void socket.write('0\r\n\r\n');
+    if (socket.write(part)) setImmediate(next);
+    else socket.once('drain', next);
+  };
+  next();
+}
+
+interface SmallChunks {
+  readonly what: string;
+  readonly bytes: number;
+  readonly chunk: string;
+  readonly extension?: string;
+  readonly count: number;
+}
+
+const BODIES: readonly SmallChunks[] = [
+  {
+    what: 'a body of the largest size in chunks of eight bytes',
+    bytes: 4_194_304,
+    chunk: 'x'.repeat(8),
+    count: 1,
+  },
+  {
+    what: 'bodies in chunks of one byte with long extensions',
+    bytes: 60_000,
+    chunk: 'x',
+    extension: `;${'e'.repeat(2_000)}`,
+    count: 4,
+  },
+];
+
+for (const {what, bytes, chunk, extension, count} of BODIES) {
+  test.serial(`${what} from callers are served`, async t => {
+    const host = await start(t);
+    const statuses = await Promise.all(
+      Array.from({length: count}, () =>
+        sendInChunks(host, bytes, chunk, extension),
+      ),
+    );
+    t.is(host.child.exitCode, null);
+    t.is(host.child.signalCode, null);
+    t.deepEqual(
+      statuses,
+      statuses.map(() => 200),
+    );
+  });
+}
