Ask whether an endpoint has crashed whatever it had written

Cause: a connection that ends inside a head was called malformed, and only failures without any byte, or behind a whole head, were checked for a crash. The same for a 1xx, for heads that are no answer to the request, which this host closes at once, and for refusals.

Why it works: the sign is taken from who ended the connection, and the existing check, which asks the endpoint itself, decides. An endpoint that spoils an answer is looked at 100 ms later, as it may end just behind its last bytes; one that lives on makes no suspects.

--- a/source/edge/prober.ts
+++ b/source/edge/prober.ts
@@ -76,7 +76,7 @@
     try {
       const {message} = await connections.send({...request, isOpen}, timeout);
       timeout.onAbort(() => message.destroy());
-      const isComplete = await discardBody(message, clock);
+      const isComplete = (await discardBody(message, clock)) === 'complete';
       const head = protocol.parseResponseHead(message);
       const isOther = (head.endpoint ?? id) !== id;
       if (head.leaving && !isOther) book.markLeaving(endpoint);
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -13,7 +13,11 @@
 import type {ConnectionPool, EndpointResponse} from './connections.js';
 import type {RequestContext} from './context.js';
 import type {BegunStream} from '../versions/index.js';
-import {AttemptFailure, toAttemptFailure} from './attemptfailure.js';
+import {
+  AttemptFailure,
+  toAttemptFailure,
+  type CrashSign,
+} from './attemptfailure.js';
 import {StreamRelay} from './streamrelay.js';
 import type {ResponseHead, Protocol} from './protocol.js';
 
@@ -74,6 +78,8 @@
   private stopFirstResponseTimer: Cancel = () => {};
   private partial = false;
   private hasBegun = false;
+  /** Whether the endpoint closed the connection in the body of a refusal. */
+  private isRefusalCut = false;
 
   constructor(
     private readonly spec: AttemptSpec,
@@ -90,12 +96,13 @@
   }
 
   /**
-   * Whether a failure means that the endpoint closed the connection before its
-   * answer was complete, not this host.
+   * What a failure tells of whether the endpoint has crashed; undefined where
+   * this host gave the attempt up, or the endpoint has answered.
    */
-  wasCutByEndpoint({stage}: AttemptFailure): boolean {
-    if (this.cancellation.aborted) return false;
-    return stage === 'write' || stage === 'cut';
+  crashSign({stage}: AttemptFailure): CrashSign | undefined {
+    if (this.cancellation.aborted) return undefined;
+    if (stage === 'write' || stage === 'cut' || this.isRefusalCut) return 'cut';
+    return stage === 'malformed' ? 'spoiled' : undefined;
   }
 
   /**
@@ -170,7 +177,8 @@
     if (head.notRun && this.isForThisRequest(head, response)) {
       if (head.misdirected) reservation.unreachable();
       else this.recordLimit(head);
-      void discardBody(message, parts.clock);
+      const end = await discardBody(message, parts.clock);
+      this.isRefusalCut = end === 'cut';
       throw new AttemptFailure('status', `status ${head.status}`, true);
     }
     const isFinal =
--- a/source/forward/attemptfailure.ts
+++ b/source/forward/attemptfailure.ts
@@ -8,6 +8,13 @@
   readonly body: Buffer;
 }
 
+/**
+ * What a failed attempt tells of whether its endpoint has crashed. `cut`: it
+ * closed the connection before its response was complete. `spoiled`: it sent what
+ * is no response to the request, and this host closed the connection.
+ */
+export type CrashSign = 'cut' | 'spoiled';
+
 /** The failure of an attempt, by stage. */
 export class AttemptFailure extends WireError {
   constructor(
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -77,6 +77,9 @@
 /** Written to a connection that its peer has ended, to detect a reset. */
 const PROBE = '\r\n';
 
+/** How the codes of the errors of Node's HTTP parser begin. */
+const PARSER_ERROR_PREFIX = 'HPE_';
+
 /** Statuses of responses that have no body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -93,8 +96,9 @@
   /**
    * Sends a request and resolves with the response once its head has come.
    * Throws a Refusal for a request that cannot be sent to any endpoint, otherwise
-   * a WireError; its stage is `connect` only if nothing of the request
-   * was sent, and `malformed` if bytes came that are no response. The signal is
+   * a WireError; its stage is `connect` only if nothing of the request was sent,
+   * `cut` if the endpoint closed the connection after a part of a head, and
+   * `malformed` if this host did, after bytes that are no response. The signal is
    * observed until the head has come, not after.
    *
    * ```ts
@@ -123,8 +127,10 @@
         stopTimer();
         stopWatching();
         const hasBytes = stopCounting() > 0;
-        const sentStage = hasBytes ? 'malformed' : 'write';
-        const stage = connected ? sentStage : 'connect';
+        const isGivenUp = signal.aborted;
+        const stage = connected
+          ? stageOfFailure(error, {hasBytes, isGivenUp})
+          : 'connect';
         reject(new WireError(stage, `${address} ${error.message}`));
       };
       const stopWatching = signal.onAbort(() => abandonRequest(sent));
@@ -232,6 +238,20 @@
   }
 }
 
+/**
+ * Returns how far a request got that was sent and whose response has no complete
+ * head. Errors of Node's parser have codes of their own, the errors of this
+ * module have none, and all others mean that the connection has ended.
+ */
+function stageOfFailure(
+  {code}: NodeJS.ErrnoException,
+  {hasBytes, isGivenUp}: {hasBytes: boolean; isGivenUp: boolean},
+): WireError['stage'] {
+  if (code?.startsWith(PARSER_ERROR_PREFIX)) return 'malformed';
+  if (!hasBytes) return 'write';
+  return code === undefined || isGivenUp ? 'malformed' : 'cut';
+}
+
 /** Whether a head tells where the body ends. */
 function hasDelimitedBody({headers, statusCode = 0}: IncomingMessage): boolean {
   return (
--- a/source/forward/crashguard.ts
+++ b/source/forward/crashguard.ts
@@ -12,6 +12,7 @@
   type Quarantine,
   type Suspect,
 } from '../quarantine/index.js';
+import type {CrashSign} from './attemptfailure.js';
 import type {RequestContext} from './context.js';
 
 /** Keeps requests away from the endpoints that they would crash. */
@@ -50,8 +51,12 @@
     );
   }
 
-  /** Records that an endpoint has closed the connection of a request. */
-  recordCut(
+  /**
+   * Records that an endpoint may have crashed on a request which it got at a
+   * monotonic time.
+   */
+  recordSign(
+    sign: CrashSign,
     context: RequestContext,
     endpoint: KnownEndpoint,
     sentAt: number,
@@ -59,7 +64,10 @@
     const {request, traits, delivered: events} = context;
     if (!traits) return;
     const cut = {endpoint, request: request.id, traits, sentAt, events};
-    context.crashCheck = this.quarantine.recordCut(cut);
+    context.crashCheck =
+      sign === 'cut'
+        ? this.quarantine.recordCut(cut)
+        : this.quarantine.recordSpoiled(cut);
   }
 
   /** Records that an endpoint has begun the answer to a request. */
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -330,8 +330,9 @@
       if (error instanceof AttemptFailure && isFailure) {
         failedEndpoints.add(reservation.endpoint.entry.id);
         reportFailure(reservation, error);
-        if (attempt.wasCutByEndpoint(error))
-          this.guard.recordCut(context, reservation.endpoint, sentAt);
+        const sign = attempt.crashSign(error);
+        if (sign)
+          this.guard.recordSign(sign, context, reservation.endpoint, sentAt);
         const {id} = reservation.endpoint.entry;
         this.log.attemptFailed(context, id, error, sentAt);
       }
--- a/source/quarantine/detector.ts
+++ b/source/quarantine/detector.ts
@@ -10,12 +10,17 @@
 
 /** Milliseconds within which an endpoint that is alive accepts a connection. */
 const ACCEPT_TIMEOUT_MILLISECONDS = 250;
+/**
+ * Milliseconds after which an endpoint that has spoiled an answer is looked at: one
+ * that crashes does so as it writes.
+ */
+const SPOILED_CHECK_DELAY_MILLISECONDS = 100;
 /** Milliseconds after a crash within which its requests are noticed. */
 const LATE_NOTICE_MILLISECONDS = 2_000;
 /** Crashes that are remembered for that. */
 const MAX_KNOWN_CRASHES = 64;
 
-/** A request whose connection an endpoint closed before the end of the answer. */
+/** A request whose answer an endpoint did not finish. */
 export interface CutRequest {
   readonly endpoint: KnownEndpoint;
   /** Id of the caller's attempt. */
@@ -89,6 +94,19 @@
     return done;
   }
 
+  /**
+   * Records a request to which an endpoint has sent something else than the
+   * answer, and whose connection this host has closed. One that goes on accepting
+   * connections has not crashed.
+   */
+  async recordSpoiled(spoiled: CutRequest): Promise<void> {
+    const {clock} = this.options;
+    await new Promise<void>(resolve => {
+      clock.after(SPOILED_CHECK_DELAY_MILLISECONDS, resolve);
+    });
+    return this.recordCut(spoiled);
+  }
+
   private async check(
     endpoint: string,
     requests: readonly CutRequest[],
--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -164,6 +164,14 @@
     return this.detector.recordCut(cut);
   }
 
+  /**
+   * Records a request whose answer an endpoint has spoiled, as it may do when it
+   * crashes. Resolves when it is known whether it has.
+   */
+  recordSpoiled(spoiled: CutRequest): Promise<void> {
+    return this.detector.recordSpoiled(spoiled);
+  }
+
   /** Records that an endpoint has begun the answer to a request. */
   recordBegun(traits: RequestTraits): void {
     const now = this.options.clock.monotonic();
--- a/source/wire/discard.ts
+++ b/source/wire/discard.ts
@@ -9,31 +9,37 @@
 const MAX_DISCARDED_BYTES = 65_536;
 const DISCARD_TIMEOUT_MILLISECONDS = 250;
 
+/** How a discarded response ended: `given-up` where this host closed it. */
+export type DiscardEnd = 'complete' | 'cut' | 'given-up';
+
 /**
  * Reads the rest of a response and drops it; closes the connection of one that
- * does not end soon. Resolves with whether the response was complete. Never
- * throws.
+ * does not end soon. Resolves with how it ended. Never throws.
  *
  * ```ts
- * const isComplete = await discardBody(message, clock);
+ * const isComplete = (await discardBody(message, clock)) === 'complete';
  * ```
  */
 export function discardBody(
   message: IncomingMessage,
   clock: Clock,
-): Promise<boolean> {
+): Promise<DiscardEnd> {
   return new Promise(resolve => {
     let received = 0;
-    const stopTimer = clock.after(DISCARD_TIMEOUT_MILLISECONDS, () =>
-      message.destroy(),
-    );
+    let isGivenUp = false;
+    const giveUp = () => {
+      isGivenUp = true;
+      message.destroy();
+    };
+    const stopTimer = clock.after(DISCARD_TIMEOUT_MILLISECONDS, giveUp);
     const finish = () => {
       stopTimer();
-      resolve(message.complete);
+      if (message.complete) resolve('complete');
+      else resolve(isGivenUp ? 'given-up' : 'cut');
     };
     message.on('data', (bytes: Buffer) => {
       received += bytes.length;
-      if (received > MAX_DISCARDED_BYTES) message.destroy();
+      if (received > MAX_DISCARDED_BYTES) giveUp();
     });
     message.once('end', finish);
     message.once('close', finish);
--- a/source/wire/index.ts
+++ b/source/wire/index.ts
@@ -4,7 +4,7 @@
 export {callJson, type Call} from './call.js';
 export {readBytes} from './body.js';
 export {ByteCollector} from './collector.js';
-export {discardBody} from './discard.js';
+export {discardBody, type DiscardEnd} from './discard.js';
 export {exchangeBytes, type ByteCall, type ByteReply} from './exchange.js';
 export {callGuarded} from './guarded.js';
 export {GuardedKeepAliveAgent} from './keepalive.js';
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -106,6 +106,7 @@
   readonly logLines: LogLine[] = [];
   readonly startedTeams: string[] = [];
   private readonly servers: Server[] = [];
+  private readonly endpointServers = new Map<string, Server>();
   private address = '';
 
   /**
@@ -196,6 +197,13 @@
     socket.destroy();
   }
 
+  /** Ends an endpoint as a crash does: its connections, and its port. */
+  crash(endpoint: string): void {
+    const server = this.endpointServers.get(endpoint);
+    server?.closeAllConnections();
+    server?.close();
+  }
+
   /** Resolves when the condition is true; checks it every 5 ms. */
   async until(condition: () => boolean): Promise<void> {
     while (!condition()) await new Promise(resolve => setTimeout(resolve, 5));
@@ -251,21 +259,21 @@
     behaviour: Behaviour,
   ): Promise<string> {
     let count = 0;
-    return this.listen(
-      createServer((message, response) => {
-        let body = '';
-        message.on('data', (part: Buffer) => (body += part.toString()));
-        message.on('error', () => {});
-        message.on('end', () => {
-          const received = {endpoint: id, message, body, closed: false};
-          this.received.push(received);
-          response.on('close', () => {
-            received.closed = !response.writableFinished;
-          });
-          behaviour(received, response, count++);
+    const server = createServer((message, response) => {
+      let body = '';
+      message.on('data', (part: Buffer) => (body += part.toString()));
+      message.on('error', () => {});
+      message.on('end', () => {
+        const received = {endpoint: id, message, body, closed: false};
+        this.received.push(received);
+        response.on('close', () => {
+          received.closed = !response.writableFinished;
         });
-      }),
-    );
+        behaviour(received, response, count++);
+      });
+    });
+    this.endpointServers.set(id, server);
+    return this.listen(server);
   }
 
   private async listen(server: Server): Promise<string> {
