Read connections in turn, and events and frames in linear time

Cause: an incomplete event, or frame between hosts, was copied for each further piece of it; and where the cost is linear, Node reads up to 2 MiB of one connection before it turns to another, which is 0.3 million pieces of 2 us.

What a connection received is delivered in slices; if they take long, the rest waits for its turn and nothing more is read.

--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -5,12 +5,7 @@
  * of its own, because a reset of a reused connection does not tell whether the
  * request ran.
  */
-import {
-  Agent,
-  type ClientRequest,
-  type IncomingMessage,
-  type RequestOptions,
-} from 'node:http';
+import type {ClientRequest, IncomingMessage, RequestOptions} from 'node:http';
 import type {Socket} from 'node:net';
 
 import type {CancellationSignal} from '../cancellation/index.js';
@@ -20,6 +15,7 @@
   abandonRequest,
   createRequest,
   GuardedKeepAliveAgent,
+  PacedAgent,
   partsOf,
 } from '../wire/index.js';
 
@@ -86,7 +82,7 @@
 /** A host's connections to endpoints. */
 export class ConnectionPool {
   private readonly agents = new Map<string, GuardedKeepAliveAgent>();
-  private readonly singleUseAgent = new Agent({
+  private readonly singleUseAgent = new PacedAgent({
     keepAlive: false,
     noDelay: true,
   });
--- a/source/forward/events.ts
+++ b/source/forward/events.ts
@@ -3,15 +3,17 @@
  * that an endpoint never finishes are not passed on, so that another endpoint
  * can resume the stream after the last complete event.
  */
+import {ByteCollector} from '../wire/index.js';
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-/** Longest end of an event that can still be incomplete: `\n\r`. */
-const MAX_PARTIAL_END_BYTES = 2;
 const COMMENT_PREFIX = ':';
 const ID_FIELD = 'id:';
-/** Largest incomplete event that is buffered. */
-const MAX_EVENT_BYTES = 262_144;
+/** Most that may come without a complete event: part of one, and comments. */
+const MAX_BYTES_WITHOUT_EVENT = 262_144;
+
+/** How much of the end of an event the incomplete event ends with. */
+type PartialEnd = '' | '\n' | '\n\r';
 
 /** Splits one endpoint's stream and tracks the id of its last event. */
 export class EventSplitter {
@@ -25,7 +27,11 @@
    * returned, but not counted.
    */
   count = 0;
-  private remainder: Buffer = Buffer.alloc(0);
+  /** The bytes of the incomplete event. */
+  private readonly incomplete = new ByteCollector();
+  private partialEnd: PartialEnd = '';
+  /** Bytes since the last event, or since the begin. */
+  private bytesWithoutEvent = 0;
 
   /**
    * `after` is the id of the last event that the caller already has, where the
@@ -37,12 +43,15 @@
 
   /** Whether bytes of an incomplete event are buffered. */
   get hasPartialEvent(): boolean {
-    return this.remainder.length > 0;
+    return this.incomplete.length > 0;
   }
 
-  /** Whether the incomplete event is larger than any that is to be expected. */
-  get isEventTooLarge(): boolean {
-    return this.remainder.length > MAX_EVENT_BYTES;
+  /**
+   * Whether more has come without an event than is to be expected of a stream: an
+   * event that does not end, or nothing but comments.
+   */
+  get lacksEvents(): boolean {
+    return this.bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT;
   }
 
   /**
@@ -56,29 +65,41 @@
    * ```
    */
   push(bytes: Buffer): Buffer {
-    const searched = this.remainder.length - MAX_PARTIAL_END_BYTES;
-    const all =
-      this.remainder.length > 0
-        ? Buffer.concat([this.remainder, bytes])
-        : bytes;
     const events: Buffer[] = [];
     let begin = 0;
-    for (;;) {
-      const end = findEventEnd(all, Math.max(begin, searched));
-      if (end < 0) break;
-      const event = all.subarray(begin, end);
+    let end = findFirstEventEnd(bytes, this.partialEnd);
+    while (end >= 0) {
+      const event = this.complete(bytes.subarray(begin, end));
       if (this.accept(event)) events.push(event);
       begin = end;
+      end = findEventEnd(bytes, begin);
     }
-    this.remainder = all.subarray(begin);
+    this.keepIncomplete(bytes.subarray(begin));
     const [only] = events;
     return events.length === 1 && only ? only : Buffer.concat(events);
   }
 
+  /** Returns the event that ends with these bytes. */
+  private complete(bytes: Buffer): Buffer {
+    this.bytesWithoutEvent += bytes.length;
+    this.partialEnd = '';
+    if (this.incomplete.length === 0) return bytes;
+    this.incomplete.push(bytes);
+    return this.incomplete.take();
+  }
+
+  private keepIncomplete(bytes: Buffer): void {
+    if (bytes.length === 0) return;
+    this.bytesWithoutEvent += bytes.length;
+    this.partialEnd = partialEndAfter(bytes, this.partialEnd);
+    this.incomplete.push(bytes);
+  }
+
   /** Counts an event; returns false for one that the caller already has. */
   private accept(event: Buffer): boolean {
     const {id, isComment} = parseEvent(event);
     if (isComment) return true;
+    this.bytesWithoutEvent = 0;
     if (id === undefined) {
       this.count++;
       return true;
@@ -110,6 +131,28 @@
   return {id: undefined, isComment};
 }
 
+/**
+ * Returns the index after the blank line that ends an event which began with
+ * earlier bytes and whose end may have begun with them, or -1.
+ */
+function findFirstEventEnd(bytes: Buffer, partialEnd: PartialEnd): number {
+  const [first, second] = bytes;
+  if (partialEnd !== '' && first === LINE_FEED) return 1;
+  const isBlankLine = partialEnd === '\n' && first === CARRIAGE_RETURN;
+  if (isBlankLine && second === LINE_FEED) return 2;
+  return findEventEnd(bytes, 0);
+}
+
+/** Returns how much of an event's end an incomplete event ends with. */
+function partialEndAfter(bytes: Buffer, before: PartialEnd): PartialEnd {
+  const last = bytes[bytes.length - 1];
+  if (last === LINE_FEED) return '\n';
+  if (last !== CARRIAGE_RETURN) return '';
+  const isAfterLine =
+    bytes.length > 1 ? bytes[bytes.length - 2] === LINE_FEED : before === '\n';
+  return isAfterLine ? '\n\r' : '';
+}
+
 /**
  * Returns the index after the blank line that ends the first event, or -1.
  * Lines end with a line feed, with or without a carriage return before it.
--- a/source/forward/streamrelay.ts
+++ b/source/forward/streamrelay.ts
@@ -89,8 +89,8 @@
     context.lastEvent = splitter.lastId;
     context.delivered += splitter.count;
     splitter.count = 0;
-    if (splitter.isEventTooLarge)
-      this.fail('malformed', 'an event is too large');
+    if (splitter.lacksEvents)
+      this.fail('malformed', 'too many bytes without an event');
   }
 
   private handleEnd(): void {
--- a/source/peers/frame.ts
+++ b/source/peers/frame.ts
@@ -5,6 +5,7 @@
 import {decode, encode} from 'cbor-x';
 
 import {ArbutusslipError} from '../errors/index.js';
+import {ByteCollector} from '../wire/index.js';
 
 const LENGTH_BYTES = 4;
 const FRAME_BYTES_MOST = 4_194_304;
@@ -34,25 +35,36 @@
  * ```
  */
 export class FrameReader {
-  private rest: Buffer = Buffer.alloc(0);
+  /** The begin of a frame that is not whole. */
+  private readonly incomplete = new ByteCollector();
+  /** Bytes that the incomplete frame needs before it can be read on. */
+  private needed = LENGTH_BYTES;
 
   /** The values that are now whole. Throws a FrameError. */
   push(bytes: Buffer): unknown[] {
-    this.rest =
-      this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes]);
+    this.incomplete.push(bytes);
+    if (this.incomplete.length < this.needed) return [];
     const values: unknown[] = [];
-    while (this.rest.length >= LENGTH_BYTES) {
-      const length = this.rest.readUInt32BE(0);
-      if (length > FRAME_BYTES_MOST) throw new FrameError('too-long');
-      const end = LENGTH_BYTES + length;
-      if (this.rest.length < end) break;
-      values.push(decoded(this.rest.subarray(LENGTH_BYTES, end)));
-      this.rest = this.rest.subarray(end);
+    let rest = this.incomplete.take();
+    for (;;) {
+      this.needed = frameLength(rest);
+      if (rest.length < this.needed) break;
+      values.push(decoded(rest.subarray(LENGTH_BYTES, this.needed)));
+      rest = rest.subarray(this.needed);
     }
+    this.incomplete.push(rest);
     return values;
   }
 }
 
+/** Bytes of the frame that begins here, or of its length if that is not whole. */
+function frameLength(bytes: Buffer): number {
+  if (bytes.length < LENGTH_BYTES) return LENGTH_BYTES;
+  const length = bytes.readUInt32BE(0);
+  if (length > FRAME_BYTES_MOST) throw new FrameError('too-long');
+  return LENGTH_BYTES + length;
+}
+
 function decoded(content: Buffer): unknown {
   try {
     return decode(content);
--- a/source/wire/index.ts
+++ b/source/wire/index.ts
@@ -7,6 +7,7 @@
 export {discardBody, type DiscardEnd} from './discard.js';
 export {exchangeBytes, type ByteCall, type ByteReply} from './exchange.js';
 export {callGuarded} from './guarded.js';
-export {GuardedKeepAliveAgent} from './keepalive.js';
+export {GuardedKeepAliveAgent, PacedAgent} from './keepalive.js';
 export {listen, partsOf, type AddressParts} from './listen.js';
+export {ReadPacer, readPacer} from './pacing.js';
 export {abandonRequest, createRequest} from './request.js';
--- a/source/wire/keepalive.ts
+++ b/source/wire/keepalive.ts
@@ -3,14 +3,26 @@
  * sends something while no request is in progress is closed, since its responses
  * no longer match the requests.
  */
-import {Agent} from 'node:http';
+import {Agent, type ClientRequestArgs} from 'node:http';
+import {createConnection, type NetConnectOpts, type Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 
+import {readPacer} from './pacing.js';
+
 /** Time after which an idle connection is closed. */
 const IDLE_TIMEOUT_MILLISECONDS = 4_000;
 
+/** Opens connections that are read in turn with all others. */
+export class PacedAgent extends Agent {
+  createConnection(options: ClientRequestArgs): Socket {
+    const socket = createConnection(options as NetConnectOpts);
+    readPacer.pace(socket);
+    return socket;
+  }
+}
+
 /** Keeps idle connections, and closes one that receives data while idle. */
-export class GuardedKeepAliveAgent extends Agent {
+export class GuardedKeepAliveAgent extends PacedAgent {
   private readonly idleDataListeners = new WeakMap<Duplex, () => void>();
 
   constructor() {
@@ -25,7 +37,7 @@
   override keepSocketAlive(socket: Duplex): boolean {
     // The declared type of the base method lacks its return value.
     const kept = super.keepSocketAlive(socket) as unknown as boolean;
-    if (!kept) return kept;
+    if (!kept || hasUnreadBytes(socket)) return false;
     const onIdleData = () => socket.destroy();
     this.idleDataListeners.set(socket, onIdleData);
     socket.on('data', onIdleData);
@@ -38,3 +50,8 @@
     super.reuseSocket(socket, message);
   }
 }
+
+/** Whether bytes have come behind the response that has just ended. */
+function hasUnreadBytes(socket: Duplex): boolean {
+  return socket.readableLength > 0 || readPacer.hasMore(socket);
+}
--- a/test/smallpieces.test.ts
+++ b/test/smallpieces.test.ts
@@ -1,6 +1,7 @@
 /**
- * Bodies that come in tiny pieces. Guards against processes that ended by
- * themselves, since each piece took memory of its own.
+ * Bodies and events that come in tiny pieces. Guards against processes that ended
+ * by themselves, since each piece took memory of its own, and against processes
+ * that stood still, since one connection's pieces held up all others.
  */
 import {Agent, createServer, request, type Server} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
@@ -22,6 +23,9 @@
 const TIMEOUT_MILLISECONDS = 4_000;
 /** How late an answer may be at a client that also works in this process. */
 const SLACK_MILLISECONDS = 500;
+const READ_INTERVAL_MILLISECONDS = 50;
+/** Milliseconds within which plain requests are answered beside anything. */
+const READ_DUE_MILLISECONDS = 400;
 
 /** Sends a request; resolves with its status, 0 where it was cut, and its time. */
 function ask(
@@ -57,6 +61,22 @@
   });
 }
 
+/** Sends plain requests at an interval until it is stopped. */
+function askRegularly(host: HostProcess): () => Promise<number[]> {
+  const answers: Array<ReturnType<typeof ask>> = [];
+  const timer = setInterval(
+    () => answers.push(ask(host, '/read/1')),
+    READ_INTERVAL_MILLISECONDS,
+  );
+  return async () => {
+    clearInterval(timer);
+    const all = await Promise.all(answers);
+    return all.map(({status, milliseconds}) =>
+      status === 200 ? milliseconds : Infinity,
+    );
+  };
+}
+
 function framed(chunk: string): string {
   const one = `${chunk.length.toString(16)}\r\n${chunk}\r\n`;
   return one.repeat(Math.ceil(65_536 / one.length));
@@ -141,22 +161,58 @@
     chunk: 'x',
     pause: 30,
   },
+  {
+    what: 'an event in chunks of one byte',
+    path: '/draft/1',
+    status: '200 OK',
+    chunk: 'x',
+    pause: 0,
+  },
+  {
+    what: 'comments',
+    path: '/draft/1',
+    status: '200 OK',
+    chunk: ': x\n\n',
+    pause: 0,
+  },
+  {
+    what: 'blank lines',
+    path: '/draft/1',
+    status: '200 OK',
+    chunk: '\n',
+    pause: 0,
+  },
+  {
+    what: 'an event of many lines',
+    path: '/draft/1',
+    status: '200 OK',
+    chunk: ':\n',
+    pause: 0,
+  },
 ];
 
 for (const endless of ANSWERS) {
-  test.serial(`${endless.what} without end ends no process`, async t => {
-    const host = await start(t, endless);
-    const spoiled = await Promise.all([
-      ask(host, endless.path),
-      ask(host, endless.path),
-    ]);
-    t.is(host.child.exitCode, null);
-    t.is(host.child.signalCode, null);
-    for (const {status, milliseconds} of spoiled) {
-      t.true([500, 502, 504].includes(status), `status ${status}`);
-      t.true(milliseconds < TIMEOUT_MILLISECONDS + SLACK_MILLISECONDS);
-    }
-  });
+  test.serial(
+    `${endless.what} without end ends no process and holds up no other request`,
+    async t => {
+      const host = await start(t, endless);
+      const stop = askRegularly(host);
+      const spoiled = await Promise.all([
+        ask(host, endless.path),
+        ask(host, endless.path),
+      ]);
+      const times = await stop();
+      t.is(host.child.exitCode, null);
+      t.is(host.child.signalCode, null);
+      for (const {status, milliseconds} of spoiled) {
+        t.true([500, 502, 504].includes(status), `status ${status}`);
+        t.true(milliseconds < TIMEOUT_MILLISECONDS + SLACK_MILLISECONDS);
+      }
+      const longest = Math.max(0, ...times);
+      t.log(`${times.length} reads, the slowest took ${longest} ms`);
+      t.true(longest < READ_DUE_MILLISECONDS, `${longest} ms`);
+    },
+  );
 }
 
 /** Sends a body in chunks of some bytes; resolves with the status. */
@@ -230,6 +286,12 @@
     chunk: 'x'.repeat(8),
     count: 1,
   },
+  {
+    what: 'bodies in chunks of one byte, twelve at once,',
+    bytes: 100_000,
+    chunk: 'x',
+    count: 12,
+  },
   {
     what: 'bodies in chunks of one byte with long extensions',
     bytes: 60_000,
@@ -240,18 +302,23 @@
 ];
 
 for (const {what, bytes, chunk, extension, count} of BODIES) {
-  test.serial(`${what} from callers are served`, async t => {
+  test.serial(`${what} from callers are served, as are others`, async t => {
     const host = await start(t);
+    const stop = askRegularly(host);
     const statuses = await Promise.all(
       Array.from({length: count}, () =>
         sendInChunks(host, bytes, chunk, extension),
       ),
     );
+    const times = await stop();
     t.is(host.child.exitCode, null);
     t.is(host.child.signalCode, null);
     t.deepEqual(
       statuses,
       statuses.map(() => 200),
     );
+    const longest = Math.max(0, ...times);
+    t.log(`${times.length} reads, the slowest took ${longest} ms`);
+    t.true(longest < READ_DUE_MILLISECONDS, `${longest} ms`);
   });
 }
