Send nothing to a restarted endpoint until its entry names that start

Cause: what a stream begins at is taken from the entry of the engine's id, which was that of the incarnation before.

A crash that any host has seen makes the endpoint unreachable at all hosts, and the health check that ends this compares the start that the endpoint reports with the one in its entry.

--- a/source/balance/selector.ts
+++ b/source/balance/selector.ts
@@ -9,7 +9,11 @@
   type SchedulingGroup,
 } from '../admission/index.js';
 import type {Clock} from '../clock/index.js';
-import type {Directory, KnownEndpoint} from '../directory/index.js';
+import {
+  endpointIncarnation,
+  type Directory,
+  type KnownEndpoint,
+} from '../directory/index.js';
 import type {AllowedRegions, Service} from '../routing/index.js';
 import {
   chooseEngine,
@@ -237,6 +241,18 @@
     this.withheld.recordLeaving(entry);
   }
 
+  /**
+   * Records that an incarnation of an endpoint has crashed: nothing is sent there
+   * until a health check finds that it lives, or another incarnation is known.
+   */
+  markCrashed(incarnation: string): void {
+    const crashed = [...this.endpoints.directory.values()].find(
+      ({entry}) => endpointIncarnation(entry) === incarnation,
+    );
+    if (!crashed) return;
+    this.update(crashed.entry.id, {kind: 'unreachable', now: this.now()});
+  }
+
   /** Records that an endpoint has answered a health check. */
   markReachable(id: string): void {
     this.update(id, {kind: 'reached'});
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -356,6 +356,7 @@
         this.gossip?.broadcast({kind: 'begun', from, parts: [...begun]}),
       onChange: suspect => this.blockedRecords.noteChange(suspect),
       onBlocked: suspect => this.forwarder.endRequestsWith(suspect),
+      onEndpointCrashed: incarnation => this.selector.markCrashed(incarnation),
     });
   }
 
--- a/source/edge/prober.ts
+++ b/source/edge/prober.ts
@@ -9,7 +9,7 @@
 import {WireError} from '../errors/index.js';
 import type {ConnectionPool, Protocol} from '../forward/index.js';
 import type {Logger} from '../logging/index.js';
-import {discardBody} from '../wire/index.js';
+import {discardBody, exchangeBytes, PacedAgent} from '../wire/index.js';
 
 const PROBE_INTERVAL_MILLISECONDS = 500;
 const PROBE_TIMEOUT_MILLISECONDS = 400;
@@ -30,6 +30,7 @@
  */
 export class Prober {
   private readonly inProgress = new Set<string>();
+  private readonly reportAgent = new PacedAgent({keepAlive: false});
   private stopTimer: Cancel = () => {};
 
   constructor(private readonly options: ProberOptions) {}
@@ -53,6 +54,7 @@
     this.inProgress.add(id);
     try {
       if (!(await this.isHealthy(endpoint))) return;
+      if (await this.isAnotherIncarnation(endpoint)) return;
       this.options.selector.markReachable(id);
       this.options.logger.info('endpoint-reached', {id});
     } finally {
@@ -90,4 +92,32 @@
       cancelTimer();
     }
   }
+  /**
+   * Whether an endpoint has started again under its id, so that its entry says
+   * nothing of it, its software version least of all. Its new entry comes within a
+   * heartbeat.
+   */
+  private async isAnotherIncarnation({entry}: KnownEndpoint): Promise<boolean> {
+    const {protocol, logger} = this.options;
+    const {id, address, born} = entry;
+    if (born === undefined) return false;
+    try {
+      const {status, body} = await exchangeBytes({
+        address,
+        method: 'GET',
+        path: protocol.reportPath,
+        bound: PROBE_TIMEOUT_MILLISECONDS,
+        agent: this.reportAgent,
+        headers: {},
+      });
+      if (status !== HEALTHY_STATUS) return false;
+      const reported = protocol.parseReportedStart(body) ?? born;
+      if (reported !== born) logger.info('endpoint-restarted', {id, reported});
+      return reported !== born;
+    } catch (error) {
+      // Endpoints need not report: the health check decides then.
+      if (error instanceof WireError) return false;
+      throw error;
+    }
+  }
 }
--- a/source/forward/protocol.ts
+++ b/source/forward/protocol.ts
@@ -99,6 +99,8 @@
 
 /** Converts requests and responses from and to a platform's wire format. */
 export abstract class Protocol {
+  /** Path of what an endpoint reports of itself. */
+  abstract readonly reportPath: string;
   /** Parses the head of a caller's request. */
   abstract parseRequest(message: IncomingMessage): CallerRequest;
   /** Returns the headers for an endpoint, alternating names and values. */
@@ -108,4 +110,9 @@
   ): string[];
   /** Parses the head of an endpoint's response. */
   abstract parseResponseHead(message: IncomingMessage): ResponseHead;
+  /**
+   * Returns the Unix milliseconds of the start that an endpoint reports; undefined
+   * where it reports none.
+   */
+  abstract parseReportedStart(body: Buffer): number | undefined;
 }
--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -71,6 +71,8 @@
 
 /** Entries of the blocklist in a pulse; the next one has the next entries. */
 const ENTRIES_PER_PULSE = 4;
+/** Age of a crash until which its endpoint is taken for down. */
+const RECENT_CRASH_MILLISECONDS = 2_000;
 /** Hosts that tell one that has just turned up which crashes they know. */
 const HOSTS_TO_INFORM_NEW_ONE = 2;
 
@@ -92,6 +94,8 @@
   readonly onChange: (suspect: Suspect) => void;
   /** Called with a suspect from which on no request with it may be sent. */
   readonly onBlocked: (suspect: Suspect) => void;
+  /** Called with the incarnation of an endpoint that has just crashed. */
+  readonly onEndpointCrashed: (incarnation: string) => void;
 }
 
 /** The quarantine of one host. */
@@ -284,8 +288,11 @@
   }
 
   private addEvidence(crash: SuspectedCrash): void {
-    const {clock} = this.options;
-    this.watchUntil = clock.monotonic() + SUSPICION_MILLISECONDS;
+    const {clock, onEndpointCrashed} = this.options;
+    const now = clock.monotonic();
+    if (now - crash.at < RECENT_CRASH_MILLISECONDS)
+      onEndpointCrashed(crash.endpoint);
+    this.watchUntil = now + SUSPICION_MILLISECONDS;
     this.evidence = addCrash(this.evidence, crash);
     for (const {key} of crash.suspects) {
       if (this.explanations.has(key))
--- a/test/crashtraffic.test.ts
+++ b/test/crashtraffic.test.ts
@@ -71,6 +71,7 @@
         ),
       onChange: () => {},
       onBlocked: () => {},
+      onEndpointCrashed: () => {},
     });
   }
 
--- a/test/operatorserver.test.ts
+++ b/test/operatorserver.test.ts
@@ -46,6 +46,7 @@
     sendBegun: () => {},
     onChange: () => {},
     onBlocked: () => {},
+    onEndpointCrashed: () => {},
   });
   const blocked = {revision: 1, isBlocked: true, reviewIn: 60_000, team: ''};
   quarantine.handleEntries([
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -188,6 +188,7 @@
       sendBegun: parts => others().forEach(other => other.handleBegun(parts)),
       onChange: () => {},
       onBlocked: ({id}) => this.ended.push(`${host} ${id}`),
+      onEndpointCrashed: () => {},
     });
     this.names.push(host);
     this.quarantines.push(quarantine);
--- a/test/requestguilt.test.ts
+++ b/test/requestguilt.test.ts
@@ -194,6 +194,7 @@
       sendBegun: begun => others().forEach(other => other.handleBegun(begun)),
       onChange: () => {},
       onBlocked: () => {},
+      onEndpointCrashed: () => {},
     });
     this.names.push(name);
     this.hosts.push(host);
--- /dev/null
+++ b/test/restartedendpoint.test.ts
@@ -0,0 +1,147 @@
+/**
+ * Endpoints that start again under the id that they had, with another software
+ * version. Guards against streams that begin at the new version, are taken for
+ * streams of the old one, and go on there.
+ */
+import {createServer, request, type Server} from 'node:http';
+
+import test from 'ava';
+
+import {partsOf} from '../source/wire/index.js';
+import {freeAddress} from '../tools/ports.js';
+import {
+  EdgeFleet,
+  sealed,
+  until,
+  type HostProcess,
+} from './support/edgeprocess.js';
+
+const KEY = 'key-of-guides';
+const EVENTS = 6;
+const EVENT_MILLISECONDS = 30;
+const DOWN_MILLISECONDS = 20;
+/**
+ * How long the endpoint runs before its entry says so: longer than a host avoids an
+ * endpoint that has cut all streams of its last incarnation.
+ */
+const UNKNOWN_MILLISECONDS = 3_500;
+/** As many at once as one endpoint has slots. */
+const STREAM_INTERVAL_MILLISECONDS = 35;
+
+/** One incarnation of an endpoint, which writes its version into each event. */
+class Incarnation {
+  streams = 0;
+  private readonly server: Server;
+
+  constructor(
+    private readonly id: string,
+    private readonly version: string,
+    private readonly born: number,
+  ) {
+    this.server = createServer((message, response) => {
+      message.resume();
+      response.on('error', () => {});
+      if (message.url === '/health') {
+        response.writeHead(200, {'x-instance-id': this.id});
+        return void response.end();
+      }
+      if (message.url === '/-/report')
+        return void response.end(JSON.stringify({born: this.born}));
+      this.streams++;
+      const {headers} = message;
+      let count = Number(headers['last-event-id'] ?? 0);
+      response.writeHead(200, {
+        ...sealed(message),
+        'content-type': 'text/event-stream',
+      });
+      const timer = setInterval(() => {
+        if (count++ === EVENTS) return void response.end();
+        response.write(`id: ${count}\ndata: of ${this.version}\n\n`);
+      }, EVENT_MILLISECONDS);
+      response.on('close', () => clearInterval(timer));
+    });
+  }
+
+  listen(address: string): Promise<void> {
+    const {host, port} = partsOf(address);
+    return new Promise(resolve =>
+      this.server.listen({host, port}, () => resolve()),
+    );
+  }
+
+  stop(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+}
+
+/** Asks for a stream; resolves with the text that came. */
+function stream(host: HostProcess, number: number): Promise<string> {
+  return new Promise(resolve => {
+    let text = '';
+    const sent = request(
+      `http://${host.callers}/draft/${number}`,
+      {
+        agent: false,
+        headers: {
+          host: 'register.example',
+          authorization: `Bearer ${KEY}`,
+          'x-attempt-id': `stream-${number}`,
+          'x-deadline-ms': '2000',
+        },
+      },
+      message => {
+        message.on('data', (part: Buffer) => (text += part.toString()));
+        message.on('error', () => {});
+        message.on('close', () => resolve(text));
+      },
+    );
+    sent.on('error', () => resolve(text));
+    sent.end();
+  });
+}
+
+const wait = (duration: number) =>
+  new Promise<void>(resolve => setTimeout(resolve, duration));
+
+test('no stream joins the text of two versions after an endpoint has started again under its id', async t => {
+  const fleet = await EdgeFleet.start(t);
+  fleet.configure([KEY]);
+  const address = await freeAddress();
+  const otherAddress = await freeAddress();
+  const first = new Incarnation('engine-0', 'v1', 1_000);
+  const other = new Incarnation('engine-1', 'v1', 1_000);
+  const second = new Incarnation('engine-0', 'v2', 2_000);
+  const third = new Incarnation('engine-0', 'v2', 3_000);
+  t.teardown(() => {
+    for (const incarnation of [first, other, second, third]) incarnation.stop();
+  });
+  await first.listen(address);
+  await other.listen(otherAddress);
+  fleet.enter('engine-0', address, 'ready');
+  fleet.enter('engine-1', otherAddress, 'ready');
+  const host = await fleet.host('host-1');
+  await fleet.ready(host);
+
+  const texts: Array<Promise<string>> = [];
+  const timer = setInterval(
+    () => texts.push(stream(host, texts.length)),
+    STREAM_INTERVAL_MILLISECONDS,
+  );
+  t.teardown(() => clearInterval(timer));
+  await until(() => first.streams > 3 && other.streams > 3);
+  first.stop();
+  await wait(DOWN_MILLISECONDS);
+  await second.listen(address);
+  await wait(UNKNOWN_MILLISECONDS);
+  t.is(second.streams, 0, 'streams began at a version that is not known');
+  second.stop();
+  await wait(DOWN_MILLISECONDS);
+  await third.listen(address);
+  fleet.born = 3_000;
+  fleet.enter('engine-0', address, 'ready', 'v2');
+  await until(() => third.streams > 0);
+  clearInterval(timer);
+  for (const text of await Promise.all(texts))
+    t.false(text.includes('v1') && text.includes('v2'), text);
+});
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -372,5 +372,6 @@
     sendBegun: () => {},
     onChange: () => {},
     onBlocked: () => {},
+    onEndpointCrashed: () => {},
   });
 }
