Take only chunks and a length for what tells the end of a body

The header was taken for one that tells where the body ends, so the connection was not probed for a reset. Only chunks as the last encoding do.

--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -76,6 +76,9 @@
 /** How the codes of the errors of Node's HTTP parser begin. */
 const PARSER_ERROR_PREFIX = 'HPE_';
 
+/** The encodings of a body that tells its own end: chunks come last. */
+const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
+
 /** Statuses of responses that have no body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -253,7 +256,7 @@
   return (
     BODILESS_STATUSES.has(statusCode) ||
     headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
+    CHUNKED_LAST.test(headers['transfer-encoding'] ?? '')
   );
 }
 
--- a/test/brokenanswers.test.ts
+++ b/test/brokenanswers.test.ts
@@ -147,3 +147,30 @@
         t.false(text.startsWith('HTTP/1.1 2'), `${length} bytes: ${text}`);
       }
     });
+
+for (const encoding of ['identity', 'gzip'])
+  test(`an answer in the encoding ${encoding} that is reset behind its first bytes is not passed on as whole`, async t => {
+    const fleet = await EdgeFleet.start(t);
+    const server = createServer(socket => {
+      socket.on('error', () => {});
+      socket.once('data', () => {
+        socket.write(
+          'HTTP/1.1 200 OK\r\nX-Attempt-Id: reader\r\nX-Response-Seal: seal\r\n' +
+            `Transfer-Encoding: ${encoding}\r\n\r\npart of the answer`,
+        );
+        setImmediate(() => socket.resetAndDestroy());
+      });
+    });
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    t.teardown(() => server.close());
+    const {port} = server.address() as AddressInfo;
+    fleet.enter('register-1', `127.0.0.1:${port}`, 'ready');
+    const host = await startHost(t, fleet);
+    await until(async () => (await exchange(host, '/record/1')) !== '');
+    for (let round = 0; round < 20; round++) {
+      const text = await exchange(host, '/record/1');
+      t.false(text.startsWith('HTTP/1.1 2'), text);
+    }
+  });
