--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -5,12 +5,12 @@
 import type {Reservation} from '../balance/index.js';
 import {Cancellation, type CancellationSignal} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
-import {readWhole} from '../relay/index.js';
 import {discardBody} from '../wire/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
-import type {BufferShare, ResponseBuffers} from './buffers.js';
-import type {ConnectionPool, EndpointResponse} from './connections.js';
+import {relayBuffered} from './bufferedrelay.js';
+import type {ResponseBuffers} from './buffers.js';
+import type {ConnectionPool} from './connections.js';
 import type {RequestContext} from './context.js';
 import type {BegunStream} from '../versions/index.js';
 import {
@@ -18,24 +18,13 @@
   toAttemptFailure,
   type CrashSign,
 } from './attemptfailure.js';
+import type {EndpointResponse} from './endpointresponse.js';
 import {StreamRelay} from './streamrelay.js';
 import type {ResponseHead, Protocol} from './protocol.js';
 
-/** Largest body of a response that is buffered. */
-const MAX_BUFFERED_BODY_BYTES = 16_777_216;
-/**
- * Most that a buffered response may have beside its body. In chunks of one byte
- * that is five times the body, and takes seconds to read.
- */
-const MAX_FRAMING_BYTES = 4_194_304;
-/** Pieces of a body after which its framing is compared with that. */
-const PIECES_PER_CHECK = 256;
-/** Body whose memory counts until the caller has received it. */
-const LARGE_BODY_BYTES = 65_536;
 /** The statuses of a final response. */
 const MIN_FINAL_STATUS = 200;
 const MAX_FINAL_STATUS = 599;
-const MIN_SERVER_ERROR_STATUS = 500;
 const MIN_REDIRECT_STATUS = 300;
 const MAX_LOGGED_TEXT_LENGTH = 80;
 
@@ -251,57 +240,21 @@
     return begun.status === status && begun.contentType === contentType;
   }
 
-  /** Buffers the response within the host's limit, and sends it. */
-  private async relayBuffered(
+  private relayBuffered(
     response: EndpointResponse,
     head: ResponseHead,
   ): Promise<void> {
-    const {message} = response;
-    const {answer} = this.spec.context;
-    let isSent = false;
-    const share = this.parts.buffers.open(() => {
-      this.parts.metrics.count('response-evicted', {});
-      if (isSent) answer.abort();
-      else message.destroy(new Error('too many bytes are buffered'));
-    });
-    limitFraming(response);
-    try {
-      const body = await this.receive(response, head, share);
-      answer.sendComplete(head, body);
-      isSent = body.length > LARGE_BODY_BYTES;
-      if (isSent) answer.onClose(() => share.close());
-    } finally {
-      if (!isSent) share.close();
-    }
-  }
-
-  /** Returns the body of a complete response. Throws an AttemptFailure. */
-  private async receive(
-    {message, isComplete}: EndpointResponse,
-    head: ResponseHead,
-    share: BufferShare,
-  ): Promise<Buffer> {
-    const {context} = this.spec;
-    const body = await readWhole(message, {
-      limit: MAX_BUFFERED_BODY_BYTES,
-      silence: context.timeLeft,
-      signal: this.cancellation,
-      onMemory: bytes => share.add(bytes),
+    return relayBuffered({
+      ...this.parts,
+      response,
+      head,
+      context: this.spec.context,
+      cancellation: this.cancellation,
+      onComplete: () => {
+        this.partial = false;
+        this.recordBegun();
+      },
     });
-    if (!(await isComplete())) {
-      throw new AttemptFailure('cut', 'the answer is cut short', false);
-    }
-    this.partial = false;
-    this.recordBegun();
-    if (head.status >= MIN_SERVER_ERROR_STATUS) {
-      const detail = `status ${head.status}`;
-      throw new AttemptFailure('status', detail, false, {head, body});
-    }
-    if (context.answer.isHeadSent) {
-      throw new AttemptFailure('malformed', 'no stream to go on with', false);
-    }
-    context.firstByteAt = this.parts.clock.monotonic();
-    return body;
   }
 
   private relayStream(
@@ -366,16 +319,3 @@
     metrics.time('first-event', first, {route: context.route.name});
   }
 }
-
-/** Closes the connection of a response that has too much framing. */
-function limitFraming({message, receivedBytes}: EndpointResponse): void {
-  let pieces = 0;
-  let bodyBytes = 0;
-  message.on('data', (bytes: Buffer) => {
-    pieces++;
-    bodyBytes += bytes.length;
-    if (pieces % PIECES_PER_CHECK !== 0) return;
-    if (receivedBytes() - bodyBytes <= MAX_FRAMING_BYTES) return;
-    message.destroy(new Error('the response has too much framing'));
-  });
-}
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -5,7 +5,7 @@
  * of its own, because a reset of a reused connection does not tell whether the
  * request ran.
  */
-import type {ClientRequest, IncomingMessage, RequestOptions} from 'node:http';
+import type {ClientRequest, RequestOptions} from 'node:http';
 import type {Socket} from 'node:net';
 
 import type {CancellationSignal} from '../cancellation/index.js';
@@ -18,6 +18,7 @@
   PacedAgent,
   partsOf,
 } from '../wire/index.js';
+import {responseOf, type EndpointResponse} from './endpointresponse.js';
 
 /** Time within which an endpoint must accept a connection. */
 const CONNECT_TIMEOUT_MILLISECONDS = 250;
@@ -46,42 +47,9 @@
   readonly isOpen: () => boolean;
 }
 
-/** An endpoint's response, whose body is still to be read. */
-export interface EndpointResponse {
-  readonly message: IncomingMessage;
-  /**
-   * Whether the head tells where the body ends. Otherwise it ends with the
-   * connection, also when the endpoint crashes.
-   */
-  readonly isDelimited: boolean;
-  /**
-   * Whether the connection has carried earlier requests, so that the endpoint
-   * may repeat a response to one of them.
-   */
-  readonly isReused: boolean;
-  /** Bytes that have come on the connection since the request was sent. */
-  readonly receivedBytes: () => number;
-  /**
-   * Resolves with whether a message that has ended is complete. A connection
-   * reset that arrives together with the last bytes looks like a normal end. So
-   * where only the end of the connection delimits the message, writes to the
-   * connection to see whether it was reset.
-   */
-  readonly isComplete: () => Promise<boolean>;
-}
-
-/** Written to a connection that its peer has ended, to detect a reset. */
-const PROBE = '\r\n';
-
 /** How the codes of the errors of Node's HTTP parser begin. */
 const PARSER_ERROR_PREFIX = 'HPE_';
 
-/** The encodings of a body that tells its own end: chunks come last. */
-const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
-
-/** Statuses of responses that have no body. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** A host's connections to endpoints. */
 export class ConnectionPool {
   private readonly agents = new Map<string, GuardedKeepAliveAgent>();
@@ -166,18 +134,8 @@
         sent.on('error', error => {
           if (!message.complete) message.destroy(error);
         });
-        const isDelimited = hasDelimitedBody(message);
-        const isComplete = completenessCheck(message, isDelimited);
-        const isReused = sent.reusedSocket;
-        const {socket} = message;
-        const receivedBytes = () => socket.bytesRead - bytesReadBefore;
-        resolve({
-          message,
-          isDelimited,
-          isReused,
-          isComplete,
-          receivedBytes,
-        });
+        const {reusedSocket: isReused} = sent;
+        resolve(responseOf(message, {isReused, bytesReadBefore}));
       });
       sent.once('upgrade', (_, socket) => {
         socket.destroy();
@@ -250,30 +208,3 @@
   if (!hasBytes) return 'write';
   return code === undefined || isGivenUp ? 'malformed' : 'cut';
 }
-
-/** Whether a head tells where the body ends. */
-function hasDelimitedBody({headers, statusCode = 0}: IncomingMessage): boolean {
-  return (
-    BODILESS_STATUSES.has(statusCode) ||
-    headers['content-length'] !== undefined ||
-    CHUNKED_LAST.test(headers['transfer-encoding'] ?? '')
-  );
-}
-
-/** Returns the `isComplete` of a response; call it when its head has come. */
-function completenessCheck(
-  message: IncomingMessage,
-  isDelimited: boolean,
-): EndpointResponse['isComplete'] {
-  const {socket} = message;
-  if (isDelimited) return () => Promise.resolve(message.complete);
-  const endedWithoutReset = new Promise<boolean>(resolve => {
-    // Runs before Node's own `end` listener, which prevents further writes.
-    socket.prependListener('end', () => {
-      socket.write(PROBE, error => resolve(!error));
-    });
-    socket.once('error', () => resolve(false));
-    socket.once('close', () => resolve(false));
-  });
-  return () => endedWithoutReset;
-}
--- a/source/forward/streamrelay.ts
+++ b/source/forward/streamrelay.ts
@@ -7,7 +7,7 @@
 import type {Cancel, Clock} from '../clock/index.js';
 import type {WireError} from '../errors/index.js';
 import {AttemptFailure} from './attemptfailure.js';
-import type {EndpointResponse} from './connections.js';
+import type {EndpointResponse} from './endpointresponse.js';
 import type {RequestContext} from './context.js';
 import {EventSplitter} from './events.js';
 
