--- a/test/endlesscalls.test.ts
+++ b/test/endlesscalls.test.ts
@@ -6,7 +6,7 @@
 import {PlatformStore} from '../platform/store.js';
 import {WireError} from '../source/errors/index.js';
 import {StoreError} from '../source/store/index.js';
-import {callGuarded, exchangeBytes} from '../source/wire/index.js';
+import {callGuarded, exchangeBytes, PacedAgent} from '../source/wire/index.js';
 import {sendEndlessly, type EndlessBytes} from './support/endless.js';
 
 /** Milliseconds for a whole call. */
@@ -115,3 +115,29 @@
   t.is(error?.failure, 'unanswered');
   await untilClosed(peer);
 });
+
+for (const [what, chunk] of Object.entries({
+  'chunks of one byte': '1\r\nx\r\n',
+  'chunks with long extensions': `1;${'e'.repeat(4_000)}\r\nx\r\n`,
+}))
+  test(`a reply in ${what} without end holds up no timer and ends at the bound of its call`, async t => {
+    const peer = await startPeer(t, {
+      head: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
+      part: chunk.repeat(Math.ceil(65_536 / chunk.length)),
+      pause: 0,
+    });
+    let ticks = 0;
+    const timer = setInterval(() => ticks++, 10);
+    t.teardown(() => clearInterval(timer));
+    const startedAt = performance.now();
+    const agent = new PacedAgent();
+    const error = await t.throwsAsync(
+      exchangeBytes({...get(peer.address), agent}),
+      {instanceOf: WireError},
+    );
+    t.is(error?.stage, 'cut');
+    const duration = performance.now() - startedAt;
+    t.true(duration < GIVEN_UP, `${duration} ms`);
+    t.true(ticks > duration / 100, `${ticks} ticks in ${duration} ms`);
+    await untilClosed(peer);
+  });
