--- a/soak/endpoint.ts
+++ b/soak/endpoint.ts
@@ -21,6 +21,31 @@
 /** Seconds for which an endpoint wants nothing that says so when it is full. */
 export const BACKOFF_SECONDS = 1;
 
+const CRASH_DELAY_MILLISECONDS = 5;
+/** What endpoints have written when they crash, one after the other. */
+const LAST_BYTES = [
+  '',
+  'H',
+  'HTTP/1.1 100 Continue\r\n\r\n',
+  'HTTP/1.1 200 OK\r\nContent-Type: te',
+  'HTTP/1.1 500 Error\r\nContent-Length: 9\r\n\r\npart',
+  'no answer\r\n',
+];
+
+/** How an endpoint differs from others, by its number. */
+export interface EndpointTraits {
+  /** Whether it says for how long it wants nothing when it is full. */
+  readonly namesBackoff: boolean;
+  /** What it has written when it crashes. */
+  readonly lastBytes: string;
+}
+
+/** The traits of the endpoint that was started as so many-th, from 0 on. */
+export function traitsOf(number: number): EndpointTraits {
+  const lastBytes = LAST_BYTES[number % LAST_BYTES.length] ?? '';
+  return {namesBackoff: number % 2 === 1, lastBytes};
+}
+
 /** What an endpoint tells the soak. */
 export interface EndpointEvents {
   /** It has got a request, which it runs. */
@@ -38,13 +63,13 @@
   address = '';
   private readonly server: Server;
   private running = 0;
+  private isCrashing = false;
   /** Whether it says in its answers that it leaves. */
   isLeaving = false;
 
   constructor(
     readonly id: string,
-    /** Whether it says for how long it wants nothing when it is full. */
-    private readonly namesBackoff: boolean,
+    private readonly traits: EndpointTraits,
     private readonly events: EndpointEvents,
   ) {
     this.server = createServer((message, response) => {
@@ -89,10 +114,7 @@
     const team = String(headers['x-tenant']);
     const text = `${url} ${rawHeaders.join(' ')}`;
     this.events.onArrived({id, endpoint: this.id, team, headers: text});
-    if (url.includes(`/${DEADLY_RESOURCE}?`)) {
-      this.stop();
-      return this.events.onCrash();
-    }
+    if (url.includes(`/${DEADLY_RESOURCE}?`)) return this.crash(response);
     response.writeHead(200, this.headersOf(id));
     if (!url.startsWith('/draft/')) {
       const body = answerTo({id, route: 'read'});
@@ -104,12 +126,23 @@
     stream(response, id, Number(headers['last-event-id'] ?? 0));
   }
 
+  /** Ends behind the first bytes of an answer, others at each endpoint. */
+  private crash(response: ServerResponse): void {
+    if (this.isCrashing) return;
+    this.isCrashing = true;
+    response.socket?.write(this.traits.lastBytes);
+    setTimeout(() => {
+      this.stop();
+      this.events.onCrash();
+    }, CRASH_DELAY_MILLISECONDS);
+  }
+
   private turnAway(id: string, response: ServerResponse): void {
     const headers: Record<string, string> = {
       'x-not-executed': '1',
       'x-attempt-id': id,
     };
-    if (this.namesBackoff) {
+    if (this.traits.namesBackoff) {
       headers['retry-after'] = String(BACKOFF_SECONDS);
       this.events.onBackoff(id);
     }
--- a/soak/endpoints.ts
+++ b/soak/endpoints.ts
@@ -8,7 +8,7 @@
   Line,
 } from '../test/support/edgeprocess.js';
 import {Backoffs, type SendingHost} from './backoffs.js';
-import {BACKOFF_SECONDS, SoakEndpoint} from './endpoint.js';
+import {BACKOFF_SECONDS, SoakEndpoint, traitsOf} from './endpoint.js';
 import type {Ledger} from './ledger.js';
 import {FaultyProxy} from './proxy.js';
 
@@ -105,7 +105,7 @@
     const {ledger, fleet} = this.options;
     const number = this.count++;
     const id = `register-${number}`;
-    const endpoint = new SoakEndpoint(id, number % 2 === 1, {
+    const endpoint = new SoakEndpoint(id, traitsOf(number), {
       onArrived: arrived =>
         ledger.arrive({...arrived, left: this.hasLeft(id, arrived.id)}),
       onReceived: request => this.checkBackoff(id, request),
