--- a/test/endlessmemory.test.ts
+++ b/test/endlessmemory.test.ts
@@ -3,11 +3,12 @@
  * end to many requests at once.
  */
 import {readFileSync} from 'node:fs';
-import {createServer, request} from 'node:http';
+import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
 import test, {type ExecutionContext} from 'ava';
 
+import {ask} from './support/ask.js';
 import {EdgeFleet, type HostProcess} from './support/edgeprocess.js';
 import {sendEndlessly} from './support/endless.js';
 
@@ -52,33 +53,6 @@
   return host;
 }
 
-/** Sends a request; resolves with the status, or 0 where it was broken off. */
-function send(host: HostProcess, path: string, id: number): Promise<number> {
-  return new Promise(resolve => {
-    const sent = request(
-      `http://${host.callers}${path}`,
-      {
-        agent: false,
-        headers: {
-          host: 'register.example',
-          authorization: `Bearer ${KEY}`,
-          'x-attempt-id': `request-${id}`,
-          'x-deadline-ms': '2000',
-        },
-      },
-      message => {
-        message.on('error', () => {});
-        message.on('close', () =>
-          resolve(message.complete ? (message.statusCode ?? 0) : 0),
-        );
-        message.resume();
-      },
-    );
-    sent.on('error', () => resolve(0));
-    sent.end();
-  });
-}
-
 /** Returns the most memory that a process has had. */
 function peakMemoryKibibytes({child}: HostProcess): number {
   const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
@@ -97,9 +71,17 @@
       const host = await start(t, sent);
       const startedAt = performance.now();
       const ids = Array.from({length: REQUESTS}, (_, id) => id);
-      const statuses = await Promise.all(
-        ids.map(id => send(host, sent.path, id)),
+      const responses = await Promise.all(
+        ids.map(id =>
+          ask(host, {
+            path: sent.path,
+            key: KEY,
+            id: `request-${id}`,
+            deadline: 2_000,
+          }),
+        ),
       );
+      const statuses = responses.map(({status}) => status);
       t.true(performance.now() - startedAt < 3_000);
       t.false(statuses.includes(200));
       const peak = peakMemoryKibibytes(host);
--- a/test/restartedendpoint.test.ts
+++ b/test/restartedendpoint.test.ts
@@ -3,12 +3,13 @@
  * version. Guards against streams that begin at the new version, are taken for
  * streams of the old one, and go on there.
  */
-import {createServer, request, type Server} from 'node:http';
+import {createServer, type Server} from 'node:http';
 
 import test from 'ava';
 
 import {partsOf} from '../source/wire/index.js';
 import {freeAddress} from '../tools/ports.js';
+import {ask} from './support/ask.js';
 import {
   EdgeFleet,
   sealed,
@@ -76,29 +77,14 @@
 }
 
 /** Asks for a stream; resolves with the text that came. */
-function stream(host: HostProcess, number: number): Promise<string> {
-  return new Promise(resolve => {
-    let text = '';
-    const sent = request(
-      `http://${host.callers}/draft/${number}`,
-      {
-        agent: false,
-        headers: {
-          host: 'register.example',
-          authorization: `Bearer ${KEY}`,
-          'x-attempt-id': `stream-${number}`,
-          'x-deadline-ms': '2000',
-        },
-      },
-      message => {
-        message.on('data', (part: Buffer) => (text += part.toString()));
-        message.on('error', () => {});
-        message.on('close', () => resolve(text));
-      },
-    );
-    sent.on('error', () => resolve(text));
-    sent.end();
+async function stream(host: HostProcess, number: number): Promise<string> {
+  const {text} = await ask(host, {
+    path: `/draft/${number}`,
+    key: KEY,
+    id: `stream-${number}`,
+    deadline: 2_000,
   });
+  return text;
 }
 
 const wait = (duration: number) =>
--- a/test/smallpieces.test.ts
+++ b/test/smallpieces.test.ts
@@ -3,11 +3,12 @@
  * by themselves, since each piece took memory of its own, and against processes
  * that stood still, since one connection's pieces held up all others.
  */
-import {Agent, createServer, request, type Server} from 'node:http';
+import {createServer, request, type Server} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 
 import test, {type ExecutionContext} from 'ava';
 
+import {ask, type Response} from './support/ask.js';
 import {
   EdgeFleet,
   sealed,
@@ -23,51 +24,25 @@
 const TIMEOUT_MILLISECONDS = 4_000;
 /** The timeout of the routes that take large bodies. */
 const BODY_TIMEOUT_MILLISECONDS = 12_000;
+const ASK_MILLISECONDS = 10_000;
 /** How late an answer may be at a client that also works in this process. */
 const SLACK_MILLISECONDS = 500;
 const READ_INTERVAL_MILLISECONDS = 50;
 /** Milliseconds within which plain requests are answered beside anything. */
 const READ_DUE_MILLISECONDS = 400;
 
-/** Sends a request; resolves with its status, 0 where it was cut, and its time. */
-function ask(
-  host: HostProcess,
-  path: string,
-  agent: Agent | false = false,
-): Promise<{status: number; milliseconds: number}> {
-  const sentAt = performance.now();
-  return new Promise(resolve => {
-    const finish = (status: number) =>
-      resolve({status, milliseconds: performance.now() - sentAt});
-    const sent = request(
-      `http://${host.callers}${path}`,
-      {
-        agent,
-        headers: {
-          host: HOST,
-          authorization: `Bearer ${KEY}`,
-          'x-attempt-id': `request-${sentAt}`,
-          'x-deadline-ms': '10000',
-        },
-      },
-      message => {
-        message.on('error', () => {});
-        message.on('close', () =>
-          finish(message.complete ? (message.statusCode ?? 0) : 0),
-        );
-        message.resume();
-      },
-    );
-    sent.on('error', () => finish(0));
-    sent.end();
-  });
+let questions = 0;
+
+function askFor(host: HostProcess, path: string): Promise<Response> {
+  const id = `request-${questions++}`;
+  return ask(host, {path, key: KEY, id, deadline: ASK_MILLISECONDS});
 }
 
 /** Sends plain requests at an interval until it is stopped. */
 function askRegularly(host: HostProcess): () => Promise<number[]> {
-  const answers: Array<ReturnType<typeof ask>> = [];
+  const answers: Array<Promise<Response>> = [];
   const timer = setInterval(
-    () => answers.push(ask(host, '/read/1')),
+    () => answers.push(askFor(host, '/read/1')),
     READ_INTERVAL_MILLISECONDS,
   );
   return async () => {
@@ -139,7 +114,7 @@
     node: NODE_FLAGS,
   });
   await fleet.ready(host);
-  await until(async () => (await ask(host, '/read/1')).status === 200);
+  await until(async () => (await askFor(host, '/read/1')).status === 200);
   return host;
 }
 
@@ -202,8 +177,8 @@
       const host = await start(t, endless);
       const stop = askRegularly(host);
       const spoiled = await Promise.all([
-        ask(host, endless.path),
-        ask(host, endless.path),
+        askFor(host, endless.path),
+        askFor(host, endless.path),
       ]);
       const times = await stop();
       t.is(host.child.exitCode, null);
