--- a/source/daemon/listener.ts
+++ b/source/daemon/listener.ts
@@ -28,6 +28,7 @@
 import {CallerAnswer} from '../relay/index.js';
 import type {Host} from './host.js';
 import {serveService} from './service.js';
+import {readInTurn} from '../wire/index.js';
 
 const CHAT_PATH = '/v1/chat/completions';
 const MODELS_PATH = '/v1/models';
@@ -58,6 +59,7 @@
     },
     (message, response) => void serve(host, message, response),
   );
+  readInTurn(server);
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
     refuseMalformed(host, error, socket),
   );
--- a/source/edge/callers.ts
+++ b/source/edge/callers.ts
@@ -13,7 +13,7 @@
 import {Server as NetServer, type Socket} from 'node:net';
 
 import type {Cancel, Clock} from '../clock/index.js';
-import {listen, readPacer} from '../wire/index.js';
+import {listen, readInTurn} from '../wire/index.js';
 
 /** How often Node checks connections against the header timeout. */
 const CONNECTION_CHECK_INTERVAL_MILLISECONDS = 500;
@@ -51,6 +51,7 @@
       (message, response) => this.receive(message, response),
     );
     this.server.requestTimeout = 0;
+    readInTurn(this.server);
     this.server.on('connection', socket => this.addConnection(socket));
   }
 
@@ -112,10 +113,6 @@
       isClosed: false,
     };
     this.connections.set(socket, connection);
-    readPacer.pace(socket);
-    // Until somebody asks for its data, Node's parser reads from the connection
-    // without the socket's knowledge.
-    socket.on('data', () => {});
     socket.once('close', () => this.connections.delete(socket));
   }
 
--- a/source/engine/http.ts
+++ b/source/engine/http.ts
@@ -17,6 +17,7 @@
   callJson,
   GuardedKeepAliveAgent,
   partsOf,
+  readPacer,
 } from '../wire/index.js';
 import {
   EndpointAdapter,
@@ -173,6 +174,7 @@
     return new Promise((resolve, reject) => {
       const {host, port} = partsOf(address);
       const socket = connect({host, port, noDelay: true});
+      readPacer.pace(socket);
       const timer = setTimeout(() => fail('timed out'), this.bounds.connect);
       const fail = (detail: string) => {
         clearTimeout(timer);
--- a/source/wire/pacedconnection.ts
+++ b/source/wire/pacedconnection.ts
@@ -27,7 +27,7 @@
   private undelivered: Buffer[] = [];
   private isEndUndelivered = false;
   private isQueued = false;
-  private wasReadFull = false;
+  private wasLastReadFull = false;
   /** Whether the last bytes took long, so that the next ones wait. */
   private isSlow = false;
 
@@ -46,7 +46,7 @@
    * read was a full one and the next one waits for its turn.
    */
   get hasMore(): boolean {
-    return this.hasUndelivered || this.wasReadFull;
+    return this.hasUndelivered || this.wasLastReadFull;
   }
 
   private get hasUndelivered(): boolean {
@@ -57,7 +57,7 @@
    * Whether anybody takes what is delivered. After the end of a response nobody
    * does: what comes then must not be delivered to the next request.
    */
-  private get isRead(): boolean {
+  private get hasReader(): boolean {
     return !this.socket.destroyed && this.socket.listenerCount('data') > 0;
   }
 
@@ -65,7 +65,7 @@
   deliverWaiting(): void {
     this.isQueued = false;
     const [bytes] = this.undelivered;
-    if (!bytes || !this.isRead) return;
+    if (!bytes || !this.hasReader) return;
     const startedAt = this.pacer.now();
     const slice = bytes.subarray(0, SLICE_BYTES);
     this.undelivered.shift();
@@ -83,7 +83,7 @@
       this.isEndUndelivered = true;
       return false;
     }
-    this.wasReadFull = bytes.length >= FULL_READ_BYTES;
+    this.wasLastReadFull = bytes.length >= FULL_READ_BYTES;
     if (this.hasUndelivered || this.isSlow) {
       this.undelivered.push(bytes);
       this.enqueue();
@@ -91,7 +91,7 @@
     }
     const hasRoom = this.deliver(bytes);
     // The loop would read on from this connection before it turns to others.
-    return hasRoom && !this.wasReadFull;
+    return hasRoom && !this.wasLastReadFull;
   }
 
   /** Delivers slices while there is time; returns whether more may be read. */
@@ -103,7 +103,7 @@
       hasRoom = this.push(rest.subarray(0, SLICE_BYTES));
       rest = rest.subarray(SLICE_BYTES);
       this.isSlow = this.pacer.now() > end;
-    } while (rest.length > 0 && hasRoom && !this.isSlow && this.isRead);
+    } while (rest.length > 0 && hasRoom && !this.isSlow && this.hasReader);
     if (rest.length > 0) this.undelivered.push(rest);
     return hasRoom && rest.length === 0;
   }
--- a/source/wire/pacing.ts
+++ b/source/wire/pacing.ts
@@ -5,7 +5,7 @@
  * in each turn of the loop, in turn with those of other such connections; nothing
  * more is read from a connection that has slices left.
  */
-import type {Socket} from 'node:net';
+import type {Server, Socket} from 'node:net';
 
 import {PacedConnection} from './pacedconnection.js';
 
@@ -64,3 +64,21 @@
 
 /** The pacer of this process, which has one event loop. */
 export const readPacer = new ReadPacer();
+
+/**
+ * Reads the connections of an HTTP server in turn with all others. Call it before
+ * the server listens.
+ *
+ * ```ts
+ * const server = createServer(handle);
+ * readInTurn(server);
+ * ```
+ */
+export function readInTurn(server: Server): void {
+  server.on('connection', (socket: Socket) => {
+    readPacer.pace(socket);
+    // Until somebody asks for its data, Node's parser reads from the connection
+    // without the socket's knowledge.
+    socket.on('data', () => {});
+  });
+}
--- a/test/pacing.test.ts
+++ b/test/pacing.test.ts
@@ -2,7 +2,8 @@
  * Connections that are read in turn: nothing is lost, and nothing of one response
  * comes to the next request.
  */
-import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {createServer as createHttpServer} from 'node:http';
+import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 
 import test, {type ExecutionContext} from 'ava';
 import fc from 'fast-check';
@@ -13,8 +14,12 @@
   exchangeBytes,
   GuardedKeepAliveAgent,
   PacedAgent,
+  readBytes,
+  readInTurn,
 } from '../source/wire/index.js';
 
+/** Bytes of a request's body. */
+const BODY_BYTES = 50_000;
 /** Ticks after which requests follow one another, from none to one less. */
 const TICKS = 8;
 
@@ -115,6 +120,41 @@
   t.true(ticks > duration / 20, `${ticks} ticks in ${duration} ms`);
 });
 
+test('timers run while a server reads twelve bodies in chunks of one byte', async t => {
+  const bodies: Array<Promise<Buffer>> = [];
+  const server = createHttpServer((message, response) => {
+    const body = readBytes(message, BODY_BYTES);
+    bodies.push(body);
+    void body.then(() => response.end());
+  });
+  readInTurn(server);
+  t.teardown(() => server.close());
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  let ticks = 0;
+  const timer = setInterval(() => ticks++, 1);
+  t.teardown(() => clearInterval(timer));
+  const startedAt = performance.now();
+  const chunks = '1\r\nx\r\n'.repeat(BODY_BYTES);
+  const text =
+    'POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n' +
+    `transfer-encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`;
+  await Promise.all(
+    Array.from({length: 12}, () => {
+      const socket = connect(port, '127.0.0.1');
+      socket.end(text);
+      socket.resume();
+      return new Promise(resolve => socket.once('close', resolve));
+    }),
+  );
+  const duration = performance.now() - startedAt;
+  t.true(ticks > duration / 20, `${ticks} ticks in ${duration} ms`);
+  for (const body of await Promise.all(bodies)) t.is(body.length, BODY_BYTES);
+  t.is(bodies.length, 12);
+});
+
 const streams = fc
   .array(
     fc.constantFrom(
