--- a/source/edge/prober.ts
+++ b/source/edge/prober.ts
@@ -92,6 +92,7 @@
       cancelTimer();
     }
   }
+
   /**
    * Whether an endpoint has started again under its id, so that its entry says
    * nothing of it, its software version least of all. Its new entry comes within a
--- a/source/wire/index.ts
+++ b/source/wire/index.ts
@@ -9,5 +9,5 @@
 export {callGuarded} from './guarded.js';
 export {GuardedKeepAliveAgent, PacedAgent} from './keepalive.js';
 export {listen, partsOf, type AddressParts} from './listen.js';
-export {readInTurn, ReadPacer, readPacer} from './pacing.js';
+export {readInTurn, readPacer} from './pacing.js';
 export {abandonRequest, createRequest} from './request.js';
--- a/source/wire/pacedconnection.ts
+++ b/source/wire/pacedconnection.ts
@@ -11,7 +11,7 @@
 /** Gives connections their turns. */
 export interface TurnQueue {
   /** Returns monotonic milliseconds. */
-  readonly now: () => number;
+  now(): number;
   /** Lets a connection deliver its next slice when it is its turn. */
   enqueue(connection: PacedConnection): void;
 }
--- a/source/wire/pacing.ts
+++ b/source/wire/pacing.ts
@@ -7,22 +7,25 @@
  */
 import type {Server, Socket} from 'node:net';
 
-import {PacedConnection} from './pacedconnection.js';
+import {SystemClock, type Clock} from '../clock/index.js';
+import {PacedConnection, type TurnQueue} from './pacedconnection.js';
 
 /** Milliseconds of a turn of the loop for all that waits. */
 const TURN_MILLISECONDS = 2;
 
 /** Delivers what connections receive, so that none holds up the others. */
-export class ReadPacer {
+export class ReadPacer implements TurnQueue {
   /** Connections with slices that may be delivered, the next one first. */
   private readonly waiting: PacedConnection[] = [];
   private isScheduled = false;
   private readonly connections = new WeakMap<object, PacedConnection>();
 
-  constructor(
-    /** Returns monotonic milliseconds. */
-    readonly now: () => number = () => performance.now(),
-  ) {}
+  constructor(private readonly clock: Clock) {}
+
+  /** Returns monotonic milliseconds. */
+  now(): number {
+    return this.clock.monotonic();
+  }
 
   /**
    * From now on, delivers what a socket receives in slices where it takes long to
@@ -63,7 +66,7 @@
 }
 
 /** The pacer of this process, which has one event loop. */
-export const readPacer = new ReadPacer();
+export const readPacer = new ReadPacer(new SystemClock());
 
 /**
  * Reads the connections of an HTTP server in turn with all others. Call it before
