Let the store of the replica test extend the unused store

test/replicas.test.ts wrote again the eight calls of test/support/unusedstore.ts that a test doesn't use. UnusedStore.append now takes the arguments of a store's append, so that a test may override it with them. No test is changed.

--- a/test/replicas.test.ts
+++ b/test/replicas.test.ts
@@ -15,20 +15,15 @@
 import {Metrics} from '../source/metrics/index.js';
 import type {Sheet} from '../source/platform/index.js';
 import {seededRandom} from '../source/random/index.js';
-import {
-  RecordStore,
-  StoreError,
-  type GroupAssignment,
-  type KeyedPage,
-  type PlainPage,
-} from '../source/store/index.js';
+import {StoreError} from '../source/store/index.js';
 import {SILENT} from './support/silent.js';
+import {UnusedStore} from './support/unusedstore.js';
 
 const WINDOW = 5_000;
 const OTHER = 'host-2 1';
 
 /** A store that is unreachable for a number of appends. */
-class UnreachableStore extends RecordStore {
+class UnreachableStore extends UnusedStore {
   readonly sheets: Sheet[] = [];
 
   constructor(private failuresLeft: number) {
@@ -45,32 +40,6 @@
     }
     return this.sheets.length;
   }
-
-  override async appendKeyed(): Promise<void> {
-    throw new Error('not used');
-  }
-
-  override async readNewest(): Promise<KeyedPage> {
-    throw new Error('not used');
-  }
-
-  override async readKeyed(): Promise<KeyedPage> {
-    throw new Error('not used');
-  }
-
-  override async readPlain(): Promise<PlainPage> {
-    throw new Error('not used');
-  }
-
-  override async oldestOffset(): Promise<number> {
-    throw new Error('not used');
-  }
-
-  override async join(): Promise<GroupAssignment> {
-    throw new Error('not used');
-  }
-
-  override async leave(): Promise<void> {}
 }
 
 class StubPlatformClient extends FencedPlatformClient {
--- a/test/support/unusedstore.ts
+++ b/test/support/unusedstore.ts
@@ -7,8 +7,11 @@
 } from '../../source/store/index.js';
 
 export class UnusedStore extends RecordStore {
-  override async append(): Promise<number> {
-    throw new Error('not used');
+  override async append(
+    topic: string,
+    records: readonly Buffer[],
+  ): Promise<number> {
+    throw new Error(`not used: ${records.length} records for ${topic}`);
   }
 
   override async appendKeyed(): Promise<void> {
