Split the usage meter by what it keeps, stores and decides

Moved out, without a change of behaviour: the sheets kept for other hosts (usagereplicas.ts), and the topic of the store with the encoding, the timeout and the retries of its records (usagetopic.ts). A record of a kind that doesn't belong in the topic is still counted as malformed, now by its kind where it is decoded.

--- a/source/leader/usage.ts
+++ b/source/leader/usage.ts
@@ -5,20 +5,13 @@
  * in between. The first freeze of a window is the one that all readers use, and
  * only frozen figures are reported, so a repeated report has the same figures.
  */
-import {decode, encode} from 'cbor-x';
-import * as z from 'zod';
-
 import type {Cancel, Clock} from '../clock/index.js';
 import {incarnationOf, type HostAddress} from '../gossip/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
-import {
-  logRecordSchema,
-  type LogRecord,
-  type Sheet,
-} from '../platform/index.js';
+import type {Sheet} from '../platform/index.js';
 import type {RandomSource} from '../random/index.js';
-import {StoreError, TopicReader, type RecordStore} from '../store/index.js';
+import {StoreError, type RecordStore} from '../store/index.js';
 import {
   applyFreeze,
   nextFreeze,
@@ -31,11 +24,15 @@
 import type {FencedPlatformClient, Leader} from './client.js';
 import {FreezeHistory} from './freezehistory.js';
 import {UsageRelay, type UsageRelayOptions} from './usagerelay.js';
+import {UNSTORED_PAST_WINDOWS, UsageReplicas} from './usagereplicas.js';
+import {
+  RETRY_DELAY_MILLISECONDS,
+  UsageTopic,
+  type UsageRecord,
+} from './usagetopic.js';
 
-const TOPIC = 'usage';
 /** Usage is counted for the platform as a whole, as if it had one region. */
 const REGION = 'all';
-const STORE_TIMEOUT_MILLISECONDS = 1_200;
 /** Milliseconds after the end of a window at which its sheet is appended. */
 const APPEND_DELAY_MILLISECONDS = 200;
 /** Longest random wait beyond that, which spreads the appends of the hosts. */
@@ -44,11 +41,8 @@
 const FREEZE_DELAY_MILLISECONDS = 2_500;
 /** Windows for which a freeze waits for the sheets of unreachable hosts. */
 const MISSING_SHEETS_WAIT_WINDOWS = 1;
-const RETRY_DELAY_MILLISECONDS = 500;
 /** A new leader still reports at least this many past windows. */
 const MIN_REPORTED_WINDOWS = 4;
-/** Windows before the current one that may not be in the store yet. */
-const UNSTORED_PAST_WINDOWS = 1;
 /** Windows for which a host keeps sheets. */
 const RETAINED_WINDOWS = 20;
 /**
@@ -57,8 +51,6 @@
  */
 const REWRITTEN_MILLISECONDS = 30_000;
 
-type UsageRecord = Extract<LogRecord, {kind: 'usage-sheets' | 'usage-freeze'}>;
-
 /** Dependencies and settings of a usage meter. */
 export interface UsageMeterOptions {
   /** Identifies this incarnation of the host among all hosts. */
@@ -82,10 +74,9 @@
 /** The usage of this host, and the usage windows as the store has them. */
 export class UsageMeter {
   private readonly sheets: UsageSheets;
-  /** Sheets of other hosts that may not be in the store yet, by incarnation. */
-  private readonly replicas = new Map<string, readonly Sheet[]>();
+  private readonly replicas: UsageReplicas;
   private ledger: UsageLedger = emptyLedger();
-  private readonly topic: TopicReader;
+  private readonly topic: UsageTopic;
   /** Stores this host's sheets, and those that others send to it. */
   readonly relay: UsageRelay;
   private stopTimer: Cancel = () => {};
@@ -94,17 +85,16 @@
 
   constructor(private readonly options: UsageMeterOptions) {
     this.sheets = new UsageSheets(REGION, options.incarnation);
+    this.replicas = new UsageReplicas(options.logger);
     this.freezes = new FreezeHistory(options.store.restores);
     this.relay = new UsageRelay({
       ...options.relay,
       clock: options.clock,
-      append: sheets => this.appendSheets(sheets),
+      append: sheets => this.topic.appendSheets(sheets),
     });
-    this.topic = new TopicReader({
-      store: options.store,
-      topic: TOPIC,
-      timeout: STORE_TIMEOUT_MILLISECONDS,
-      onRecord: bytes => this.applyRecord(bytes),
+    this.topic = new UsageTopic({
+      ...options,
+      onRecord: record => this.applyRecord(record),
     });
     options.store.restores.onRestore(era => this.appendAnew(era));
   }
@@ -128,20 +118,18 @@
    * them. `host` is its incarnation.
    */
   keepReplica(host: string, sheets: readonly Sheet[]): void {
-    const known = this.replicas.get(host) ?? [];
-    this.replicas.set(host, newestOf(known, sheets));
+    this.replicas.keep(host, sheets);
   }
 
   /** Number of hosts whose sheets this host keeps. */
   get replicaCount(): number {
-    return this.replicas.size;
+    return this.replicas.hostCount;
   }
 
   /** Appends the sheets that this host has kept for a host that was lost. */
   async appendReplicaOf(host: string): Promise<void> {
-    const sheets = this.replicas.get(host);
-    this.replicas.delete(host);
-    if (!sheets || sheets.length === 0) return;
+    const sheets = this.replicas.take(host);
+    if (sheets.length === 0) return;
     const {logger} = this.options;
     const windows = sheets.map(({window}) => window).join();
     logger.info('usage-appended-for', {host, windows});
@@ -207,7 +195,7 @@
   private async appendOwnSheets(): Promise<void> {
     this.sheets.sealBefore(this.windowAt(0));
     this.sheets.removeBefore(this.windowAt(0) - RETAINED_WINDOWS);
-    this.removeOldReplicas(this.windowAt(0) - RETAINED_WINDOWS);
+    this.replicas.removeBefore(this.windowAt(0) - RETAINED_WINDOWS);
     const sheets = this.sheets.takeUpdates(false);
     if (sheets.length === 0) return;
     if (await this.relay.store(sheets)) return;
@@ -237,7 +225,7 @@
       sheets: windows.length,
       freezes: freezes.length,
     });
-    void this.appendFreezes(freezes);
+    void this.topic.appendFreezes(freezes);
     if (windows.length === 0) return;
     clock.after(random.next() * MAX_APPEND_JITTER_MILLISECONDS, () => {
       const recent = new Set(windows);
@@ -250,32 +238,6 @@
     });
   }
 
-  /** Appends freezes until the store has confirmed them. */
-  private async appendFreezes(freezes: readonly UsageRecord[]): Promise<void> {
-    if (freezes.length === 0) return;
-    const {store, clock, logger} = this.options;
-    try {
-      const records = freezes.map(encodeRecord);
-      await store.append(TOPIC, records, STORE_TIMEOUT_MILLISECONDS);
-    } catch (error) {
-      if (!(error instanceof StoreError)) throw error;
-      logger.warn('usage-not-frozen', {detail: error.message});
-      clock.after(
-        RETRY_DELAY_MILLISECONDS,
-        () => void this.appendFreezes(freezes),
-      );
-    }
-  }
-
-  /** Removes the sheets of hosts that have sent none since a window. */
-  private removeOldReplicas(oldest: number): void {
-    for (const [host, sheets] of this.replicas) {
-      if (sheets.some(({window}) => window >= oldest)) continue;
-      this.replicas.delete(host);
-      this.options.logger.info('usage-replica-removed', {host, oldest});
-    }
-  }
-
   /**
    * Appends this host's sheets of some windows again, in full, until the store
    * has confirmed them: the earlier append may have been lost.
@@ -285,7 +247,7 @@
       const full = this.sheets.takeUpdates(true);
       const sheets = full.filter(({window}) => windows.has(window));
       if (sheets.length === 0) return;
-      void this.appendSheets(sheets).then(stored => {
+      void this.topic.appendSheets(sheets).then(stored => {
         if (!stored) this.retryAppend(windows);
       });
     });
@@ -296,7 +258,7 @@
    * confirmed them or their windows are too old.
    */
   private async appendUntilStored(sheets: readonly Sheet[]): Promise<void> {
-    if (await this.appendSheets(sheets)) return;
+    if (await this.topic.appendSheets(sheets)) return;
     const {clock, logger} = this.options;
     const oldest = this.windowAt(0) - RETAINED_WINDOWS;
     const recent = sheets.filter(({window}) => window >= oldest);
@@ -308,31 +270,12 @@
     );
   }
 
-  /** Appends sheets; returns whether the store has confirmed them. */
-  private async appendSheets(sheets: readonly Sheet[]): Promise<boolean> {
-    const {store, logger} = this.options;
-    try {
-      const record = encodeRecord({kind: 'usage-sheets', sheets: [...sheets]});
-      await store.append(TOPIC, [record], STORE_TIMEOUT_MILLISECONDS);
-      return true;
-    } catch (error) {
-      if (!(error instanceof StoreError)) throw error;
-      const windows = sheets.map(({window}) => window).join();
-      logger.warn('usage-not-appended', {windows, detail: error.message});
-      return false;
-    }
-  }
-
-  /** Applies a record; one that is malformed is counted and skipped. */
-  private applyRecord(bytes: Buffer): void {
-    const record = decodeRecord(bytes);
-    if (record?.kind === 'usage-freeze') {
+  private applyRecord(record: UsageRecord): void {
+    if (record.kind === 'usage-freeze') {
       this.freezes.keep(record, this.windowAt(REWRITTEN_MILLISECONDS));
       this.ledger = applyFreeze(this.ledger, record);
-    } else if (record?.kind === 'usage-sheets') {
-      for (const sheet of record.sheets) this.sheets.applyUpdate(sheet);
     } else {
-      this.options.metrics.count('record-malformed', {topic: TOPIC});
+      for (const sheet of record.sheets) this.sheets.applyUpdate(sheet);
     }
   }
 
@@ -341,7 +284,7 @@
     fence,
     mayAct,
   }: Leader): Promise<void> {
-    const {store, logger} = this.options;
+    const {logger} = this.options;
     for (;;) {
       const record = nextFreeze(this.sheets, this.ledger, {
         region: REGION,
@@ -355,8 +298,7 @@
       if (!record || !mayAct()) return;
       const offset = this.topic.offset ?? 0;
       try {
-        const bytes = [encodeRecord(record)];
-        await store.append(TOPIC, bytes, STORE_TIMEOUT_MILLISECONDS, offset);
+        await this.topic.appendFreezeAt(record, offset);
         const {window, figures, includes} = record;
         const teams = figures.length;
         const hosts = includes.length;
@@ -418,38 +360,3 @@
     return outcome === 'done';
   }
 }
-
-/**
- * The newest sheet of each window, as messages may arrive out of order, without
- * the windows that are old enough to be in the store.
- */
-function newestOf(
-  known: readonly Sheet[],
-  sheets: readonly Sheet[],
-): readonly Sheet[] {
-  const newest = new Map(known.map(sheet => [sheet.window, sheet]));
-  for (const sheet of sheets) {
-    const before = newest.get(sheet.window)?.sequence ?? 0;
-    if (before <= sheet.sequence) newest.set(sheet.window, sheet);
-  }
-  const oldest = Math.max(...newest.keys()) - UNSTORED_PAST_WINDOWS;
-  return [...newest.values()].filter(({window}) => window >= oldest);
-}
-
-function encodeRecord(record: UsageRecord): Buffer {
-  return encode(record);
-}
-
-const usageRecordSchema = z.custom<UsageRecord>(value => {
-  const parsed = logRecordSchema.safeParse(value);
-  if (!parsed.success) return false;
-  return parsed.data.kind.startsWith('usage-');
-});
-
-function decodeRecord(bytes: Buffer): UsageRecord | undefined {
-  try {
-    return usageRecordSchema.parse(decode(bytes));
-  } catch {
-    return undefined;
-  }
-}
