Split the selector by its jobs

Moved out, without a change of behaviour: the slot that a request holds and what becomes of it there (slotreserver.ts), what engines are to a prompt (promptranker.ts), and the loads that hosts report to each other (loadreports.ts). A request allocates what it allocated before; the parts are made once, with the selector.

--- a/source/balance/index.ts
+++ b/source/balance/index.ts
@@ -1,10 +1,7 @@
 /** Selects an endpoint for each request, by the load of the endpoints. */
 export {DemandTracker, type ServiceDemand} from './demand.js';
-export {
-  EndpointSelector,
-  type EndpointLoadReport,
-  type HostContext,
-} from './selector.js';
+export {EndpointSelector, type HostContext} from './selector.js';
+export type {EndpointLoadReport} from './loadreports.js';
 export type {EndpointRequirements, Reservation} from './reservation.js';
 export {
   addToHistory,
--- a/source/balance/selector.ts
+++ b/source/balance/selector.ts
@@ -15,15 +15,10 @@
   type KnownEndpoint,
 } from '../directory/index.js';
 import type {AllowedRegions, Service} from '../routing/index.js';
-import {
-  chooseEngine,
-  chooseLeastBusy,
-  type Candidate,
-  type Choice,
-} from './choose.js';
+import {chooseEngine, chooseLeastBusy, type Candidate} from './choose.js';
 import {DemandTracker, type ServiceDemand} from './demand.js';
 import {PrefixCacheIndex} from './prefixcache.js';
-import {expectedRequests, type LoadEvent} from './load.js';
+import {expectedRequests} from './load.js';
 import {EligibleEndpoints} from './eligible.js';
 import type {EligibleSet} from './eligibleset.js';
 import {EndpointLoads} from './endpointloads.js';
@@ -37,39 +32,18 @@
 import {engineShortage, plainShortage} from './capacity.js';
 import type {EndpointRequirements, Reservation} from './reservation.js';
 import type {HostLimitInput} from './share.js';
-import {busyEngineCount, largeEngineCount, totalDemand} from './partition.js';
-import {ranksAmong} from './rendezvous.js';
+import {busyEngineCount, totalDemand} from './partition.js';
 import {
-  affinityPart,
-  isLargePrompt,
-  sharedParts,
-  sharedTokenCount,
-  type Prompt,
-} from './prompt.js';
+  applyLoadReports,
+  loadReports,
+  type EndpointLoadReport,
+} from './loadreports.js';
+import type {Prompt} from './prompt.js';
+import {PromptRanker} from './promptranker.js';
+import {SlotReserver} from './slotreserver.js';
 
 /** Slots of an engine whose service does not state them. */
 const DEFAULT_ENGINE_SLOTS = 64;
-/** What the engines of a set are to a prompt. */
-interface PromptRanking {
-  /** Whether the engine is set aside for prompts of the other size. */
-  readonly isForOtherSize: (index: number) => boolean;
-  /**
-   * Ranks by index for the part by which the prompt is routed; undefined if
-   * there is none.
-   */
-  readonly ranks: Uint32Array | undefined;
-  /** Tokens that the engine is believed to have cached, by its id. */
-  readonly cachedTokens: (id: string) => number;
-}
-
-/** The load that one host puts on one endpoint, as reported to other hosts. */
-export interface EndpointLoadReport {
-  readonly id: string;
-  readonly requests: number;
-  /** Milliseconds of prefill that this host’s requests still wait for there. */
-  readonly reading: number;
-}
-
 /** The host that selects, and what it needs for that. */
 export interface HostContext {
   readonly host: string;
@@ -98,8 +72,9 @@
   private unreachableReports: ReadonlyMap<string, number> = new Map();
   /** Requests so far; rotates the endpoints so that equal ones alternate. */
   private rotation = 0;
-  private readonly largeEngineCounts = new Map<string, number>();
   readonly prefixCache = new PrefixCacheIndex();
+  private readonly promptRanker: PromptRanker;
+  private readonly slotReserver: SlotReserver;
 
   constructor(private readonly context: HostContext) {
     super();
@@ -113,6 +88,15 @@
     });
     this.endpoints = new EligibleEndpoints(context, this.limits, this.withheld);
     this.demand = new DemandTracker(context.clock);
+    this.promptRanker = new PromptRanker(this.demand, this.prefixCache);
+    this.slotReserver = new SlotReserver({
+      endpoints: this.endpoints,
+      loads: this.loads,
+      ownLoads: this.ownLoads,
+      limits: this.limits,
+      withheld: this.withheld,
+      clock: context.clock,
+    });
   }
 
   setServices(services: ReadonlyMap<string, Service>): void {
@@ -186,19 +170,7 @@
 
   /** The load of this host’s requests at each endpoint, for the other hosts. */
   loadReports(): EndpointLoadReport[] {
-    const reports: EndpointLoadReport[] = [];
-    for (const [
-      id,
-      {ownRequests, ownPrefillMilliseconds},
-    ] of this.loads.entries()) {
-      if (ownRequests === 0) continue;
-      reports.push({
-        id,
-        requests: ownRequests,
-        reading: Math.round(ownPrefillMilliseconds),
-      });
-    }
-    return reports;
+    return loadReports(this.loads);
   }
 
   /** The endpoints that this host cannot reach. */
@@ -250,12 +222,15 @@
       ({entry}) => endpointIncarnation(entry) === incarnation,
     );
     if (!crashed) return;
-    this.update(crashed.entry.id, {kind: 'unreachable', now: this.now()});
+    this.slotReserver.recordEvent(crashed.entry.id, {
+      kind: 'unreachable',
+      now: this.now(),
+    });
   }
 
   /** Records that an endpoint has answered a health check. */
   markReachable(id: string): void {
-    this.update(id, {kind: 'reached'});
+    this.slotReserver.recordEvent(id, {kind: 'reached'});
   }
 
   /** The service of an endpoint; undefined if it is not configured. */
@@ -283,15 +258,8 @@
     loads: readonly EndpointLoadReport[],
     demands: readonly ServiceDemand[],
   ): void {
-    const now = this.now();
-    const sums = sumByEndpoint(loads);
-    for (const id of this.endpoints.directory.keys()) {
-      const {requests = 0, reading = 0} = sums.get(id) ?? {};
-      if (requests === 0 && this.loads.get(id).otherRequests === 0) continue;
-      const prefillMilliseconds = reading;
-      const kind = 'reported';
-      this.loads.apply(id, {kind, requests, prefillMilliseconds, now});
-    }
+    const ids = this.endpoints.directory.keys();
+    applyLoadReports(this.loads, ids, loads, this.now());
     this.demand.setReports(demands);
   }
 
@@ -329,25 +297,9 @@
       : chooseLeastBusy(candidates, now);
     const endpoint = choice && this.endpoints.directory.get(choice.id);
     if (!endpoint) return undefined;
-    if (prompt) this.recordPrefill(service, prompt, choice.id, now);
-    return this.reserveAt(endpoint, choice, {tier, now});
-  }
-
-  /**
-   * Records that an engine prefills the prompt and then caches its shared
-   * parts, and how many shared tokens were not cached there.
-   */
-  private recordPrefill(
-    service: string,
-    prompt: Prompt,
-    engine: string,
-    now: number,
-  ): void {
-    const parts = sharedParts(prompt);
-    const shared = sharedTokenCount(prompt);
-    const uncached = shared - this.prefixCache.tokens(parts, engine, now);
-    this.demand.recordSend(service, shared, uncached);
-    this.prefixCache.recordPrefill(parts, engine, now);
+    if (prompt)
+      this.promptRanker.recordPrefill(service, prompt, choice.id, now);
+    return this.slotReserver.reserve(endpoint, choice, {tier, now});
   }
 
   /**
@@ -361,7 +313,8 @@
   ): Candidate[] {
     const {endpoints, size} = set;
     const unreachableByZone = this.unreachableByZone();
-    const prompted = prompt && this.rankFor(prompt, service, set, now);
+    const prompted =
+      prompt && this.promptRanker.rank(prompt, service, set, now);
     const start = size > 0 ? this.rotation % size : 0;
     this.rotation++;
     const candidates: Candidate[] = [];
@@ -388,84 +341,6 @@
     return candidates;
   }
 
-  /** What the engines of a set are to a prompt, by index or by id. */
-  private rankFor(
-    prompt: Prompt,
-    service: string,
-    set: EligibleSet,
-    now: number,
-  ): PromptRanking {
-    const count = largeEngineCount(
-      set.size,
-      this.demand.fleetDemand(service),
-      this.largeEngineCounts.get(service) ?? 0,
-    );
-    this.largeEngineCounts.set(service, count);
-    const large = isLargePrompt(prompt);
-    const affinity = large ? affinityPart(prompt) : undefined;
-    const {largePromptRanks} = set;
-    const isForOtherSize = (index: number) =>
-      (largePromptRanks[index] ?? 0) < count !== large;
-    return {
-      isForOtherSize,
-      ranks:
-        affinity &&
-        ranksAmong(set.ranks(affinity.id), index => !isForOtherSize(index)),
-      cachedTokens: this.prefixCache.tokenCounter(sharedParts(prompt), now),
-    };
-  }
-
-  private reserveAt(
-    endpoint: KnownEndpoint,
-    choice: Choice,
-    {tier, now}: {tier: number; now: number},
-  ): Reservation {
-    const {id, prefillMilliseconds} = choice;
-    const sent = {tier, prefillMilliseconds};
-    this.endpoints.recordSend(endpoint, now);
-    this.ownLoads.recordSend(id, sent, now);
-    this.update(id, {kind: 'sent', prefillMilliseconds});
-    let isPrefillPending = true;
-    let isHeld = true;
-    const endPrefill = () => {
-      if (!isPrefillPending) return;
-      isPrefillPending = false;
-      this.ownLoads.recordPrefilled(id, sent);
-      this.update(id, {kind: 'prefilled', prefillMilliseconds});
-    };
-    return {
-      endpoint,
-      choice,
-      isEndpointUsable: () =>
-        this.endpoints.isStillUsable(endpoint, this.now()),
-      answered: reportedLoad => {
-        endPrefill();
-        this.update(id, {
-          kind: 'answered',
-          reportedLoad,
-          now: this.now(),
-        });
-      },
-      limited: rate => {
-        if (this.endpoints.directory.has(id))
-          this.limits.recordOwn(id, rate, this.now());
-      },
-      leaving: () => this.withheld.recordLeaving(endpoint.entry),
-      backoff: duration =>
-        this.withheld.recordBackoff(endpoint.entry, duration, this.now()),
-      failed: () => this.update(id, {kind: 'failed', now: this.now()}),
-      unreachable: () =>
-        this.update(id, {kind: 'unreachable', now: this.now()}),
-      release: () => {
-        if (!isHeld) return;
-        isHeld = false;
-        endPrefill();
-        this.ownLoads.recordEnd(id, sent);
-        this.update(id, {kind: 'ended'});
-      },
-    };
-  }
-
   /**
    * How many endpoints of each zone this host cannot reach. When one is
    * unreachable the network path to its zone may be cut, so the other endpoints
@@ -499,27 +374,7 @@
   private readonly ejectedUntil = (id: string) =>
     this.loads.get(id).ejectedUntil;
 
-  private update(id: string, event: LoadEvent): void {
-    if (!this.endpoints.directory.has(id)) return;
-    this.loads.apply(id, event);
-  }
-
   private now(): number {
     return this.context.clock.monotonic();
   }
 }
-
-/** The sums of the reports about each endpoint. */
-function sumByEndpoint(
-  reports: readonly EndpointLoadReport[],
-): ReadonlyMap<string, {requests: number; reading: number}> {
-  const sums = new Map<string, {requests: number; reading: number}>();
-  for (const {id, requests, reading} of reports) {
-    const sum = sums.get(id);
-    if (sum) {
-      sum.requests += requests;
-      sum.reading += reading;
-    } else sums.set(id, {requests, reading});
-  }
-  return sums;
-}
