Move what a pulse says of the blocklist out of the quarantine

Which entries a pulse brings, a few and the next ones each time, is a concept of its own (pulseentries.ts). No change of behaviour.

--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -54,6 +54,7 @@
   type BlocklistEntry,
   type CrashReport,
 } from './message.js';
+import {PulseEntries} from './pulseentries.js';
 import {
   QuarantineLog,
   type BlockReason,
@@ -69,8 +70,6 @@
   type SuspectKey,
 } from './suspect.js';
 
-/** Entries of the blocklist in a pulse; the next one has the next entries. */
-const ENTRIES_PER_PULSE = 4;
 /** Age of a crash until which its endpoint is taken for down. */
 const RECENT_CRASH_MILLISECONDS = 2_000;
 /** Hosts that tell one that has just turned up which crashes they know. */
@@ -110,8 +109,7 @@
   private readonly recentAnswers = new RecentAnswers();
   /** Monotonic milliseconds until which a crash may speak against a request. */
   private watchUntil = -Infinity;
-  /** Index of the first entry in the next pulse. */
-  private nextEntry = 0;
+  private readonly pulseEntries = new PulseEntries();
 
   constructor(private readonly options: QuarantineOptions) {
     const {clock, random, hosts, sendBegun: send} = options;
@@ -227,11 +225,7 @@
 
   /** Some of the entries for the other hosts, the next ones each time. */
   takeEntriesForPulse(): BlocklistEntry[] {
-    const {entries} = this;
-    const first = this.nextEntry % Math.max(entries.length, 1);
-    const next = [...entries.slice(first), ...entries.slice(0, first)];
-    this.nextEntry = first + ENTRIES_PER_PULSE;
-    return next.slice(0, ENTRIES_PER_PULSE);
+    return this.pulseEntries.take(this.entries);
   }
 
   /** Applies what another host blocks. */
