Show that a host does not start when a port of it is taken

Seen on the old code, bundled program, real processes: with its metrics or front port taken a host is never ready and never ends; with its readiness port taken it ends by itself; with its control port taken it serves, but has no handler for SIGTERM and cuts what is in progress, takes no reload and finds no other host.

--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -199,6 +199,16 @@
     store = this.site.address,
     flags: LaunchFlags = {},
   ): Promise<HostProcess> {
+    return this.launch(await this.place(name, file, store, flags));
+  }
+
+  /** Chooses the ports of a host and writes its settings; starts nothing. */
+  async place(
+    name: string,
+    file?: string,
+    store = this.site.address,
+    flags: LaunchFlags = {},
+  ): Promise<HostPlace> {
     const [callers, readiness, control, metrics] = await Promise.all(
       [0, 1, 2, 3].map(() => freeAddress()),
     );
@@ -209,7 +219,7 @@
     const settings = this.settingsOf(name, callers, readiness, control, store);
     writeFileSync(path, file ?? JSON.stringify(settings));
     this.seeds.push(control);
-    return this.launch({
+    return {
       name,
       callers,
       readiness,
@@ -217,7 +227,7 @@
       metrics,
       settings: path,
       flags,
-    });
+    };
   }
 
   /** Starts a host anew on the settings that it had. */
@@ -225,7 +235,8 @@
     return this.launch(host);
   }
 
-  private launch(place: HostPlace): HostProcess {
+  /** Starts a host at a place. */
+  launch(place: HostPlace): HostProcess {
     const [program = '', ...flags] = this.commandOf(place);
     const child = spawn(program, flags, {
       env: {PATH: process.env['PATH'], ARBUTUSSLIP_BOOT: place.settings},
