--- a/source/errors/failure.ts
+++ b/source/errors/failure.ts
@@ -20,6 +20,23 @@
   }
 }
 
+/**
+ * A port that a process cannot serve without and that waiting does not open, such
+ * as one of an address that the machine does not have.
+ */
+export class PortError extends ArbutusslipError {
+  constructor(
+    /** What the port is for, such as `front`. */
+    readonly role: string,
+    readonly address: string,
+    /** The system's code of the error, such as `EADDRNOTAVAIL`. */
+    readonly code: string,
+    detail: string,
+  ) {
+    super(`${role} port ${address}: ${detail}`);
+  }
+}
+
 /** An event for which a state chart has no transition from the current state. */
 export class StateChartError extends ArbutusslipError {
   constructor(chart: string, state: string, event: string) {
