Serve once the ports that serving needs are open

Callers saw hosts that accepted requests and answered none, were never ready and never ended (metrics or front port taken), hosts that ended by themselves (readiness port taken), and hosts that served without others, without reload and without a handler for SIGTERM (control port taken).

Cause: EdgeHost.start opened one port after another and threw at the first that could not be opened, after it had opened others and before it had started what a request needs; runEdge set its handlers after that.

Now all parts that a request needs run before a port opens; front and readiness make the host serve as soon as both are open; control and metrics are tried on. The handlers are set before the start. A host drains in the middle of a start too. Required addresses that waiting does not mend end the process with code 3. On the sound path all ports are opened at once rather than one after another. The log line of a test is awaited, since lines are written in batches of 100 ms.

--- a/source/edge/callers.ts
+++ b/source/edge/callers.ts
@@ -10,10 +10,11 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import {Server as NetServer, type Socket} from 'node:net';
+import type {Socket} from 'node:net';
 
 import type {Cancel, Clock} from '../clock/index.js';
-import {listen, readInTurn} from '../wire/index.js';
+import {Port, type PortOptions} from '../ports/index.js';
+import {readInTurn} from '../wire/index.js';
 
 /** How often Node checks connections against the header timeout. */
 const CONNECTION_CHECK_INTERVAL_MILLISECONDS = 500;
@@ -26,6 +27,12 @@
   response: ServerResponse,
 ) => void;
 
+/** What the port for callers is made from. */
+export type CallerPortOptions = Omit<
+  PortOptions,
+  'role' | 'server' | 'isRequired'
+>;
+
 interface CallerConnection {
   /** Requests without a complete response. */
   requests: number;
@@ -37,15 +44,19 @@
 
 /** Accepts callers' connections and closes them in order. */
 export class CallerServer {
+  /** The port for callers, which is closed by `closeIdle`. */
+  readonly port: Port;
   private readonly server: Server;
+  private readonly clock: Clock;
   private readonly connections = new Map<Socket, CallerConnection>();
   private isClosing = false;
   private stopClosingIdle: Cancel = () => {};
 
   constructor(
-    private readonly clock: Clock,
+    options: CallerPortOptions,
     private readonly handle: RequestHandler,
   ) {
+    this.clock = options.clock;
     this.server = createServer(
       {connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS},
       (message, response) => this.receive(message, response),
@@ -53,11 +64,8 @@
     this.server.requestTimeout = 0;
     readInTurn(this.server);
     this.server.on('connection', socket => this.addConnection(socket));
-  }
-
-  /** Listens on an address. Throws a SettingsError if it cannot. */
-  listen(address: string): Promise<void> {
-    return listen(this.server, address);
+    const {server} = this;
+    this.port = new Port({...options, role: 'front', server, isRequired: true});
   }
 
   /** Sets the milliseconds for which a connection may be idle or send a head. */
@@ -80,9 +88,7 @@
    * as they become idle.
    */
   closeIdle(): void {
-    // The method of the HTTP server would destroy connections whose response is
-    // still being sent.
-    NetServer.prototype.close.call(this.server);
+    this.port.close();
     this.stopClosingIdle();
     this.stopClosingIdle = this.clock.every(
       IDLE_CLOSE_INTERVAL_MILLISECONDS,
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -2,7 +2,7 @@
  * One host on a platform: creates its components, connects them to each other,
  * and takes the host from start through drain to stop.
  */
-import type {Server, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 
 import {Admission} from '../admission/index.js';
 import {
@@ -32,10 +32,10 @@
 import {BlockedRecords, Quarantine} from '../quarantine/index.js';
 import type {RandomSource} from '../random/index.js';
 import {StreamVersions} from '../versions/index.js';
-import {listen} from '../wire/index.js';
 import {CallerServer} from './callers.js';
 import {PlatformView} from './platformview.js';
 import type {PlatformParts} from './platform.js';
+import {EdgePorts} from './ports.js';
 import {Prober} from './prober.js';
 import {createOperatorServer, createReadinessServer} from './servers.js';
 import type {EdgeSettings} from './settings.js';
@@ -94,8 +94,7 @@
   private readonly gossip: GossipNode | undefined;
   private readonly feeder: Feeder | undefined;
   private readonly callers: CallerServer;
-  private readonly readiness: Server;
-  private readonly operatorServer: Server;
+  private readonly ports: EdgePorts;
   private state = hostChart.initial;
   private draining: Promise<void> = Promise.resolve();
   private cancelPulseBatch: Cancel | undefined;
@@ -175,38 +174,39 @@
     this.leaderElector = this.createLeaderElector();
     this.gossip = this.createGossip();
     this.feeder = this.gossip && this.createFeeder(this.gossip);
-    this.callers = new CallerServer(clock, (message, response) => {
-      this.forwarder
-        .serve(message, response)
-        .catch((error: unknown) => this.abandon(response, error));
-    });
-    this.readiness = createReadinessServer(() => this.state === 'serving');
-    this.operatorServer = createOperatorServer({
-      metrics,
-      quarantine: this.quarantine,
-      logger,
-    });
+    this.callers = new CallerServer(
+      {address: settings.callers, clock, logger, metrics},
+      (message, response) => {
+        this.forwarder
+          .serve(message, response)
+          .catch((error: unknown) => this.abandon(response, error));
+      },
+    );
+    this.ports = this.createPorts();
   }
 
   /**
-   * Listens on the ports and starts to follow the store. Throws a SettingsError
-   * if it cannot listen on an address.
+   * Starts to follow the store, and opens the ports as soon as they are free.
+   * Resolves when all are open but the one for the metrics, or tries have ended
+   * because the host stops. Rejects with a PortError if waiting does not open one.
    */
   async start(): Promise<void> {
-    const {settings} = this.parts;
-    await listen(this.readiness, settings.readiness);
-    await this.callers.listen(settings.callers);
-    if (settings.metrics !== undefined) {
-      await listen(this.operatorServer, settings.metrics);
-    }
-    this.transition('listen');
     this.platformView.start();
     this.prober.start();
     this.blockedRecords.start();
     this.usage?.start();
     this.leaderElector?.start();
-    await this.gossip?.start();
     this.feeder?.start();
+    const control = this.gossip?.start();
+    const serving = this.ports.open().then(canServe => {
+      if (canServe && this.isStarting) this.handleListening();
+    });
+    await Promise.all([control, serving]);
+  }
+
+  /** Whether this host still waits for ports that it cannot serve without. */
+  get isStarting(): boolean {
+    return this.state === hostChart.initial;
   }
 
   /** The requests that this host holds. */
@@ -228,7 +228,8 @@
    * leaves the leader election. Resolves when that is done. Shortly before the
    * platform kills the process, requests that are still in progress get a final
    * response.
-   * Further calls resolve with the first. Does nothing while the host is starting.
+   * Further calls resolve with the first. A host that is still starting has never
+   * said that it is ready, so it does not wait for the load balancer.
    */
   drain(): Promise<void> {
     if (hostChart.allows(this.state, 'drain')) {
@@ -238,7 +239,9 @@
   }
 
   private async drainAndStop(): Promise<void> {
+    const wasStarting = this.isStarting;
     this.transition('drain');
+    this.ports.stopTrying();
     this.callers.announceClose();
     this.gossip?.sendPulses();
     const {settings} = this.parts;
@@ -247,7 +250,7 @@
     const stopAt = this.clock.monotonic() + maxDrainMilliseconds;
     this.forwarder.announceStop(stopAt);
     const drainTimeout = this.wait(maxDrainMilliseconds);
-    await this.wait(BALANCER_DEREGISTRATION_MILLISECONDS);
+    if (!wasStarting) await this.wait(BALANCER_DEREGISTRATION_MILLISECONDS);
     this.callers.closeIdle();
     await Promise.race([this.forwarder.whenIdle(), drainTimeout]);
     this.forwarder.stop();
@@ -260,6 +263,7 @@
     this.blockedRecords.stop();
     this.feeder?.stop();
     this.gossip?.stop();
+    this.ports.close();
     this.transition('stop');
   }
 
@@ -272,6 +276,21 @@
     ]);
   }
 
+  private createPorts(): EdgePorts {
+    const {settings, logger, metrics} = this.parts;
+    const {clock, quarantine} = this;
+    return new EdgePorts({
+      settings,
+      clock,
+      logger,
+      metrics,
+      front: this.callers.port,
+      control: this.gossip?.port,
+      readiness: createReadinessServer(() => this.state === 'serving'),
+      operators: createOperatorServer({metrics, quarantine, logger}),
+    });
+  }
+
   private createUsage(): UsageMeter | undefined {
     const {settings, platform, logger, metrics, random} = this.parts;
     const {clock, recorder} = this;
@@ -532,11 +551,21 @@
     }
     this.feeder?.handleNewRecords();
     this.autoscaler?.recordBaselines();
-    const ready = this.platformView.isComplete;
-    if (ready && this.state === 'catching-up') this.transition('ready');
+    this.becomeReady();
     this.admission.dispatch();
   }
 
+  private handleListening(): void {
+    this.transition('listen');
+    this.becomeReady();
+  }
+
+  /** Says that this host is ready, if it is. */
+  private becomeReady(): void {
+    const isComplete = this.platformView.isComplete;
+    if (isComplete && this.state === 'catching-up') this.transition('ready');
+  }
+
   /**
    * Dispatches queued requests periodically while there are any, for capacity
    * that becomes free without a response on this host.
--- a/source/edge/run.ts
+++ b/source/edge/run.ts
@@ -3,9 +3,10 @@
  * and reacts to the signals to reload and to stop.
  */
 import {SystemClock} from '../clock/index.js';
-import {SettingsError} from '../errors/index.js';
+import {PortError, SettingsError} from '../errors/index.js';
 import {BoundedSink, createLogger} from '../logging/index.js';
 import {Metrics} from '../metrics/index.js';
+import {PORT_ERROR_EXIT_CODE} from '../ports/index.js';
 import {endOnUncaughtError, LoadReporter} from '../process/index.js';
 import {seededRandom} from '../random/index.js';
 import {CountedStore} from '../store/index.js';
@@ -31,13 +32,14 @@
 }
 
 /**
- * Starts a host. Resolves once it has started; the host then runs until SIGTERM
- * or SIGINT, on which it drains and the process exits, with code 0. An error that
- * nothing caught does the same with code 1: the requests in progress still get
- * their answers, but the host says at once that it is not ready, since its state
- * may be inconsistent. A reload with invalid
- * settings is logged and leaves the settings as they were. Throws a
- * SettingsError if the host cannot listen on an address.
+ * Starts a host. Resolves once its ports are open, for which it waits if they are
+ * taken. The host runs until SIGTERM or SIGINT, also in the middle of its start,
+ * on which it drains and the process exits, with code 0. An error that nothing
+ * caught does the same with code 1: the requests in progress still get their
+ * answers, but the host says at once that it is not ready, since its state may be
+ * inconsistent. A port that it needs and that waiting does not open ends the
+ * process with code 3. A reload with invalid settings is logged and leaves the
+ * settings as they were.
  */
 export async function runEdge(options: EdgeOptions): Promise<void> {
   const {settings, logLevel, statsd} = options;
@@ -69,8 +71,6 @@
   const load = () => host.load;
   endOnUncaughtError({source: process, logger, load, end: drainAndExit});
   logger.info('start', {host: settings.name, zone: settings.zone});
-  await host.start();
-  new LoadReporter({clock, logger, load}).start();
   const stop = (signal: string) => {
     logger.info('stop', {signal});
     drainAndExit(0);
@@ -87,4 +87,12 @@
   options.signals.onReload(reload);
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
+  new LoadReporter({clock, logger, load}).start();
+  try {
+    await host.start();
+  } catch (error) {
+    if (!(error instanceof PortError)) throw error;
+    if (host.isStarting) exit(PORT_ERROR_EXIT_CODE);
+    else drainAndExit(PORT_ERROR_EXIT_CODE);
+  }
 }
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -5,7 +5,7 @@
  * every host sends to every other. The more hosts there are, the longer its
  * period, so that the cost to one host does not grow with the fleet.
  */
-import {createServer, type Server, type Socket} from 'node:net';
+import {createServer, type Socket} from 'node:net';
 
 import {
   rendezvousOrder,
@@ -19,6 +19,7 @@
 import type {Metrics} from '../metrics/index.js';
 import {FrameReader} from '../peers/index.js';
 import type {Sheet} from '../platform/index.js';
+import {Port} from '../ports/index.js';
 import type {
   BegunSuspect,
   BlocklistEntry,
@@ -30,7 +31,6 @@
   type StorePosition,
 } from '../store/index.js';
 import type {BegunGroup} from '../versions/index.js';
-import {listen} from '../wire/index.js';
 import {
   applyHostList,
   applyPulse,
@@ -154,7 +154,8 @@
 export class GossipNode {
   private members: Members = new Map();
   private readonly peers = new Map<string, PeerState>();
-  private readonly server: Server;
+  /** The port for the other hosts, which is opened by `start`. */
+  readonly port: Port;
   private readonly inbound = new Set<Socket>();
   private readonly behindSince = new Map<string, number>();
   private readonly seeds: readonly OutboundConnection[];
@@ -164,25 +165,33 @@
   private stopTimer: Cancel = () => {};
 
   constructor(private readonly options: GossipOptions) {
-    const {clock, seeds, self} = options;
+    const {clock, logger, metrics, seeds, self} = options;
     this.seeds = seeds
       .filter(address => address !== self.address)
       .map(address => new OutboundConnection(address, clock));
-    this.server = createServer(socket => this.acceptConnection(socket));
+    this.port = new Port({
+      role: 'control',
+      address: self.address,
+      server: createServer(socket => this.acceptConnection(socket)),
+      isRequired: true,
+      clock,
+      logger,
+      metrics,
+    });
   }
 
   /**
-   * Listens for the other hosts and starts to send pulses. Throws a
-   * SettingsError.
+   * Listens for the other hosts as soon as the port is free, and then starts to
+   * send pulses; does not if it was stopped before. Rejects with a PortError if
+   * waiting does not open the port.
    */
   async start(): Promise<void> {
-    await listen(this.server, this.options.self.address);
-    this.tick();
+    if (await this.port.open()) this.tick();
   }
 
   stop(): void {
     this.stopTimer();
-    this.server.close();
+    this.port.close();
     for (const socket of this.inbound) socket.destroy();
     for (const {outbound} of this.peers.values()) outbound.reset();
     for (const outbound of this.seeds) outbound.reset();
--- a/test/startports.test.ts
+++ b/test/startports.test.ts
@@ -49,9 +49,12 @@
 const isReady = (host: HostProcess) =>
   comesToHold(async () => (await statusOf(host.readiness, '/')) === 200);
 
-const hasEvent = (host: HostProcess, event: string, role: Role) =>
-  host.lines.some(
-    line => line.event === event && line.fields['role'] === ROLE_NAMES[role],
+/** Whether a host logs an event of a port; lines are written in batches. */
+const logs = (host: HostProcess, event: string, role: Role) =>
+  comesToHold(() =>
+    host.lines.some(
+      line => line.event === event && line.fields['role'] === ROLE_NAMES[role],
+    ),
   );
 
 const hasStarted = ({lines}: HostProcess) =>
@@ -110,7 +113,7 @@
   const {fleet, host, release} = await startWithTaken(t, 'metrics');
   t.true(await isReady(host));
   t.is((await fleet.read(host, 'key'))[0], 200);
-  t.true(await comesToHold(() => hasEvent(host, 'port-taken', 'metrics')));
+  t.true(await logs(host, 'port-taken', 'metrics'));
   release();
   t.true(
     await comesToHold(async () =>
@@ -118,7 +121,7 @@
     ),
   );
   t.regex(await metricsOf(host), /arbutusslip_port_taken_total\{.*metrics/);
-  t.true(hasEvent(host, 'port-opened', 'metrics'));
+  t.true(await logs(host, 'port-opened', 'metrics'));
   isAlive(t, host);
 });
 
@@ -129,8 +132,8 @@
   release();
   t.true(await isReady(host));
   t.is((await fleet.read(host, 'key'))[0], 200);
-  t.true(hasEvent(host, 'port-taken', 'callers'));
-  t.true(hasEvent(host, 'port-opened', 'callers'));
+  t.true(await logs(host, 'port-taken', 'callers'));
+  t.true(await logs(host, 'port-opened', 'callers'));
   isAlive(t, host);
 });
 
@@ -174,7 +177,7 @@
 for (const role of ['callers', 'readiness'] as const) {
   test(`SIGTERM while a host waits for its ${role} port ends it with code 0`, async t => {
     const {host} = await startWithTaken(t, role);
-    t.true(await comesToHold(() => hasEvent(host, 'port-taken', role)));
+    t.true(await logs(host, 'port-taken', role));
     host.child.kill('SIGTERM');
     t.is(await endOf(host), 0);
   });
@@ -191,7 +194,7 @@
     writeFileSync(place.settings, foreign);
     const host = fleet.launch(place);
     t.is(await endOf(host), PORT_EXIT_CODE, host.errors.join(''));
-    t.true(hasEvent(host, 'port-unusable', role));
+    t.true(await logs(host, 'port-unusable', role));
   });
 }
 
