Handle the signals to stop from the first line on

SIGTERM or SIGINT in the middle of a start ended the process by the signal and not in order: the host set their handlers only when it had started.

The program now listens for all three signals in its first line.

What remains is the time before Node runs the first line.

--- a/source/edge/run.ts
+++ b/source/edge/run.ts
@@ -13,7 +13,7 @@
 import {EdgeHost} from './host.js';
 import type {PlatformParts} from './platform.js';
 import type {EdgeSettings} from './settings.js';
-import type {ReloadSignals} from './signals.js';
+import type {ProcessSignals} from './signals.js';
 
 const STDOUT_FILE_DESCRIPTOR = 1;
 /** Longest time that the end of the process waits for the reader of its log. */
@@ -28,7 +28,7 @@
   readonly logLevel: 'debug' | 'info' | 'warn';
   /** Address of a StatsD server; without it no metrics are sent. */
   readonly statsd?: string;
-  readonly signals: ReloadSignals;
+  readonly signals: ProcessSignals;
 }
 
 /**
@@ -85,8 +85,7 @@
     }
   };
   options.signals.onReload(reload);
-  process.on('SIGTERM', stop);
-  process.on('SIGINT', stop);
+  options.signals.onStop(stop);
   new LoadReporter({clock, logger, load}).start();
   try {
     await host.start();
--- a/source/edge/signals.ts
+++ b/source/edge/signals.ts
@@ -1,22 +1,33 @@
 /**
- * The reload signal, SIGHUP. Without a listener it would end the process, and it
- * may arrive while the program is still loading. So the program listens from the
- * start and keeps the signal until the host can reload.
+ * The signals to reload and to stop. Without a listener any of them would end the
+ * process, and they may arrive while the program is still loading. So the program
+ * listens from its first line: a reload waits until the host can reload, and a
+ * stop is handled by what is running at the time.
  */
 import type {EventEmitter} from 'node:events';
 
 const RELOAD_SIGNAL = 'SIGHUP';
+const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
 
-/** Handles reload signals, and holds back those from before the handler is set. */
-export class ReloadSignals {
-  /** Whether a signal arrived before the handler was set. */
-  private isPending = false;
-  private handler: (() => void) | undefined;
+/** A signal that stops the process. */
+export type StopSignal = (typeof STOP_SIGNALS)[number];
 
-  constructor(source: EventEmitter) {
+/** Handles the signals; a reload from before its handler is set is held back. */
+export class ProcessSignals {
+  /** Whether a reload signal arrived before its handler was set. */
+  private isReloadPending = false;
+  private reload: (() => void) | undefined;
+
+  /** Calls `stop` on each signal to stop, until `onStop` replaces it. */
+  constructor(
+    source: EventEmitter,
+    private stop: (signal: StopSignal) => void,
+  ) {
+    for (const signal of STOP_SIGNALS)
+      source.on(signal, () => this.stop(signal));
     source.on(RELOAD_SIGNAL, () => {
-      if (this.handler) this.handler();
-      else this.isPending = true;
+      if (this.reload) this.reload();
+      else this.isReloadPending = true;
     });
   }
 
@@ -29,8 +40,19 @@
    * ```
    */
   onReload(callback: () => void): void {
-    this.handler = callback;
-    if (this.isPending) callback();
-    this.isPending = false;
+    this.reload = callback;
+    if (this.isReloadPending) callback();
+    this.isReloadPending = false;
+  }
+
+  /**
+   * Replaces the handler of the signals to stop.
+   *
+   * ```ts
+   * signals.onStop(() => drainAndExit());
+   * ```
+   */
+  onStop(callback: (signal: StopSignal) => void): void {
+    this.stop = callback;
   }
 }
--- a/source/edge/start.ts
+++ b/source/edge/start.ts
@@ -4,7 +4,7 @@
 import {openPlatform} from '../../platform/index.js';
 import {ArbutusslipError, SettingsError} from '../errors/index.js';
 import {runEdge} from './run.js';
-import type {ReloadSignals} from './signals.js';
+import type {ProcessSignals} from './signals.js';
 
 const FAILED_START_EXIT_CODE = 2;
 const PORT_COUNT = 65_536;
@@ -14,11 +14,11 @@
  * Parses the command line and starts the host. If that fails, prints the error
  * and sets the exit code.
  */
-export function startEdge(signals: ReloadSignals): Promise<void> {
+export function startEdge(signals: ProcessSignals): Promise<void> {
   return runMain(createCommand(signals));
 }
 
-const createCommand = (signals: ReloadSignals) =>
+const createCommand = (signals: ProcessSignals) =>
   defineCommand({
     meta: {
       name: 'arbutusslip-edge',
