--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -45,6 +45,13 @@
   readonly flags: LaunchFlags;
 }
 
+/** The content of a settings file, in sections. */
+export type HostSettings = Readonly<Record<string, unknown>> & {
+  readonly bounds: Readonly<Record<string, unknown>>;
+  readonly listen: Readonly<Record<string, unknown>>;
+  readonly limits: Readonly<Record<string, unknown>>;
+};
+
 /** One host process. */
 export interface HostProcess extends HostPlace {
   readonly child: ChildProcess;
@@ -91,6 +98,8 @@
   knowsOthers = true;
   /** Seconds between SIGTERM and the kill, for hosts that are started next. */
   graceSeconds = 8;
+  /** Changes the settings of hosts that are started next. */
+  changeSettings: (settings: HostSettings) => object = settings => settings;
 
   static async start(t: ExecutionContext): Promise<EdgeFleet> {
     const fleet = new EdgeFleet();
@@ -206,7 +215,9 @@
       throw new Error('no free ports');
     const folder = mkdtempSync(join(tmpdir(), 'arbutusslip-'));
     const path = join(folder, 'settings.json');
-    const settings = this.settingsOf(name, callers, readiness, control, store);
+    const settings = this.changeSettings(
+      this.settingsOf(name, callers, readiness, control, store),
+    );
     writeFileSync(path, file ?? JSON.stringify(settings));
     this.seeds.push(control);
     return this.launch({
@@ -293,7 +304,7 @@
     readiness: string,
     control: string,
     store: string,
-  ): object {
+  ): HostSettings {
     return {
       nodeId: name,
       zone: 'palermo',
