Tell in one structured line why a process ends

Callers' reports of a process that "ended by itself" could not be told apart: wrong settings and flags gave a plain line on standard error only (a wrong flag its usage on standard output, among the log's lines), an error before the logger stood gave Node's own text, a signal no cause at the end, and memory near its limit no word before the kill.

An end reporter, made before the flags are read, writes one event `end` when the process exits, with cause, exit code, signal or setting, uptime, memory and its limit. It writes before the process is gone, and to a pipe without waiting, so that a reader that does not read cannot keep a process from its end. An uncaught error before the host has its handler ends the process at once, with the same line and code 1. A start that fails ends the process instead of leaving it without use. The load reporter, which samples each second, logs when the resident memory reaches 85 % of the limit and when it is under 80 % again.

--- a/source/edge/run.ts
+++ b/source/edge/run.ts
@@ -6,7 +6,11 @@
 import {SettingsError} from '../errors/index.js';
 import {BoundedSink, createLogger} from '../logging/index.js';
 import {Metrics} from '../metrics/index.js';
-import {endOnUncaughtError, LoadReporter} from '../process/index.js';
+import {
+  endOnUncaughtError,
+  LoadReporter,
+  type EndReporter,
+} from '../process/index.js';
 import {seededRandom} from '../random/index.js';
 import {CountedStore} from '../store/index.js';
 import {EdgeHost} from './host.js';
@@ -28,6 +32,8 @@
   /** Address of a StatsD server; without it no metrics are sent. */
   readonly statsd?: string;
   readonly signals: ReloadSignals;
+  /** Tells why the process ends. */
+  readonly ends: EndReporter;
 }
 
 /**
@@ -40,7 +46,7 @@
  * SettingsError if the host cannot listen on an address.
  */
 export async function runEdge(options: EdgeOptions): Promise<void> {
-  const {settings, logLevel, statsd} = options;
+  const {settings, logLevel, statsd, ends} = options;
   const clock = new SystemClock();
   const sink = new BoundedSink(STDOUT_FILE_DESCRIPTOR, clock);
   const logger = createLogger(logLevel, 'json', clock, (level, line) =>
@@ -68,11 +74,14 @@
   };
   const load = () => host.load;
   endOnUncaughtError({source: process, logger, load, end: drainAndExit});
+  ends.leaveUncaughtErrors();
   logger.info('start', {host: settings.name, zone: settings.zone});
   await host.start();
-  new LoadReporter({clock, logger, load}).start();
+  const {memoryMegabytes: memoryLimitMegabytes} = settings;
+  new LoadReporter({clock, logger, load, memoryLimitMegabytes}).start();
   const stop = (signal: string) => {
     logger.info('stop', {signal});
+    ends.note('signal', {signal});
     drainAndExit(0);
   };
   const reload = () => {
--- a/source/edge/settings.ts
+++ b/source/edge/settings.ts
@@ -42,5 +42,8 @@
     .describe(
       'Time within which leadership must not leave a host and come back to it.',
     ),
+  memoryMegabytes: z
+    .number()
+    .describe('Memory above which the platform kills the process.'),
 });
 export type EdgeSettings = z.infer<typeof edgeSettingsSchema>;
--- a/source/edge/start.ts
+++ b/source/edge/start.ts
@@ -1,65 +1,103 @@
-/** The command line of arbutusslip-edge; errors at the start go to stderr. */
-import {defineCommand, runMain} from 'citty';
+/**
+ * The command line of arbutusslip-edge. Whatever fails at the start ends the
+ * process at once, with a plain line on standard error and a structured one on
+ * standard output.
+ */
+import {stripVTControlCharacters} from 'node:util';
+
+import {
+  defineCommand,
+  renderUsage,
+  runCommand,
+  type ArgsDef,
+  type CommandDef,
+} from 'citty';
 
 import {openPlatform} from '../../platform/index.js';
-import {ArbutusslipError, SettingsError} from '../errors/index.js';
+import {SystemClock} from '../clock/index.js';
+import {SettingsError} from '../errors/index.js';
+import {EndReporter, SETTINGS_EXIT_CODE} from '../process/index.js';
 import {runEdge} from './run.js';
 import type {ReloadSignals} from './signals.js';
 
-const FAILED_START_EXIT_CODE = 2;
+const PROGRAM = 'arbutusslip-edge';
 const PORT_COUNT = 65_536;
 const LOG_LEVELS = ['debug', 'info', 'warn'] as const;
+const HELP_FLAGS: ReadonlySet<string> = new Set(['--help', '-h']);
+
+const description = {
+  meta: {
+    name: PROGRAM,
+    description: 'Runs one arbutusslip host on the users’ platform.',
+  },
+  args: {
+    'log-level': {
+      type: 'enum',
+      options: [...LOG_LEVELS],
+      default: 'info',
+      description: 'Lowest level of the lines to log.',
+    },
+    'metrics-port': {
+      type: 'string',
+      description: 'Port to expose the metrics on; not exposed by default.',
+    },
+    statsd: {
+      type: 'string',
+      description:
+        'Address of a StatsD server to send metrics to; none by default.',
+    },
+  },
+} satisfies CommandDef<ArgsDef>;
 
 /**
- * Parses the command line and starts the host. If that fails, prints the error
- * and sets the exit code.
+ * Parses the command line and starts the host. If that fails, ends the process with the cause.
  */
-export function startEdge(signals: ReloadSignals): Promise<void> {
-  return runMain(createCommand(signals));
+export async function startEdge(signals: ReloadSignals): Promise<void> {
+  const flags = process.argv.slice(2);
+  if (flags.some(flag => HELP_FLAGS.has(flag))) {
+    process.stdout.write(`${await renderUsage(defineCommand(description))}\n`);
+    return;
+  }
+  const clock = new SystemClock();
+  const ends = new EndReporter({program: PROGRAM, source: process, clock});
+  try {
+    await runCommand(createCommand(signals, ends), {rawArgs: flags});
+  } catch (error) {
+    endFailedStart(ends, error);
+  }
+}
+
+function endFailedStart(ends: EndReporter, error: unknown): void {
+  if (error instanceof SettingsError) {
+    const {flag: setting, message} = error;
+    ends.fail(SETTINGS_EXIT_CODE, 'settings', message, {setting});
+  } else if (error instanceof Error && error.name === 'CLIError') {
+    const text = stripVTControlCharacters(error.message);
+    ends.fail(SETTINGS_EXIT_CODE, 'settings', text, {});
+  } else {
+    ends.failUncaught(error);
+  }
 }
 
-const createCommand = (signals: ReloadSignals) =>
+const createCommand = (signals: ReloadSignals, ends: EndReporter) =>
   defineCommand({
-    meta: {
-      name: 'arbutusslip-edge',
-      description: 'Runs one arbutusslip host on the users’ platform.',
-    },
-    args: {
-      'log-level': {
-        type: 'enum',
-        options: [...LOG_LEVELS],
-        default: 'info',
-        description: 'Lowest level of the lines to log.',
-      },
-      'metrics-port': {
-        type: 'string',
-        description: 'Port to expose the metrics on; not exposed by default.',
-      },
-      statsd: {
-        type: 'string',
-        description:
-          'Address of a StatsD server to send metrics to; none by default.',
-      },
-    },
+    ...description,
     async run({args}) {
-      try {
-        const port = parsePort(args['metrics-port']);
-        const {settings, parts: platform} = openPlatform(process.env, port);
-        const logLevel = LOG_LEVELS.find(level => level === args['log-level']);
-        const {statsd} = args;
-        await runEdge({
-          settings,
-          readSettings: () => openPlatform(process.env, port).settings,
-          platform,
-          logLevel: logLevel ?? 'info',
-          statsd,
-          signals,
-        });
-      } catch (error) {
-        if (!(error instanceof ArbutusslipError)) throw error;
-        process.stderr.write(`arbutusslip-edge: ${error.message}\n`);
-        process.exitCode = FAILED_START_EXIT_CODE;
-      }
+      const port = parsePort(args['metrics-port']);
+      const opened = openPlatform(process.env, port);
+      const {settings, parts: platform} = opened;
+      ends.memoryLimitMegabytes = settings.memoryMegabytes;
+      const logLevel = LOG_LEVELS.find(level => level === args['log-level']);
+      const {statsd} = args;
+      await runEdge({
+        settings,
+        readSettings: () => openPlatform(process.env, port).settings,
+        platform,
+        logLevel: logLevel ?? 'info',
+        statsd,
+        signals,
+        ends,
+      });
     },
   });
 
--- a/source/logging/logger.ts
+++ b/source/logging/logger.ts
@@ -64,7 +64,14 @@
   };
 }
 
-function formatJsonLine(
+/**
+ * Formats an event as one JSON object, with its newline.
+ *
+ * ```ts
+ * formatJsonLine(clock.now(), 'error', 'end', {cause: 'settings'});
+ * ```
+ */
+export function formatJsonLine(
   time: Date,
   level: string,
   event: string,
--- a/source/process/load.ts
+++ b/source/process/load.ts
@@ -2,7 +2,8 @@
  * Logs at intervals how loaded the process is: its memory and processor time, how
  * late its timers fire, and the requests that it holds. An operator can tell from
  * these lines whether a host was short of memory or processor time when something
- * went wrong.
+ * went wrong. A memory near its limit is logged within a second, since a process
+ * that exceeds it may be killed without a word.
  */
 import type {Cancel, Clock} from '../clock/index.js';
 import type {Logger} from '../logging/index.js';
@@ -20,12 +21,19 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly load: () => Load;
+  /** Memory that the process may take; without it no limit is known. */
+  readonly memoryLimitMegabytes?: number;
+  /** Memory of the process; that of this one by default. */
+  readonly memory?: () => MemoryFields;
 }
 
 const SAMPLE_INTERVAL_MILLISECONDS = 1_000;
 const SAMPLES_PER_REPORT = 5;
 const BYTES_PER_MEGABYTE = 1_048_576;
 const MICROSECONDS_PER_MILLISECOND = 1_000;
+/** Shares of the limit at which the memory comes near it, and leaves it again. */
+const NEAR_LIMIT_SHARE = 0.85;
+const BELOW_LIMIT_SHARE = 0.8;
 
 /** Logs an event `load` every five seconds. */
 export class LoadReporter {
@@ -36,6 +44,7 @@
   /** Longest delay of a sample since the last report, in milliseconds. */
   private maxDelay = 0;
   private samples = 0;
+  private isNearLimit = false;
   private stopTimer: Cancel = () => {};
 
   constructor(private readonly options: LoadReporterOptions) {
@@ -69,16 +78,36 @@
     this.maxDelay = Math.max(this.maxDelay, delay);
     this.sampledAt = now;
     this.samples++;
+    this.watchMemory();
     if (this.samples % SAMPLES_PER_REPORT === 0) this.report(now);
   }
 
+  /** Logs that the memory has come near its limit, or is no longer near it. */
+  private watchMemory(): void {
+    const {logger, load, memoryLimitMegabytes} = this.options;
+    if (memoryLimitMegabytes === undefined) return;
+    const memory = this.memory();
+    const share = memory.memoryMegabytes / memoryLimitMegabytes;
+    const threshold = this.isNearLimit ? BELOW_LIMIT_SHARE : NEAR_LIMIT_SHARE;
+    const isNearLimit = share >= threshold;
+    if (isNearLimit === this.isNearLimit) return;
+    this.isNearLimit = isNearLimit;
+    const fields = {...memory, memoryLimitMegabytes, ...load()};
+    if (isNearLimit) logger.warn('memory-near-limit', fields);
+    else logger.info('memory-below-limit', fields);
+  }
+
+  private memory(): MemoryFields {
+    return (this.options.memory ?? memoryFields)();
+  }
+
   private report(now: number): void {
     const {logger, load} = this.options;
     const processor = processorMilliseconds();
     const share = (processor - this.processorBefore) / (now - this.reportedAt);
     const {active, queued} = load();
     logger.info('load', {
-      ...memoryFields(),
+      ...this.memory(),
       processorPercent: Math.round(share * 100),
       timerDelay: Math.round(this.maxDelay),
       active,
--- a/source/process/uncaught.ts
+++ b/source/process/uncaught.ts
@@ -53,7 +53,8 @@
   });
 }
 
-function errorFields(error: unknown): {
+/** An error, as fields of a log line. */
+export function errorFields(error: unknown): {
   error: string;
   detail: string;
   stack: string;
--- a/test/ends.test.ts
+++ b/test/ends.test.ts
@@ -105,8 +105,11 @@
 
 test('an uncaught error before the host has a log is told in a structured line', async t => {
   const fleet = await startFleet(t);
-  const node = ['--import=./test/support/throwatstart.mjs'];
-  const host = await fleet.host('host-1', undefined, undefined, {node});
+  const flags = {
+    node: ['--import=./test/support/throwatstart.mjs'],
+    program: [`--statsd=${fleet.site.address}`],
+  };
+  const host = await fleet.host('host-1', undefined, undefined, flags);
   t.is(await endOf(host), 1);
   t.like(endLines(host)[0]?.fields, {
     cause: 'uncaught-error',
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -58,7 +58,7 @@
   readonly lines: Line[];
   /** What it has written to standard error. */
   readonly errors: string[];
-  /** Resolves with the exit code. */
+  /** Resolves with the exit code, when all that was written has been read. */
   readonly ended: Promise<number | null>;
 }
 
@@ -252,7 +252,7 @@
     const errors: string[] = [];
     child.stderr?.on('data', (part: Buffer) => errors.push(part.toString()));
     const ended = new Promise<number | null>(resolve => {
-      child.once('exit', code => resolve(code));
+      child.once('close', code => resolve(code));
     });
     const host = {...place, child, lines, errors, ended};
     this.hosts.push(host);
