Start with defaults where the settings lack what a host can do without

A host whose cloudApi, seedNodes or zones was null, whose bounds lacked one value, or whose numbers came as texts ended at once with code 2, again and again, and named the first problem only.

The platform's reader now asks for what a host cannot do without (nodeId, zone, listen.front, listen.readiness, platform.address) and names all of it that is wrong at once; for every other value that is absent, null or odd it takes a default of source/edge/settings.ts and notes it. A reload still keeps the old settings if a value has become wrong or a figure is gone that the start had.

--- a/source/edge/index.ts
+++ b/source/edge/index.ts
@@ -8,4 +8,8 @@
 export {runEdge, type EdgeOptions} from './run.js';
 export {PlatformView, type PlatformViewOptions} from './platformview.js';
 export {EdgeHost, type EdgeHostParts} from './host.js';
-export {edgeSettingsSchema, type EdgeSettings} from './settings.js';
+export {
+  DEFAULT_EDGE_SETTINGS,
+  edgeSettingsSchema,
+  type EdgeSettings,
+} from './settings.js';
--- a/source/edge/run.ts
+++ b/source/edge/run.ts
@@ -12,6 +12,7 @@
   type EndReporter,
 } from '../process/index.js';
 import {seededRandom} from '../random/index.js';
+import type {TakenDefault} from '../settings/index.js';
 import {CountedStore} from '../store/index.js';
 import {EdgeHost} from './host.js';
 import type {PlatformParts} from './platform.js';
@@ -34,6 +35,8 @@
   readonly signals: ReloadSignals;
   /** Tells why the process ends. */
   readonly ends: EndReporter;
+  /** The defaults that the settings rest on. */
+  readonly defaults: readonly TakenDefault[];
 }
 
 /**
@@ -76,6 +79,14 @@
   endOnUncaughtError({source: process, logger, load, end: drainAndExit});
   ends.leaveUncaughtErrors();
   logger.info('start', {host: settings.name, zone: settings.zone});
+  const {defaults} = options;
+  if (defaults.length > 0) {
+    const names = defaults.map(({name}) => name).join(',');
+    const detail = defaults
+      .map(({name, detail: why}) => `${name}: ${why}`)
+      .join('; ');
+    logger.warn('settings-defaults', {names, detail});
+  }
   await host.start();
   const {memoryMegabytes: memoryLimitMegabytes} = settings;
   new LoadReporter({clock, logger, load, memoryLimitMegabytes}).start();
--- a/source/edge/settings.ts
+++ b/source/edge/settings.ts
@@ -47,3 +47,17 @@
     .describe('Memory above which the platform kills the process.'),
 });
 export type EdgeSettings = z.infer<typeof edgeSettingsSchema>;
+
+/**
+ * What a host uses for the values that it can do without. The times are those of
+ * the platform's own examples; repeats are bounded more tightly than there, since
+ * too few of them cost less than too many.
+ */
+export const DEFAULT_EDGE_SETTINGS = {
+  graceMilliseconds: 8_000,
+  repeats: {ratio: 0.1, allowance: 10, window: 10_000},
+  usage: {windowMilliseconds: 5_000, lateMilliseconds: 10_000},
+  drainMilliseconds: 2_000,
+  leaseMilliseconds: 3_000,
+  memoryMegabytes: 350,
+} as const satisfies Partial<EdgeSettings>;
--- a/source/edge/start.ts
+++ b/source/edge/start.ts
@@ -13,10 +13,11 @@
   type CommandDef,
 } from 'citty';
 
-import {openPlatform} from '../../platform/index.js';
+import {checkPlatformSettings, openPlatform} from '../../platform/index.js';
 import {SystemClock} from '../clock/index.js';
 import {SettingsError} from '../errors/index.js';
 import {EndReporter, SETTINGS_EXIT_CODE} from '../process/index.js';
+import {rejectNewDefaults} from '../settings/index.js';
 import {runEdge} from './run.js';
 import type {ReloadSignals} from './signals.js';
 
@@ -46,11 +47,16 @@
       description:
         'Address of a StatsD server to send metrics to; none by default.',
     },
+    check: {
+      type: 'boolean',
+      description: 'Say what is wrong with the settings file, and end.',
+    },
   },
 } satisfies CommandDef<ArgsDef>;
 
 /**
- * Parses the command line and starts the host. If that fails, ends the process with the cause.
+ * Parses the command line and starts the host, or does what else the flags ask
+ * for. If that fails, ends the process with the cause.
  */
 export async function startEdge(signals: ReloadSignals): Promise<void> {
   const flags = process.argv.slice(2);
@@ -58,6 +64,10 @@
     process.stdout.write(`${await renderUsage(defineCommand(description))}\n`);
     return;
   }
+  if (flags.includes('--check')) {
+    process.exitCode = printCheck();
+    return;
+  }
   const clock = new SystemClock();
   const ends = new EndReporter({program: PROGRAM, source: process, clock});
   try {
@@ -85,13 +95,18 @@
     async run({args}) {
       const port = parsePort(args['metrics-port']);
       const opened = openPlatform(process.env, port);
-      const {settings, parts: platform} = opened;
+      const {settings, defaults, parts: platform} = opened;
       ends.memoryLimitMegabytes = settings.memoryMegabytes;
       const logLevel = LOG_LEVELS.find(level => level === args['log-level']);
       const {statsd} = args;
       await runEdge({
         settings,
-        readSettings: () => openPlatform(process.env, port).settings,
+        defaults,
+        readSettings: () => {
+          const again = openPlatform(process.env, port);
+          rejectNewDefaults('settings', defaults, again.defaults);
+          return again.settings;
+        },
         platform,
         logLevel: logLevel ?? 'info',
         statsd,
@@ -101,6 +116,22 @@
     },
   });
 
+/** Prints what a check of the settings file finds; returns the exit code. */
+function printCheck(): number {
+  try {
+    const {problems, defaults} = checkPlatformSettings(process.env);
+    for (const {name, detail} of problems)
+      process.stdout.write(`problem ${name}: ${detail}\n`);
+    for (const {name, detail} of defaults)
+      process.stdout.write(`default ${name}: ${detail}\n`);
+    return problems.length === 0 ? 0 : SETTINGS_EXIT_CODE;
+  } catch (error) {
+    if (!(error instanceof SettingsError)) throw error;
+    process.stdout.write(`problem ${error.message}\n`);
+    return SETTINGS_EXIT_CODE;
+  }
+}
+
 /** Parses the port given by --metrics-port. Throws a SettingsError. */
 function parsePort(text: string | undefined): number | undefined {
   if (text === undefined) return undefined;
--- a/source/errors/failure.ts
+++ b/source/errors/failure.ts
@@ -10,11 +10,22 @@
   }
 }
 
-/** A flag or environment variable that is unknown, missing or has a wrong value. */
+/** One value that is wrong, of several in the same place. */
+export interface SettingsProblem {
+  /** Where it stands, such as `listen.front`. */
+  readonly name: string;
+  readonly detail: string;
+}
+
+/**
+ * A flag, environment variable or file that is unknown, missing or has a wrong
+ * value. Where several values of a file are wrong, `problems` holds them all.
+ */
 export class SettingsError extends ArbutusslipError {
   constructor(
     readonly flag: string,
     reason: string,
+    readonly problems: readonly SettingsProblem[] = [],
   ) {
     super(`${flag}: ${reason}`);
   }
--- a/source/errors/index.ts
+++ b/source/errors/index.ts
@@ -4,6 +4,7 @@
   SettingsError,
   StateChartError,
   WireError,
+  type SettingsProblem,
 } from './failure.js';
 export {
   outcomeSchema,
--- a/source/settings/index.ts
+++ b/source/settings/index.ts
@@ -1,4 +1,4 @@
-/** The settings of the daemon: their schema, flags and environment variables. */
+/** The settings of the daemon, and how values of settings files are read. */
 export {settingsSchema, type Settings} from './schema.js';
 export {
   readSettings,
@@ -6,3 +6,13 @@
   environmentVariableFor,
   argumentDefinitionsFor,
 } from './read.js';
+export {
+  DefaultingReader,
+  isAbsent,
+  numberSchema,
+  rejectNewDefaults,
+  sectionOf,
+  textSchema,
+  type Section,
+  type TakenDefault,
+} from './values.js';
