Merge what a process says when it ends, and settings with defaults

Run: ends, oddsettings, load, startports, hostend, signals, onemachine, uncaught and edge, 64 passed.

--- a/source/edge/run.ts
+++ b/source/edge/run.ts
@@ -4,11 +4,16 @@
  */
 import {SystemClock} from '../clock/index.js';
 import {PortError, SettingsError} from '../errors/index.js';
-import {BoundedSink, createLogger} from '../logging/index.js';
+import {BoundedSink, createLogger, type Logger} from '../logging/index.js';
 import {Metrics} from '../metrics/index.js';
 import {PORT_ERROR_EXIT_CODE} from '../ports/index.js';
-import {endOnUncaughtError, LoadReporter} from '../process/index.js';
+import {
+  endOnUncaughtError,
+  LoadReporter,
+  type EndReporter,
+} from '../process/index.js';
 import {seededRandom} from '../random/index.js';
+import type {TakenDefault} from '../settings/index.js';
 import {CountedStore} from '../store/index.js';
 import {EdgeHost} from './host.js';
 import type {PlatformParts} from './platform.js';
@@ -29,6 +34,10 @@
   /** Address of a StatsD server; without it no metrics are sent. */
   readonly statsd?: string;
   readonly signals: ProcessSignals;
+  /** Tells why the process ends. */
+  readonly ends: EndReporter;
+  /** The defaults that the settings rest on. */
+  readonly defaults: readonly TakenDefault[];
 }
 
 /**
@@ -42,7 +51,7 @@
  * settings as they were.
  */
 export async function runEdge(options: EdgeOptions): Promise<void> {
-  const {settings, logLevel, statsd} = options;
+  const {settings, logLevel, statsd, ends} = options;
   const clock = new SystemClock();
   const sink = new BoundedSink(STDOUT_FILE_DESCRIPTOR, clock);
   const logger = createLogger(logLevel, 'json', clock, (level, line) =>
@@ -70,9 +79,12 @@
   };
   const load = () => host.load;
   endOnUncaughtError({source: process, logger, load, end: drainAndExit});
+  ends.leaveUncaughtErrors();
   logger.info('start', {host: settings.name, zone: settings.zone});
+  logDefaults(logger, options.defaults);
   const stop = (signal: string) => {
     logger.info('stop', {signal});
+    ends.note('signal', {signal});
     drainAndExit(0);
   };
   const reload = () => {
@@ -86,12 +98,25 @@
   };
   options.signals.onReload(reload);
   options.signals.onStop(stop);
-  new LoadReporter({clock, logger, load}).start();
+  const {memoryMegabytes: memoryLimitMegabytes} = settings;
+  new LoadReporter({clock, logger, load, memoryLimitMegabytes}).start();
   try {
     await host.start();
   } catch (error) {
     if (!(error instanceof PortError)) throw error;
+    const {role, address, code, message: detail} = error;
+    ends.note('port', {role, address, code, detail});
     if (host.isStarting) exit(PORT_ERROR_EXIT_CODE);
     else drainAndExit(PORT_ERROR_EXIT_CODE);
   }
 }
+
+/** Logs the defaults that the settings rest on, if there are any. */
+function logDefaults(logger: Logger, defaults: readonly TakenDefault[]): void {
+  if (defaults.length === 0) return;
+  const names = defaults.map(({name}) => name).join(',');
+  const detail = defaults
+    .map(({name, detail: why}) => `${name}: ${why}`)
+    .join('; ');
+  logger.warn('settings-defaults', {names, detail});
+}
