Read the rest of a refused body before its connection is closed

A caller that asks for the end of its connection, or whose host drains, and whose body was still coming got a reset in place of its refusal: Node closes such a connection with the end of the response, and what has not been read of the body turns the close into a reset, which discards the refusal at the caller.

The refusal is now written at once with its length, and the response ended when the body has ended, at most 5 s later; a caller can read all of it before.

--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -147,7 +147,7 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const answer = new CallerResponse(response);
+    const answer = new CallerResponse(response, this.parts.clock);
     const context = this.createContext(message, answer);
     if (!context) return;
     this.activeRequests.add(context);
--- a/source/forward/response.ts
+++ b/source/forward/response.ts
@@ -3,17 +3,27 @@
  * pass on, so that an attempt that fails earlier can be retried without the
  * caller noticing.
  */
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 
+import type {Clock} from '../clock/index.js';
 import {Refusal} from '../errors/index.js';
 import type {ResponseHead} from './protocol.js';
 
 /** Not passed on with a stream, whose length is unknown. */
 const CONTENT_LENGTH_HEADER = 'content-length';
 
+/**
+ * Time for which the rest of a refused body is read and dropped. A connection that
+ * is closed before would be reset, and the refusal might be lost with it.
+ */
+const MAX_DROP_MILLISECONDS = 5_000;
+
 /** The response to one caller. */
 export class CallerResponse {
-  constructor(private readonly response: ServerResponse) {}
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly clock: Clock,
+  ) {}
 
   /** Whether the head has been sent. */
   get isHeadSent(): boolean {
@@ -95,6 +105,34 @@
     ];
     if (retryAfter > 0) headers.push('retry-after', retryAfter.toFixed(2));
     this.response.writeHead(status, headers as never);
-    this.response.end(body);
+    if (!isBodyComing(this.response.req)) {
+      this.response.end(body);
+      return;
+    }
+    this.response.write(body);
+    this.dropBody(() => this.response.end());
+  }
+
+  /** Reads the rest of the caller's body; calls back when it has ended. */
+  private dropBody(callback: () => void): void {
+    const {req: message} = this.response;
+    const finish = () => {
+      stopTimer();
+      message.removeListener('end', finish);
+      message.removeListener('close', finish);
+      callback();
+    };
+    const stopTimer = this.clock.after(MAX_DROP_MILLISECONDS, finish);
+    message.once('end', finish);
+    message.once('close', finish);
+    message.on('error', () => {});
+    message.resume();
   }
 }
+
+/** Whether some of a body is still to come. */
+function isBodyComing({complete, headers}: IncomingMessage): boolean {
+  if (complete) return false;
+  const {'content-length': length, 'transfer-encoding': encoding} = headers;
+  return encoding !== undefined || Number(length ?? 0) > 0;
+}
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -125,6 +125,11 @@
     return fixture;
   }
 
+  /** Address for callers. */
+  get callers(): string {
+    return this.address;
+  }
+
   /** Sends a request as a caller. */
   send(
     headers: Readonly<Record<string, string>> = {},
