Bound the memory that a host holds for others

Callers with large bodies took a host over the memory that the platform gives it, which ends the process: nothing bounded bodies as a whole, each was held up to three times (pieces, the joined copy, and what a socket had not sent), and limits.memoryMb was read and not used.

All that is held for others now stands in one account (source/memory) against a budget from memoryMb: 0.8 of it, less 96 MB for the process, over 1.5 for memory that is freed and not yet collected; at least 40 MiB. Its parts are fixed: buffered answers 16 MiB as before (one answer may be as large), a quarter of the rest for what Node has read of connections that wait, an eighth for bodies under 64 KiB. A body's length is reserved at its head. Without room its connection is not read, so that TCP holds the caller; room is given by tier, to teams in turn, by arrival; what has none in 0.6 of its time, or would make the wait too long, is refused as not run with Retry-After. A chunked body takes a small body's room and beyond that the largest at once: if such bodies took room as they grow, all could hold a part and wait for each other. A body over all the room is refused at once (413). It is read into one buffer; its room is freed when the last holder, also the connection to the endpoint that has not sent it, has let go, and once a large one's stream has begun and no attempt can follow.

--- a/source/admission/fairqueue.ts
+++ b/source/admission/fairqueue.ts
@@ -11,6 +11,9 @@
 import type {VirtualTokenCounters} from './fairness.js';
 import type {AdmissionRequest} from './request.js';
 
+/** What the order depends on. */
+export type FairlyQueued = Pick<AdmissionRequest, 'team' | 'arrived'>;
+
 /** Items of a team in the heap, on average, from which it is made anew. */
 const MAX_ITEMS_PER_TEAM = 4;
 
@@ -21,7 +24,7 @@
 }
 
 /** The queued requests of a scheduling group. */
-export class FairQueue<T extends AdmissionRequest> {
+export class FairQueue<T extends FairlyQueued> {
   /** Queued requests by team, in order of arrival; no team without any. */
   private readonly teams = new Map<string, T[]>();
   private heap = createHeap([]);
@@ -132,7 +135,7 @@
   return new TinyQueue(items, (one, other) => one.counter - other.counter);
 }
 
-function insertByArrival<T extends AdmissionRequest>(
+function insertByArrival<T extends FairlyQueued>(
   queued: T[],
   request: T,
 ): void {
--- a/source/admission/index.ts
+++ b/source/admission/index.ts
@@ -8,7 +8,7 @@
   groupKey,
 } from './request.js';
 export {AdmissionQueue, type GroupCount, type Selection} from './queue.js';
-export {FairQueue} from './fairqueue.js';
+export {FairQueue, type FairlyQueued} from './fairqueue.js';
 export {VirtualTokenCounters} from './fairness.js';
 export {FloorTracker} from './floor.js';
 export {expectedWait} from './forecast.js';
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -27,6 +27,7 @@
   type Pulse,
 } from '../gossip/index.js';
 import type {Logger} from '../logging/index.js';
+import {MemoryAccount, memoryBudgetOf} from '../memory/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Load} from '../process/index.js';
 import {BlockedRecords, Quarantine} from '../quarantine/index.js';
@@ -143,7 +144,14 @@
     this.quarantine = this.createQuarantine();
     this.blockedRecords = this.createBlockedRecords();
     this.versions = this.createStreamVersions();
+    const memory = new MemoryAccount({
+      budget: memoryBudgetOf(settings.memoryMegabytes),
+      clock,
+      logger,
+      metrics,
+    });
     this.forwarder = new Forwarder({
+      memory,
       protocol,
       connections,
       admission: this.admission,
--- a/source/edge/settings.ts
+++ b/source/edge/settings.ts
@@ -19,6 +19,9 @@
     .string()
     .optional()
     .describe('Address to listen on for requests for the metrics.'),
+  memoryMegabytes: z
+    .number()
+    .describe('Memory that the platform gives the process.'),
   seeds: z
     .array(z.string())
     .describe('Addresses of hosts to ask first about the other hosts.'),
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -7,6 +7,7 @@
 import type {Cancel, Clock} from '../clock/index.js';
 import {discardBody} from '../wire/index.js';
 import type {Logger} from '../logging/index.js';
+import {SMALL_BODY_BYTES} from '../memory/index.js';
 import type {Metrics} from '../metrics/index.js';
 import {relayBuffered} from './bufferedrelay.js';
 import type {ResponseBuffers} from './buffers.js';
@@ -127,7 +128,8 @@
   /** Sends the request; resolves when the response head has come. */
   private send(): Promise<EndpointResponse> {
     const {context, reservation} = this.spec;
-    const {request, route, team, tier, timeLeft, lastEvent, body} = context;
+    const {request, route, team, tier, timeLeft, lastEvent} = context;
+    const {body, holding} = context;
     const {id, address} = reservation.endpoint.entry;
     const headers = this.parts.protocol.requestHeaders(request, {
       endpoint: id,
@@ -150,6 +152,7 @@
       url,
       headers,
       body,
+      holding,
       fresh,
       isOpen,
     };
@@ -298,6 +301,18 @@
     if (context.streamVersion === undefined)
       this.recordVersion(reservation.endpoint.entry.softwareVersion);
     this.parts.onAnswerBegun(context);
+    this.dropLargeBody();
+  }
+
+  /** Lets go of a large body where no further attempt can follow. */
+  private dropLargeBody(): void {
+    const {context} = this.spec;
+    const {route, body, possibleRuns, traits} = context;
+    const mayRepeat = route.repeatable || route.resumable;
+    const mayFollow = mayRepeat && possibleRuns + 1 < route.attempts;
+    if (mayFollow || body.length < SMALL_BODY_BYTES) return;
+    traits?.dropBody();
+    context.dropBody();
   }
 
   /** Records which version has begun the stream that the caller gets. */
--- a/source/forward/buffers.ts
+++ b/source/forward/buffers.ts
@@ -22,8 +22,14 @@
   private readonly shares = new Set<OpenShare>();
   private total = 0;
 
-  /** `limit` is in bytes. */
-  constructor(private readonly limit: number) {}
+  /**
+   * `limit` is in bytes; `onChange` is called with the further bytes that are held,
+   * a negative amount where some are freed.
+   */
+  constructor(
+    private readonly limit: number,
+    private readonly onChange: (bytes: number) => void = () => {},
+  ) {}
 
   /**
    * Opens the share of a response. `onEvicted` is called once if the response
@@ -41,7 +47,7 @@
       add: bytes => {
         if (!this.shares.has(share)) return;
         share.bytes += bytes;
-        this.total += bytes;
+        this.addToTotal(bytes);
         while (this.total > this.limit) this.evictLargest();
       },
       close: () => this.remove(share),
@@ -59,6 +65,11 @@
   }
 
   private remove(share: OpenShare): void {
-    if (this.shares.delete(share)) this.total -= share.bytes;
+    if (this.shares.delete(share)) this.addToTotal(-share.bytes);
+  }
+
+  private addToTotal(bytes: number): void {
+    this.total += bytes;
+    this.onChange(bytes);
   }
 }
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -11,6 +11,7 @@
 import type {CancellationSignal} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import {Refusal, WireError} from '../errors/index.js';
+import type {Holding} from '../memory/index.js';
 import {
   abandonRequest,
   createRequest,
@@ -38,6 +39,8 @@
   /** Alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** The room of the body in the host's memory; held until it has been sent. */
+  readonly holding?: Holding | undefined;
   /** Whether it gets a new connection that is not reused. */
   readonly fresh: boolean;
   /**
@@ -76,7 +79,7 @@
     endpointRequest: EndpointRequest,
     signal: CancellationSignal,
   ): Promise<EndpointResponse> {
-    const {address, method, url, headers, body, fresh, isOpen} =
+    const {address, method, url, headers, body, holding, fresh, isOpen} =
       endpointRequest;
     return new Promise((resolve, reject) => {
       let connected = false;
@@ -107,6 +110,7 @@
           return;
         }
         connected = true;
+        if (holding) holdUntilSent(sent, holding);
         sent.end(body);
       };
       let stopCounting = () => 0;
@@ -182,6 +186,18 @@
   return stop;
 }
 
+/** Holds the room of a body until it has left the process or is given up. */
+function holdUntilSent(sent: ClientRequest, holding: Holding): void {
+  holding.retain();
+  let isHeld = true;
+  const letGo = () => {
+    if (isHeld) holding.release();
+    isHeld = false;
+  };
+  sent.once('finish', letGo);
+  sent.once('close', letGo);
+}
+
 /**
  * Creates a request. Throws a Refusal where Node refuses to send it, which is no
  * failure of the endpoint.
--- a/source/forward/context.ts
+++ b/source/forward/context.ts
@@ -5,6 +5,7 @@
 import {Cancellation} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import {Refusal} from '../errors/index.js';
+import type {Holding} from '../memory/index.js';
 import type {RequestTraits} from '../quarantine/index.js';
 import {
   allowedRegionsFor,
@@ -22,6 +23,8 @@
  */
 const RESPONSE_MARGIN_MILLISECONDS = 8;
 
+const NO_BODY = Buffer.alloc(0);
+
 /** What is known of a request once its route and team are. */
 export interface RequestContextOptions {
   readonly request: CallerRequest;
@@ -51,7 +54,9 @@
   readonly cancelled: Promise<never>;
   /** Ids of the endpoints at which it has failed. */
   readonly failedEndpoints = new Set<string>();
-  body: Buffer = Buffer.alloc(0);
+  body: Buffer = NO_BODY;
+  /** The room of the body in the host's memory; undefined if it has none. */
+  holding: Holding | undefined;
   /** Number of times that it was sent to an endpoint. */
   sends = 0;
   /** How many of these may have run it, not counting one in progress. */
@@ -137,6 +142,13 @@
     return this.cancellation.reason ?? disconnected();
   }
 
+  /** Lets go of the body; call it when no further attempt can follow. */
+  dropBody(): void {
+    this.body = NO_BODY;
+    this.holding?.release();
+    this.holding = undefined;
+  }
+
   /** Stops the deadline timer. */
   stopDeadlineTimer(): void {
     this.stopTimer();
--- a/source/forward/crashguard.ts
+++ b/source/forward/crashguard.ts
@@ -63,6 +63,8 @@
   ): void {
     const {request, traits, delivered: events} = context;
     if (!traits) return;
+    // The detector keeps them for longer than the request lasts.
+    traits.dropBody();
     const cut = {endpoint, request: request.id, traits, sentAt, events};
     context.crashCheck =
       sign === 'cut'
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -17,13 +17,14 @@
 import type {Clock} from '../clock/index.js';
 import {Refusal} from '../errors/index.js';
 import type {Logger} from '../logging/index.js';
+import type {MemoryAccount} from '../memory/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Quarantine, Suspect} from '../quarantine/index.js';
 import type {RandomSource} from '../random/index.js';
 import type {StreamVersions} from '../versions/index.js';
 import {serviceFor, type RoutingTable} from '../routing/index.js';
-import {readBytes} from '../wire/index.js';
 import {admissionRequestFor} from './admission.js';
+import {BodyReader} from './bodyreader.js';
 import {ResponseBuffers} from './buffers.js';
 import {CallerResponse} from './response.js';
 import {CrashGuard} from './crashguard.js';
@@ -37,11 +38,6 @@
 import {RetryCounter} from './retries.js';
 import {StopSchedule} from './stopschedule.js';
 
-/**
- * Most that the buffered responses of a host may take, a tenth of the memory of
- * the smallest hosts.
- */
-const MAX_BUFFERED_BYTES = 16_777_216;
 /**
  * A request that may be retried goes to another endpoint when there has been no
  * response for this multiple of its route's target plus a multiple of the wait
@@ -60,6 +56,7 @@
   readonly book: EndpointSelector;
   readonly quarantine: Quarantine;
   readonly versions: StreamVersions;
+  readonly memory: MemoryAccount;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -77,6 +74,7 @@
   private readonly retries: RetryCounter;
   private readonly stopSchedule = new StopSchedule();
   private readonly guard: CrashGuard;
+  private readonly bodies: BodyReader;
   private readonly log: RequestLog;
   private readonly attemptParts: AttemptParts;
   private readonly activeRequests = new Set<RequestContext>();
@@ -84,14 +82,17 @@
   private readonly onIdle: Array<() => void> = [];
 
   constructor(private readonly parts: ForwarderParts) {
-    const {clock, quarantine, retryBudget} = parts;
+    const {clock, quarantine, retryBudget, memory} = parts;
     const guard = new CrashGuard(quarantine);
     this.retries = new RetryCounter(retryBudget, clock);
     this.guard = guard;
+    this.bodies = new BodyReader(memory);
     this.log = new RequestLog(parts);
     this.attemptParts = {
       ...parts,
-      buffers: new ResponseBuffers(MAX_BUFFERED_BYTES),
+      buffers: new ResponseBuffers(memory.budget.answers, bytes =>
+        memory.addAnswerBytes(bytes),
+      ),
       onStreamBegun: stream => parts.versions.recordBegun(stream),
       onAnswerBegun: context => guard.recordBegun(context),
     };
@@ -158,6 +159,7 @@
       this.handleFailure(context, error);
     } finally {
       context.stopDeadlineTimer();
+      context.dropBody();
       this.activeRequests.delete(context);
       if (this.activeRequests.size === 0)
         for (const resolve of this.onIdle.splice(0)) resolve();
@@ -211,11 +213,10 @@
     const {request, service} = context;
     const {book} = this.parts;
     const limit = this.routingTable?.limits.bodyBytes ?? 0;
-    const body = await Promise.race([
-      readBytes(message, limit),
+    await Promise.race([
+      this.bodies.read(context, message, limit),
       context.cancelled,
     ]);
-    context.body = body;
     this.guard.checkArrival(context);
     await this.setResumedVersion(context);
     if (request.prompt) book.recordArrival(service, request.prompt);
--- a/source/metrics/metrics.ts
+++ b/source/metrics/metrics.ts
@@ -19,7 +19,7 @@
 /** Significant decimal digits to which the histograms keep a duration. */
 const SIGNIFICANT_DIGITS = 2;
 
-/** All counters and timings since the process started. */
+/** All counters and timings since the process started, and what holds now. */
 export const metricsSnapshotSchema = z.object({
   counters: z.array(
     z.object({
@@ -28,6 +28,13 @@
       value: z.number(),
     }),
   ),
+  gauges: z.array(
+    z.object({
+      name: z.string(),
+      tags: z.record(z.string(), z.string()),
+      value: z.number(),
+    }),
+  ),
   timings: z.array(
     z.object({
       name: z.string(),
@@ -47,6 +54,12 @@
   value: number;
 }
 
+interface Gauge {
+  readonly name: string;
+  readonly tags: Tags;
+  readonly read: () => number;
+}
+
 interface Timing {
   readonly name: string;
   readonly tags: Tags;
@@ -63,6 +76,7 @@
  */
 export class Metrics {
   private readonly counters = new Map<string, Counter>();
+  private readonly gauges: Gauge[] = [];
   private readonly timings = new Map<string, Timing>();
   private client: StatsD | undefined;
 
@@ -120,14 +134,26 @@
     this.client?.timing(name, duration, {...tags});
   }
 
+  /**
+   * Adds a value that is read whenever the metrics are asked for. It is not sent
+   * to StatsD.
+   *
+   * ```ts
+   * metrics.gauge('held-bytes', {kind: 'answers'}, () => buffers.heldBytes);
+   * ```
+   */
+  gauge(name: string, tags: Tags, read: () => number): void {
+    this.gauges.push({name, tags, read});
+  }
+
   /** The value of one counter; 0 if it was never counted. */
   value(name: string, tags: Tags = {}): number {
     return this.counters.get(seriesKey(name, tags))?.value ?? 0;
   }
 
   /**
-   * Returns a copy of all counters, and the quantiles of all timings, for the
-   * operators' port.
+   * Returns a copy of all counters, the values of all gauges, and the quantiles of
+   * all timings, for the operators' port.
    *
    * ```ts
    * response.end(JSON.stringify(metrics.snapshot()));
@@ -135,8 +161,11 @@
    */
   snapshot(): MetricsSnapshot {
     const counters = [...this.counters.values()].map(counter => ({...counter}));
+    const gauges = this.gauges.map(({name, tags, read}) => {
+      return {name, tags, value: read()};
+    });
     const timings = [...this.timings.values()].map(summarizeTiming);
-    return {counters, timings};
+    return {counters, gauges, timings};
   }
 
   /** Closes the connection to StatsD, if there is one. */
--- a/source/metrics/prometheus.ts
+++ b/source/metrics/prometheus.ts
@@ -21,7 +21,7 @@
 }
 
 /**
- * Returns all counters and timings in the Prometheus text format. A timing is a
+ * Returns all counters, gauges and timings in the Prometheus text format. A timing is a
  * gauge of its quantiles in milliseconds, with the number of recorded durations
  * under the quantile `count`. The labels of a metric are the tags of all its
  * series; a series without one of them lacks the label.
@@ -35,13 +35,17 @@
 ): Promise<string> {
   const {default: library} = await import('prom-client');
   const registry = new library.Registry();
-  const {counters, timings} = metrics.snapshot();
+  const {counters, gauges, timings} = metrics.snapshot();
   for (const family of familiesOf(counters)) {
     const counter = createCounter(library, registry, family);
     for (const {tags, value} of family.series) counter.inc(tags, value);
   }
-  for (const family of familiesOf(timings)) {
+  for (const family of familiesOf(gauges)) {
     const gauge = createGauge(library, registry, family);
+    for (const {tags, value} of family.series) gauge.set(tags, value);
+  }
+  for (const family of familiesOf(timings)) {
+    const gauge = createQuantiles(library, registry, family);
     for (const {tags, ...statistics} of family.series) {
       for (const quantile of QUANTILES) {
         gauge.set({...tags, quantile}, statistics[quantile]);
@@ -86,6 +90,19 @@
   library: PromClient,
   registry: Registry,
   {name, tagNames}: Family<{readonly tags: Tags}>,
+): Gauge {
+  return new library.Gauge({
+    name: prometheusNameFor(name),
+    help: `${name}, now`,
+    labelNames: [...tagNames],
+    registers: [registry],
+  });
+}
+
+function createQuantiles(
+  library: PromClient,
+  registry: Registry,
+  {name, tagNames}: Family<{readonly tags: Tags}>,
 ): Gauge {
   return new library.Gauge({
     name: `${prometheusNameFor(name)}_milliseconds`,
--- a/source/quarantine/suspect.ts
+++ b/source/quarantine/suspect.ts
@@ -40,7 +40,7 @@
   private knownFingerprint: string | undefined;
 
   constructor(
-    private readonly content: RequestContent,
+    private content: RequestContent,
     /** Ids of the parts of its prompt that other requests may share. */
     readonly parts: readonly string[],
   ) {}
@@ -56,6 +56,16 @@
     return this.knownFingerprint;
   }
 
+  /**
+   * Lets go of the body. Call it before the body’s memory is used otherwise, and
+   * only if the request may still be suspected: the digest takes time.
+   */
+  dropBody(): void {
+    if (this.knownFingerprint !== undefined) return;
+    this.knownFingerprint = fingerprintOf(this.content);
+    this.content = {...this.content, body: Buffer.alloc(0)};
+  }
+
   /** The keys of the request and of the parts, the request first. */
   get keys(): SuspectKey[] {
     const request = keyOf({kind: 'request', id: this.fingerprint});
--- a/source/wire/index.ts
+++ b/source/wire/index.ts
@@ -2,7 +2,7 @@
 export {acceptsConnections} from './accepting.js';
 export {addressSchema, isAddress} from './address.js';
 export {callJson, type Call} from './call.js';
-export {readBytes} from './body.js';
+export {readBytes, tooLargeBody, type BodyReadingOptions} from './body.js';
 export {ByteCollector} from './collector.js';
 export {discardBody, type DiscardEnd} from './discard.js';
 export {exchangeBytes, type ByteCall, type ByteReply} from './exchange.js';
--- a/test/metrics.test.ts
+++ b/test/metrics.test.ts
@@ -49,3 +49,14 @@
   t.regex(text, /arbutusslip_retry_total\{reason="cut",route="drafts"\} 2/);
   t.regex(text, /arbutusslip_answer_milliseconds\{quantile="count"\} 1/);
 });
+
+test('a gauge shows what holds when the metrics are asked for', async t => {
+  const metrics = new Metrics();
+  let held = 1;
+  metrics.gauge('held-bytes', {kind: 'answers'}, () => held);
+  metrics.gauge('held-bytes', {kind: 'waiting'}, () => 7);
+  held = 5;
+  const text = await formatPrometheusMetrics(metrics);
+  t.regex(text, /arbutusslip_held_bytes\{kind="answers"\} 5/);
+  t.regex(text, /arbutusslip_held_bytes\{kind="waiting"\} 7/);
+});
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -20,6 +20,7 @@
 import type {KnownEndpoint} from '../../source/directory/index.js';
 import {ConnectionPool, Forwarder} from '../../source/forward/index.js';
 import type {Fields, Logger} from '../../source/logging/index.js';
+import {MemoryAccount, memoryBudgetOf} from '../../source/memory/index.js';
 import {Metrics} from '../../source/metrics/index.js';
 import {Quarantine} from '../../source/quarantine/index.js';
 import {seededRandom} from '../../source/random/index.js';
@@ -234,7 +235,14 @@
       const version = versions[index];
       directory.set(id, createEndpoint(id, address, version));
     }
+    const memory = new MemoryAccount({
+      budget: memoryBudgetOf(200),
+      clock,
+      logger: this.logger(),
+      metrics: new Metrics(),
+    });
     const forwarder = new Forwarder({
+      memory,
       protocol: new PlatformProtocol(),
       connections: new ConnectionPool(clock),
       admission,
