--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -100,6 +100,8 @@
   graceSeconds = 8;
   /** Changes the settings of hosts that are started next. */
   changeSettings: (settings: HostSettings) => object = settings => settings;
+  /** Memory that hosts which are started next are told they may take. */
+  memoryMegabytes = 200;
 
   static async start(t: ExecutionContext): Promise<EdgeFleet> {
     const fleet = new EdgeFleet();
@@ -322,7 +324,7 @@
       zones: {palermo: 'sicilia'},
       listen: {front, readiness, control},
       seedNodes: this.knowsOthers ? this.seeds.slice(0, 3) : [],
-      limits: {memoryMb: 200},
+      limits: {memoryMb: this.memoryMegabytes},
       bounds: {
         graceS: this.graceSeconds,
         drainMs: 2_000,
