Say how signals and ports of a start are handled

A test of SIGHUP says how the process ended: it failed once in seven runs beside other tests at that load, and its output did not tell whether the host was late or gone.

--- a/test/startsignals.test.ts
+++ b/test/startsignals.test.ts
@@ -49,6 +49,12 @@
   return false;
 }
 
+/** How a process ended, if it did, and the last line of its log. */
+function stateOf({child, lines}: HostProcess): string {
+  const {exitCode, signalCode} = child;
+  return JSON.stringify({exitCode, signalCode, last: lines.at(-1)});
+}
+
 async function hasReloaded({lines}: HostProcess): Promise<boolean> {
   const end = performance.now() + MAX_WAIT_MILLISECONDS;
   const isThere = () => lines.some(({event}) => event === 'reload');
@@ -105,7 +111,7 @@
     const couldListen = hasBegun(host);
     host.child.kill('SIGHUP');
     if (couldListen)
-      t.true(await becomesReady(host), `after ${step * STEP_MILLISECONDS} ms`);
+      t.true(await becomesReady(host), `${stateOf(host)} at step ${step}`);
     host.child.kill('SIGKILL');
     await host.ended;
   }
