--- a/test/startports.test.ts
+++ b/test/startports.test.ts
@@ -17,7 +17,7 @@
 /** Time for which a port is taken at the start of a host. */
 const TAKEN_MILLISECONDS = 1_000;
 /** Time within which a host is to get where it is expected. */
-const MAX_WAIT_MILLISECONDS = 20_000;
+const MAX_WAIT_MILLISECONDS = 10_000;
 /** Exit code of a host that cannot have a port at all. */
 const PORT_EXIT_CODE = 3;
 /** An address that is reserved for documentation, so of no machine. */
--- a/test/startsignals.test.ts
+++ b/test/startsignals.test.ts
@@ -8,7 +8,7 @@
 const SIGHUP_BIT = 1n;
 const STEP_MILLISECONDS = 12;
 const STEPS = 30;
-const MAX_WAIT_MILLISECONDS = 20_000;
+const MAX_WAIT_MILLISECONDS = 10_000;
 
 const wait = (duration: number) =>
   new Promise<void>(resolve => setTimeout(resolve, duration));
