Make the ready endpoints of the selection tests in one place

Eight test files and test/support/forwarding.ts each wrote the same directory entry, four of them the same directory of engines. Both now come from test/support/directories.ts. No test is changed.

--- a/test/autoscaler.test.ts
+++ b/test/autoscaler.test.ts
@@ -14,6 +14,7 @@
   type ScaleRequest,
 } from '../source/leader/index.js';
 import type {Service} from '../source/routing/index.js';
+import {readyEndpoint} from './support/directories.js';
 import {SILENT} from './support/silent.js';
 
 const ZONES = ['palermo', 'catania', 'siracusa'];
@@ -45,25 +46,15 @@
 
 /** A directory with these numbers of endpoints in each zone. */
 function directoryOf(onDemand: number, reclaimable: number): Directory {
-  const entries = ZONES.flatMap(zone =>
-    Array.from({length: onDemand + reclaimable}, (_, index) => ({
-      id: `${zone}-${index}`,
-      service: SERVICE.name,
-      address: '127.0.0.1:1',
-      zone,
-      slots: 64,
-      leaving: false,
-      coldFor: 0,
-      born: 1,
-      reclaimable: index >= onDemand,
-    })),
-  );
-  return new Map(
-    entries.map(entry => [
-      entry.id,
-      {entry, knownAt: 0, coldUntil: -Infinity, removeAt: undefined},
-    ]),
+  const endpoints = ZONES.flatMap(zone =>
+    Array.from({length: onDemand + reclaimable}, (_, index) => {
+      const id = `${zone}-${index}`;
+      const known = readyEndpoint({id, service: SERVICE.name, zone, slots: 64});
+      const entry = {...known.entry, reclaimable: index >= onDemand};
+      return {...known, entry};
+    }),
   );
+  return new Map(endpoints.map(known => [known.entry.id, known]));
 }
 
 function setUp() {
--- a/test/engines.test.ts
+++ b/test/engines.test.ts
@@ -12,8 +12,8 @@
   type Prompt,
 } from '../source/balance/index.js';
 import {ManualClock} from '../source/clock/index.js';
-import type {Directory} from '../source/directory/index.js';
 import {seededRandom, type RandomSource} from '../source/random/index.js';
+import {directoryOfEngines} from './support/directories.js';
 
 const SERVICE = {
   name: 'drafting',
@@ -54,31 +54,6 @@
 
 type Select = (host: Host, prompt: Prompt) => Reservation | undefined;
 
-function directoryOf(count: number): Directory {
-  const ids = Array.from({length: count}, (_, index) => `engine-${index}`);
-  return new Map(
-    ids.map(id => [
-      id,
-      {
-        entry: {
-          id,
-          service: SERVICE.name,
-          address: '127.0.0.1:1',
-          zone: 'palermo',
-          slots: SERVICE.engine.slots,
-          leaving: false,
-          coldFor: 0,
-          born: 1,
-          reclaimable: false,
-        },
-        knownAt: 0,
-        coldUntil: -Infinity,
-        removeAt: undefined,
-      },
-    ]),
-  );
-}
-
 function promptOf(
   random: RandomSource,
   large: boolean,
@@ -101,7 +76,7 @@
 function simulate(engineCount: number, select: Select): Outcome {
   const clock = new ManualClock();
   const random = seededRandom(SEED);
-  const directory = directoryOf(engineCount);
+  const directory = directoryOfEngines(engineCount, SERVICE);
   const engines = new Map<string, Engine>(
     [...directory.keys()].map(id => [
       id,
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -15,11 +15,11 @@
   type ServiceDemand,
 } from '../source/balance/index.js';
 import {ManualClock} from '../source/clock/index.js';
-import type {Directory} from '../source/directory/index.js';
 import {Refusal} from '../source/errors/index.js';
 import {admissionRequestFor} from '../source/forward/index.js';
 import {seededRandom} from '../source/random/index.js';
 import type {Route} from '../source/routing/index.js';
+import {directoryOfEngines} from './support/directories.js';
 
 const HOSTS = 30;
 const ENGINES = 40;
@@ -85,31 +85,6 @@
   return {model: 'm', parts, tokens: 9_190, output: 52};
 }
 
-function directoryOf(): Directory {
-  const ids = Array.from({length: ENGINES}, (_, index) => `engine-${index}`);
-  return new Map(
-    ids.map(id => [
-      id,
-      {
-        entry: {
-          id,
-          service: SERVICE.name,
-          address: '127.0.0.1:1',
-          zone: 'palermo',
-          slots: SLOTS,
-          leaving: false,
-          coldFor: 0,
-          born: 1,
-          reclaimable: false,
-        },
-        knownAt: 0,
-        coldUntil: -Infinity,
-        removeAt: undefined,
-      },
-    ]),
-  );
-}
-
 /** The engines, and what happens at them at what time. */
 class Engines {
   private readonly engines = new Map<string, Engine>();
@@ -175,7 +150,7 @@
       clock,
       regions: {},
     });
-    selector.setDirectory(directoryOf());
+    selector.setDirectory(directoryOfEngines(ENGINES, SERVICE));
     selector.setServices(new Map([[SERVICE.name, SERVICE]]));
     selector.setHosts(Array.from({length: HOSTS}, (_, at) => `host-${at}`));
     const admission = new Admission({
--- a/test/reachability.test.ts
+++ b/test/reachability.test.ts
@@ -8,27 +8,12 @@
 import {EndpointSelector} from '../source/balance/index.js';
 import {ManualClock} from '../source/clock/index.js';
 import type {KnownEndpoint} from '../source/directory/index.js';
+import {readyEndpoint} from './support/directories.js';
 
 const SERVICE = 'register';
 
 function endpoint(id: string, zone: string): [string, KnownEndpoint] {
-  const entry = {
-    id,
-    service: SERVICE,
-    address: '127.0.0.1:1',
-    zone,
-    slots: 6,
-    leaving: false,
-    coldFor: 0,
-    born: 1,
-    reclaimable: false,
-  };
-  const known = {
-    entry,
-    knownAt: 0,
-    coldUntil: -Infinity,
-    removeAt: undefined,
-  };
+  const known = readyEndpoint({id, service: SERVICE, zone, slots: 6});
   return [id, known];
 }
 
--- a/test/regions.test.ts
+++ b/test/regions.test.ts
@@ -6,6 +6,7 @@
 import {ManualClock} from '../source/clock/index.js';
 import type {Directory} from '../source/directory/index.js';
 import {allowedRegionsFor} from '../source/routing/index.js';
+import {readyEndpoint} from './support/directories.js';
 import {holds, isSeenToFail} from './support/fuzz.js';
 import {ROUTE} from './support/forwarding.js';
 
@@ -17,22 +18,7 @@
   return new Map(
     ZONES.map(zone => [
       zone,
-      {
-        entry: {
-          id: zone,
-          service: 'register',
-          address: '127.0.0.1:1',
-          zone,
-          slots: 6,
-          leaving: false,
-          coldFor: 0,
-          born: 1,
-          reclaimable: false,
-        },
-        knownAt: 0,
-        coldUntil: -Infinity,
-        removeAt: undefined,
-      },
+      readyEndpoint({id: zone, service: 'register', zone, slots: 6}),
     ]),
   );
 }
--- a/test/selection.test.ts
+++ b/test/selection.test.ts
@@ -18,6 +18,7 @@
 import {ManualClock} from '../source/clock/index.js';
 import type {KnownEndpoint} from '../source/directory/index.js';
 import {seededRandom, type RandomSource} from '../source/random/index.js';
+import {readyEndpoint} from './support/directories.js';
 import {PlainSelector} from './support/plainselector.js';
 
 const ENGINES = 'drafting';
@@ -31,22 +32,7 @@
 const SMALL_PART_TOKENS = 60;
 
 function knownEndpoint(id: string, zone = 'palermo'): KnownEndpoint {
-  return {
-    entry: {
-      id,
-      service: ENGINES,
-      address: '127.0.0.1:1',
-      zone,
-      slots: 4,
-      leaving: false,
-      coldFor: 0,
-      born: 1,
-      reclaimable: false,
-    },
-    knownAt: 0,
-    coldUntil: -Infinity,
-    removeAt: undefined,
-  };
+  return readyEndpoint({id, service: ENGINES, zone, slots: 4});
 }
 
 /** Both selectors, and the random events that happen to them alike. */
--- a/test/slowendpoint.test.ts
+++ b/test/slowendpoint.test.ts
@@ -3,7 +3,7 @@
 
 import {EndpointSelector, type Prompt} from '../source/balance/index.js';
 import {ManualClock} from '../source/clock/index.js';
-import type {Directory} from '../source/directory/index.js';
+import {directoryOfEngines} from './support/directories.js';
 
 const SERVICE = {
   name: 'drafting',
@@ -20,31 +20,6 @@
   repeatable: false,
 };
 
-function directoryOf(count: number): Directory {
-  const ids = Array.from({length: count}, (_, index) => `engine-${index}`);
-  return new Map(
-    ids.map(id => [
-      id,
-      {
-        entry: {
-          id,
-          service: SERVICE.name,
-          address: '127.0.0.1:1',
-          zone: 'palermo',
-          slots: 16,
-          leaving: false,
-          coldFor: 0,
-          born: 1,
-          reclaimable: false,
-        },
-        knownAt: 0,
-        coldUntil: -Infinity,
-        removeAt: undefined,
-      },
-    ]),
-  );
-}
-
 function promptOf(tokens: number): Prompt {
   return {
     model: 'm',
@@ -68,7 +43,7 @@
       regions: {},
     });
     selector.setServices(new Map([[SERVICE.name, SERVICE]]));
-    selector.setDirectory(directoryOf(engines));
+    selector.setDirectory(directoryOfEngines(engines, SERVICE));
     selector.setHosts(
       Array.from({length: hosts}, (_, index) => `host-${index}`),
     );
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -30,6 +30,7 @@
 } from '../../source/routing/index.js';
 import {StoreError} from '../../source/store/index.js';
 import {StreamVersions} from '../../source/versions/index.js';
+import {readyEndpoint} from './directories.js';
 import {UnusedStore} from './unusedstore.js';
 
 const SERVICE = 'drafting';
@@ -305,23 +306,8 @@
   address: string,
   softwareVersion?: string,
 ): KnownEndpoint {
-  return {
-    entry: {
-      id,
-      service: SERVICE,
-      address,
-      zone: 'palermo',
-      slots: 8,
-      leaving: false,
-      coldFor: 0,
-      born: 1,
-      softwareVersion,
-      reclaimable: false,
-    },
-    knownAt: 0,
-    coldUntil: -Infinity,
-    removeAt: undefined,
-  };
+  const known = readyEndpoint({id, service: SERVICE, slots: 8});
+  return {...known, entry: {...known.entry, address, softwareVersion}};
 }
 
 function createRouting(route: Route): RoutingConfiguration {
--- a/test/tiers.test.ts
+++ b/test/tiers.test.ts
@@ -10,10 +10,10 @@
 import {Admission} from '../source/admission/index.js';
 import {EndpointSelector, type Prompt} from '../source/balance/index.js';
 import {ManualClock} from '../source/clock/index.js';
-import type {Directory} from '../source/directory/index.js';
 import {admissionRequestFor} from '../source/forward/index.js';
 import {seededRandom, type RandomSource} from '../source/random/index.js';
 import {tierOf, type Route, type Team} from '../source/routing/index.js';
+import {directoryOfEngines} from './support/directories.js';
 import {SimulatedEngine, type EngineSizes} from './support/simulatedengine.js';
 
 /** Each host’s share of the callers. */
@@ -85,32 +85,6 @@
   readonly engines: readonly SimulatedEngine[];
 }
 
-function directoryOf(): Directory {
-  const ids = Array.from({length: ENGINES}, (_, index) => `engine-${index}`);
-  const entryOf = (id: string) => ({
-    id,
-    service: SERVICE.name,
-    address: '127.0.0.1:1',
-    zone: 'palermo',
-    slots: ENGINE_SIZES.slots,
-    leaving: false,
-    coldFor: 0,
-    born: 1,
-    reclaimable: false,
-  });
-  return new Map(
-    ids.map(id => [
-      id,
-      {
-        entry: entryOf(id),
-        knownAt: 0,
-        coldUntil: -Infinity,
-        removeAt: undefined,
-      },
-    ]),
-  );
-}
-
 /** The hosts, their callers and the engines. */
 class Fleet {
   readonly clock = new ManualClock();
@@ -124,7 +98,7 @@
     sizes: EngineSizes,
     private readonly random: RandomSource,
   ) {
-    const directory = directoryOf();
+    const directory = directoryOfEngines(ENGINES, SERVICE);
     for (const id of directory.keys()) {
       this.engines.set(id, new SimulatedEngine(sizes));
       this.caches.set(id, new Set());
