Name what the tests of a restored store do more than once

That all hosts serve a key, that a second endpoint has been sent to, that hosts are read until something holds, and the usage reports so far were written two to four times each. The tests do what they did.

--- a/test/restored.test.ts
+++ b/test/restored.test.ts
@@ -6,7 +6,7 @@
  */
 import test, {type ExecutionContext} from 'ava';
 
-import type {SiteCopy} from '../standins/site.js';
+import type {Site, SiteCopy} from '../standins/site.js';
 import {EdgeFleet, until, type HostProcess} from './support/edgeprocess.js';
 
 /** Time for which the store is away. */
@@ -58,12 +58,50 @@
   return {fleet, hosts};
 }
 
+/** Resolves when each host serves requests with a key. */
+async function allServe(
+  fleet: EdgeFleet,
+  hosts: readonly HostProcess[],
+  key: string,
+): Promise<void> {
+  for (const host of hosts)
+    await until(async () => (await fleet.read(host, key))[0] === 200);
+}
+
+/** Starts an endpoint, and resolves when each host has sent to it. */
+async function startSecondEndpoint(
+  fleet: EdgeFleet,
+  hosts: readonly HostProcess[],
+): Promise<void> {
+  await fleet.endpoint('register-2');
+  for (const host of hosts)
+    await until(
+      async () => (await fleet.read(host, 'first'))[1] === 'register-2',
+    );
+}
+
+/** Sends requests to all hosts until a condition holds. */
+async function readUntil(
+  fleet: EdgeFleet,
+  hosts: readonly HostProcess[],
+  isMet: () => boolean,
+): Promise<void> {
+  await until(async () => {
+    for (const host of hosts) await fleet.read(host, 'first');
+    return isMet();
+  });
+}
+
+/** The usage reports of all hosts so far. */
+function usageReports({site}: EdgeFleet): Site['duties'] {
+  return site.duties.filter(({path}) => path === '/usage');
+}
+
 /** No window has two sets of figures, and no fencing token is followed by a lower one. */
-function checkReports(t: ExecutionContext, {site}: EdgeFleet): void {
+function checkReports(t: ExecutionContext, fleet: EdgeFleet): void {
   const figures = new Map<unknown, string>();
   let fence = 0;
-  for (const report of site.duties) {
-    if (report.path !== '/usage') continue;
+  for (const report of usageReports(fleet)) {
     const {windowId, counts} = report.body;
     const text = JSON.stringify(counts);
     t.is(figures.get(windowId) ?? text, text, `window ${String(windowId)}`);
@@ -78,8 +116,7 @@
   const copy = fleet.site.copy();
   for (const key of ['second', 'third']) {
     fleet.configure([key]);
-    for (const host of hosts)
-      await until(async () => (await fleet.read(host, key))[0] === 200);
+    await allServe(fleet, hosts, key);
   }
   await restore(fleet, copy);
   await pause(500);
@@ -92,8 +129,7 @@
   const {fleet, hosts} = await start(t);
   const copy = fleet.site.copy();
   fleet.configure(['second']);
-  for (const host of hosts)
-    await until(async () => (await fleet.read(host, 'second'))[0] === 200);
+  await allServe(fleet, hosts, 'second');
   fleet.site.faults.away = true;
   await pause(AWAY_MILLISECONDS);
   fleet.site.restore(copy);
@@ -107,8 +143,7 @@
   const {fleet, hosts} = await start(t);
   const copy = fleet.site.copy();
   fleet.configure(['second']);
-  for (const host of hosts)
-    await until(async () => (await fleet.read(host, 'second'))[0] === 200);
+  await allServe(fleet, hosts, 'second');
   await restore(fleet, copy);
   const endAt = performance.now() + IN_FORCE_MILLISECONDS;
   while (performance.now() < endAt) {
@@ -121,11 +156,7 @@
 
 test('an endpoint that has left gets nothing though the restored copy calls it ready', async t => {
   const {fleet, hosts} = await start(t);
-  await fleet.endpoint('register-2');
-  for (const host of hosts)
-    await until(
-      async () => (await fleet.read(host, 'first'))[1] === 'register-2',
-    );
+  await startSecondEndpoint(fleet, hosts);
   const copy = fleet.site.copy();
   fleet.enter('register-2', '127.0.0.1:1', 'draining', 'v1', 2);
   const isLeaving = ({lines}: HostProcess) =>
@@ -142,11 +173,7 @@
 
 test('an endpoint that is gone gets nothing though the restored copy calls it ready', async t => {
   const {fleet, hosts} = await start(t);
-  await fleet.endpoint('register-2');
-  for (const host of hosts)
-    await until(
-      async () => (await fleet.read(host, 'first'))[1] === 'register-2',
-    );
+  await startSecondEndpoint(fleet, hosts);
   const copy = fleet.site.copy();
   fleet.remove('register-2');
   const isGone = ({lines}: HostProcess) =>
@@ -179,14 +206,11 @@
 
 test('a leader of a restored store reports no window with other figures than the one before it', async t => {
   const {fleet, hosts} = await start(t);
-  const reports = () => fleet.site.duties.filter(({path}) => path === '/usage');
+  const reports = () => usageReports(fleet);
   await until(() => reports().length >= 2);
   const copy = fleet.site.copy();
   const before = reports().length;
-  await until(async () => {
-    for (const host of hosts) await fleet.read(host, 'first');
-    return reports().length >= before + 3;
-  });
+  await readUntil(fleet, hosts, () => reports().length >= before + 3);
   const [first] = reports();
   const members = new Map([...copy.members].reverse());
   await restore(fleet, {...copy, members});
@@ -198,14 +222,11 @@
 
 test('a leader that started after a restore reports no window with other figures than the leader that was lost', async t => {
   const {fleet, hosts} = await start(t);
-  const reports = () => fleet.site.duties.filter(({path}) => path === '/usage');
+  const reports = () => usageReports(fleet);
   await until(() => reports().length >= 2);
   const copy = fleet.site.copy();
   const before = reports().length;
-  await until(async () => {
-    for (const host of hosts) await fleet.read(host, 'first');
-    return reports().length >= before + 3;
-  });
+  await readUntil(fleet, hosts, () => reports().length >= before + 3);
   const holder = reports()[0]?.holder;
   const leader = hosts.find(({name}) => name === holder);
   const other = hosts.find(({name}) => name !== holder);
@@ -225,15 +246,12 @@
 
 test('usage of a window is reported with the same figures, and the leader reports on', async t => {
   const {fleet, hosts} = await start(t);
-  const reports = () => fleet.site.duties.filter(({path}) => path === '/usage');
+  const reports = () => usageReports(fleet);
   await until(() => reports().length >= 2);
   for (let round = 0; round < 3; round++) {
     const copy = fleet.site.copy();
     const before = reports().length;
-    await until(async () => {
-      for (const host of hosts) await fleet.read(host, 'first');
-      return reports().length >= before + 2;
-    });
+    await readUntil(fleet, hosts, () => reports().length >= before + 2);
     await restore(fleet, copy);
   }
   const after = reports().length;
