--- a/test/streamversions.test.ts
+++ b/test/streamversions.test.ts
@@ -158,6 +158,18 @@
 const KNOWN_V1 = {kind: 'known', version: 'v1'} as const;
 const UNKNOWN = {kind: 'unknown'} as const;
 
+/** A host that has known for long that all endpoints are of one version. */
+async function longWithOneVersion(): Promise<{
+  world: World;
+  host: StreamVersions;
+}> {
+  const world = new World();
+  world.serve({a: 'v1', b: 'v1'}, LONG_RUNNING_MILLISECONDS);
+  const host = world.host();
+  await world.pass(STREAM_LIFETIME_MILLISECONDS);
+  return {world, host};
+}
+
 test('nothing is appended or read while one version serves', async t => {
   const world = new World();
   world.serve({a: 'v1', b: 'v1'}, LONG_RUNNING_MILLISECONDS);
@@ -197,10 +209,7 @@
 });
 
 test('after all hosts were killed, what a release began is known from the store', async t => {
-  const world = new World();
-  world.serve({a: 'v1', b: 'v1'}, LONG_RUNNING_MILLISECONDS);
-  const host = world.host();
-  await world.pass(STREAM_LIFETIME_MILLISECONDS);
+  const {world, host} = await longWithOneVersion();
   world.serve({a: 'v1', b: 'v2'});
   begin(host, 'recorded', 'v1');
   await world.pass(300);
@@ -213,10 +222,7 @@
 });
 
 test('after all hosts were killed and the old version has left, its streams go on nowhere', async t => {
-  const world = new World();
-  world.serve({a: 'v1', b: 'v1'}, LONG_RUNNING_MILLISECONDS);
-  const host = world.host();
-  await world.pass(STREAM_LIFETIME_MILLISECONDS);
+  const {world, host} = await longWithOneVersion();
   begin(host, 'old', 'v1');
   world.killAll();
   world.serve({c: 'v2', d: 'v2'});
@@ -225,10 +231,7 @@
 });
 
 test('after all hosts were killed with one version in service, streams go on', async t => {
-  const world = new World();
-  world.serve({a: 'v1', b: 'v1'}, LONG_RUNNING_MILLISECONDS);
-  const host = world.host();
-  await world.pass(STREAM_LIFETIME_MILLISECONDS);
+  const {world, host} = await longWithOneVersion();
   begin(host, 'old', 'v1');
   world.killAll();
   await world.pass(2_000);
@@ -316,10 +319,7 @@
 });
 
 test('a stream of a version that came and went unseen goes on at another one', async t => {
-  const world = new World();
-  world.serve({a: 'v1', b: 'v1'}, LONG_RUNNING_MILLISECONDS);
-  const host = world.host();
-  await world.pass(STREAM_LIFETIME_MILLISECONDS);
+  const {host} = await longWithOneVersion();
   const {entry} = createEndpoint('c', '127.0.0.1:1', 'v2');
   host.recordEntries([
     {id: 'c', entry},
@@ -329,10 +329,7 @@
 });
 
 test('a host that has missed entries reads the records of all hosts', async t => {
-  const world = new World();
-  world.serve({a: 'v1', b: 'v1'}, LONG_RUNNING_MILLISECONDS);
-  const host = world.host();
-  await world.pass(STREAM_LIFETIME_MILLISECONDS);
+  const {world, host} = await longWithOneVersion();
   await host.versionOf(SERVICE, 'one');
   t.is(world.store.calls, 0);
   host.recordEntries([{id: 'never seen', entry: undefined}]);
@@ -346,10 +343,7 @@
 });
 
 test('a host whose directory is not up to date takes its only version for the only one', async t => {
-  const world = new World();
-  world.serve({a: 'v1', b: 'v1'}, LONG_RUNNING_MILLISECONDS);
-  const host = world.host();
-  await world.pass(STREAM_LIFETIME_MILLISECONDS);
+  const {world, host} = await longWithOneVersion();
   begin(host, 'own', 'v1');
   world.store.isAway = true;
   t.deepEqual(await host.versionOf(SERVICE, 'one'), UNKNOWN);
