Split the tests of endless answers by what never ends

The tests of streams moved to test/endlessstreams.test.ts and those of health checks to test/endlesshealthcheck.test.ts, as they were, with their titles; what they share is in test/support/endless.ts.

--- a/test/support/endless.ts
+++ b/test/support/endless.ts
@@ -7,6 +7,18 @@
   type ReceivedRequest,
 } from './forwarding.js';
 
+/** The route's timeout, in milliseconds. */
+export const TIMEOUT = 1_000;
+/** Milliseconds by which a final response must be there. */
+export const RESPONSE_DUE = 1_300;
+/** What the sockets of both ends may buffer. */
+export const SOCKET_BUFFERS = 8_388_608;
+/** What endpoints send again and again. */
+export const FILLER = 'x'.repeat(65_536);
+/** The header line of a body in chunks, and a chunk. */
+export const CHUNKED = 'transfer-encoding: chunked';
+export const CHUNK = `10000\r\n${FILLER}\r\n`;
+
 /** What an endpoint sends: first `head`, then `part` again and again. */
 export interface EndlessBytes {
   readonly head: string;
