Move pulses, peers and missing records out of the gossip node

Moved out, without a change of behaviour: what a pulse says, with the state that a host reports (pulse.ts); the connection to another host with what that host has acknowledged (peer.ts); and which topics this host has been behind in for a while (missingrecords.ts). The constructor, start(), stop() and the server are untouched.

--- a/source/gossip/index.ts
+++ b/source/gossip/index.ts
@@ -9,7 +9,8 @@
 } from './feed.js';
 export {Feeder, type FeederOptions} from './feeder.js';
 export {OutboundConnection} from './outbound.js';
-export {GossipNode, type GossipOptions, type OwnState} from './node.js';
+export {GossipNode, type GossipOptions} from './node.js';
+export type {OwnState} from './pulse.js';
 export {
   applyHostList,
   applyPulse,
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -7,23 +7,13 @@
  */
 import {createServer, type Server, type Socket} from 'node:net';
 
-import {
-  rendezvousOrder,
-  type EndpointLoadReport,
-  type CachedPart,
-  type LimitStatement,
-  type ServiceDemand,
-} from '../balance/index.js';
+import {rendezvousOrder, type LimitStatement} from '../balance/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import {FrameReader} from '../peers/index.js';
 import type {Sheet} from '../platform/index.js';
-import type {
-  BegunSuspect,
-  BlocklistEntry,
-  CrashReport,
-} from '../quarantine/index.js';
+import type {BegunSuspect, CrashReport} from '../quarantine/index.js';
 import {
   isBefore,
   type PeerRecordPage,
@@ -49,13 +39,14 @@
   type HostAddress,
   type Pulse,
   type SheetDelivery,
-  type TopicPosition,
 } from './message.js';
+import {MissingRecords} from './missingrecords.js';
 import {OutboundConnection} from './outbound.js';
+import {Peer} from './peer.js';
+import {createPulse, type OwnState} from './pulse.js';
 import {
   compressRecords,
   createRecordsMessage,
-  positionOf,
   toRecordPage,
 } from './records.js';
 
@@ -66,34 +57,12 @@
  * gets fewer pulses, so that a host sends at most 25 a second.
  */
 const PERIOD_PER_HOST_MILLISECONDS = 40;
-/** One in so many pulses lists other hosts. */
-const HOST_LIST_INTERVAL_PULSES = 5;
-/** Most hosts that a pulse lists. */
-const MAX_LISTED_HOSTS = 12;
 /** Periods without an acknowledgement after which a connection is replaced. */
 const ACKNOWLEDGEMENT_TIMEOUT_PERIODS = 5;
 /** Periods for which recent events are repeated, since pulses may be lost. */
 const EVENT_REPEAT_PERIODS = 1.25;
-/**
- * Milliseconds for which another host may be ahead before this one requests
- * records.
- */
-const BEHIND_GRACE_MILLISECONDS = 250;
 const SEED_CONTACT_INTERVAL_MILLISECONDS = 1_000;
 
-/** What a host reports about itself. */
-export interface OwnState {
-  readonly leaving: boolean;
-  readonly positions: readonly TopicPosition[];
-  readonly uses: readonly EndpointLoadReport[];
-  readonly work: readonly ServiceDemand[];
-  readonly unreachable: readonly string[];
-  readonly kept: readonly CachedPart[];
-  readonly blocked: readonly BlocklistEntry[];
-  readonly limits: readonly LimitStatement[];
-  readonly certainUsage: Pulse['certainUsage'];
-}
-
 /** What the gossip of a host is created from. */
 export interface GossipOptions {
   readonly self: HostAddress;
@@ -135,28 +104,13 @@
   readonly onHostLost: (host: HostAddress) => void;
 }
 
-interface PeerState {
-  readonly outbound: OutboundConnection;
-  sequence: number;
-  /**
-   * Sequence number of the last pulse that the other host has acknowledged; 0
-   * for none.
-   */
-  acknowledged: number;
-  /**
-   * Monotonic milliseconds of that acknowledgement, or of the last time that
-   * the connection was created or replaced.
-   */
-  acknowledgedAt: number;
-}
-
 /** Exchanges gossip with the other hosts. */
 export class GossipNode {
   private members: Members = new Map();
-  private readonly peers = new Map<string, PeerState>();
+  private readonly peers = new Map<string, Peer>();
   private readonly server: Server;
   private readonly inbound = new Set<Socket>();
-  private readonly behindSince = new Map<string, number>();
+  private readonly missing = new MissingRecords();
   private readonly seeds: readonly OutboundConnection[];
   private seedsContactedAt = -Infinity;
   /** The hosts that were reachable at the last tick. */
@@ -296,66 +250,36 @@
     if (!member) return;
     const peer = this.peerFor(member);
     const now = this.options.clock.monotonic();
-    peer.sequence++;
-    if (
-      now - peer.acknowledgedAt >
-      ACKNOWLEDGEMENT_TIMEOUT_PERIODS * this.period
-    ) {
-      peer.outbound.reset();
-      peer.acknowledgedAt = now;
+    const timeout = ACKNOWLEDGEMENT_TIMEOUT_PERIODS * this.period;
+    if (peer.renewIfSilent(timeout, now))
       this.options.metrics.count('gossip-renewed');
-    }
     const heard = member.pulse?.sequence ?? 0;
-    const pulse = this.createPulse(own, peer.sequence, heard);
+    const pulse = this.createPulse(own, peer.takeSequence(), heard);
     const sheets = name === replicaHost ? this.options.sheets() : [];
     peer.outbound.send({...pulse, sheets: [...sheets]});
   }
 
-  private peerFor({host}: Member): PeerState {
+  private peerFor({host}: Member): Peer {
     const existing = this.peers.get(host.name);
     if (existing?.outbound.address === host.address) return existing;
     this.disconnect(host.name);
     const {clock} = this.options;
     const outbound = new OutboundConnection(host.address, clock);
-    const acknowledgedAt = clock.monotonic();
-    const peer = {outbound, sequence: 0, acknowledged: 0, acknowledgedAt};
+    const peer = new Peer(outbound, clock.monotonic());
     this.peers.set(host.name, peer);
     return peer;
   }
 
   private createPulse(own: OwnState, sequence: number, heard: number): Pulse {
-    const {self} = this.options;
-    const {leaving, positions, uses, work, kept, unreachable, blocked} = own;
-    const {limits, certainUsage} = own;
-    const listsHosts = sequence % HOST_LIST_INTERVAL_PULSES === 1;
-    return {
-      kind: 'pulse',
-      from: self,
+    const {self, clock} = this.options;
+    return createPulse(own, {
+      self,
       sequence,
       heard,
       period: this.period,
-      time: this.options.clock.now().getTime(),
-      leaving,
-      inflates: true,
-      positions: [...positions],
-      uses: [...uses],
-      work: [...work],
-      unreachable: [...unreachable],
-      kept: [...kept],
-      blocked: [...blocked],
-      limits: [...limits],
-      certainUsage,
-      sheets: [],
-      hosts: listsHosts ? this.hostSample(sequence) : [],
-    };
-  }
-
-  /** Some of the reachable hosts, others for each sequence number. */
-  private hostSample(sequence: number): HostAddress[] {
-    const hosts = this.reachableMembers.map(({host}) => host);
-    if (hosts.length <= MAX_LISTED_HOSTS) return hosts;
-    const start = (sequence * MAX_LISTED_HOSTS) % hosts.length;
-    return [...hosts, ...hosts].slice(start, start + MAX_LISTED_HOSTS);
+      time: clock.now().getTime(),
+      reachableHosts: () => this.reachableMembers.map(({host}) => host),
+    });
   }
 
   /**
@@ -437,11 +361,7 @@
       this.sendPulse(name, this.ownState(), this.usageReplicaHost());
       this.options.onHostFound(pulse.from);
     }
-    const peer = this.peers.get(name);
-    if (peer && pulse.heard > peer.acknowledged) {
-      peer.acknowledged = pulse.heard;
-      peer.acknowledgedAt = now;
-    }
+    this.peers.get(name)?.acknowledge(pulse.heard, now);
     onPulse(pulse);
   }
 
@@ -460,18 +380,10 @@
    */
   private requestMissingRecords(now: number): void {
     const {state, self, logger} = this.options;
-    for (const {topic, position, era} of state(0).positions) {
-      const own = {offset: position, era};
-      const ahead = this.reachableMembers.find(({pulse}) =>
-        isBefore(own, positionOf(pulse?.positions ?? [], topic)),
-      );
-      if (!ahead) {
-        this.behindSince.delete(topic);
-        continue;
-      }
-      const since = this.behindSince.get(topic) ?? now;
-      this.behindSince.set(topic, since);
-      if (now - since < BEHIND_GRACE_MILLISECONDS) continue;
+    const {positions} = state(0);
+    const missing = this.missing.update(positions, this.reachableMembers, now);
+    for (const {own, ahead} of missing) {
+      const {topic, position, era} = own;
       const {name} = ahead.host;
       logger.info('records-asked', {topic, position, host: name});
       const kind = 'wanted';
