Write once that endpoints respond otherwise to the first request

Five places in the tests of forwarding wrote the same choice by the number of requests received; firstThen in test/support/forwarding.ts makes it. The tests check what they checked.

--- a/test/endlessstreams.test.ts
+++ b/test/endlessstreams.test.ts
@@ -15,6 +15,7 @@
   type SentBytes,
 } from './support/endless.js';
 import {
+  firstThen,
   ForwarderFixture,
   sealHeaders,
   type Behaviour,
@@ -67,12 +68,7 @@
     response.writeHead(200, sealHeaders(received));
     response.end('id: 1\ndata: piece\n\n');
   };
-  const once: Behaviour = (received, response, count) =>
-    (fixture.received.length === 1 ? comments : events)(
-      received,
-      response,
-      count,
-    );
+  const once = firstThen(comments, events);
   const fixture = await ForwarderFixture.start(t, route, [once, once]);
   const reply = await fixture.send();
   t.is(reply.status, 200);
@@ -87,12 +83,7 @@
     response.writeHead(200, sealHeaders(received));
     response.end('id: 2\ndata: b\n\n');
   };
-  const once: Behaviour = (received, response, count) =>
-    (fixture.received.length === 1 ? comments : events)(
-      received,
-      response,
-      count,
-    );
+  const once = firstThen(comments, events);
   const fixture = await ForwarderFixture.start(t, route, [once, once]);
   const reply = await fixture.send();
   t.true(reply.whole);
--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -6,6 +6,7 @@
 import test from 'ava';
 
 import {
+  firstThen,
   ForwarderFixture,
   respondWith,
   sealHeaders,
@@ -115,21 +116,11 @@
 
 test('a repeatable request that fails is retried at another endpoint', async t => {
   const route = {repeatable: true, attempts: 2};
-  const failing = respondWith(500, 'failed');
-  const fixture = await ForwarderFixture.start(t, route, [
-    (received, response, count) =>
-      (fixture.received.length === 1 ? failing : respondWith(200, 'done'))(
-        received,
-        response,
-        count,
-      ),
-    (received, response, count) =>
-      (fixture.received.length === 1 ? failing : respondWith(200, 'done'))(
-        received,
-        response,
-        count,
-      ),
-  ]);
+  const failOnce = firstThen(
+    respondWith(500, 'failed'),
+    respondWith(200, 'done'),
+  );
+  const fixture = await ForwarderFixture.start(t, route, [failOnce, failOnce]);
   const reply = await fixture.send();
   t.is(reply.status, 200);
   t.is(fixture.received.length, 2);
--- a/test/forwardstreams.test.ts
+++ b/test/forwardstreams.test.ts
@@ -10,6 +10,7 @@
 import {hashToUnitInterval} from '../source/balance/index.js';
 import {serviceFor} from '../source/routing/index.js';
 import {
+  firstThen,
   ForwarderFixture,
   ROUTE,
   sealHeaders,
@@ -49,12 +50,7 @@
     sendEvents(received, response, 6);
     response.end();
   };
-  const breakOffOnce: Behaviour = (received, response, count) =>
-    (fixture.received.length === 1 ? breakOff : resume)(
-      received,
-      response,
-      count,
-    );
+  const breakOffOnce = firstThen(breakOff, resume);
   const fixture = await ForwarderFixture.start(t, route, [
     breakOffOnce,
     breakOffOnce,
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -83,6 +83,19 @@
   };
 }
 
+/**
+ * Returns a behaviour for one or more endpoints: they respond to the first
+ * request that any of them gets in one way, and to all others in another.
+ */
+export function firstThen(first: Behaviour, others: Behaviour): Behaviour {
+  let isFirst = true;
+  return (received, response, count) => {
+    const behave = isFirst ? first : others;
+    isFirst = false;
+    behave(received, response, count);
+  };
+}
+
 /** The route of the tests' requests; a test may override its fields. */
 export const ROUTE: Route = {
   name: 'drafts',
