--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -31,6 +31,7 @@
 } from '../../source/routing/index.js';
 import {StoreError} from '../../source/store/index.js';
 import {StreamVersions} from '../../source/versions/index.js';
+import {readyEndpoint} from './directories.js';
 import {UnusedStore} from './unusedstore.js';
 
 const SERVICE = 'drafting';
@@ -83,6 +84,19 @@
   };
 }
 
+/**
+ * Returns a behaviour for one or more endpoints: they respond to the first
+ * request that any of them gets in one way, and to all others in another.
+ */
+export function firstThen(first: Behaviour, others: Behaviour): Behaviour {
+  let isFirst = true;
+  return (received, response, count) => {
+    const behave = isFirst ? first : others;
+    isFirst = false;
+    behave(received, response, count);
+  };
+}
+
 /** The route of the tests' requests; a test may override its fields. */
 export const ROUTE: Route = {
   name: 'drafts',
@@ -318,23 +332,8 @@
   address: string,
   softwareVersion?: string,
 ): KnownEndpoint {
-  return {
-    entry: {
-      id,
-      service: SERVICE,
-      address,
-      zone: 'palermo',
-      slots: 8,
-      leaving: false,
-      coldFor: 0,
-      born: 1,
-      softwareVersion,
-      reclaimable: false,
-    },
-    knownAt: 0,
-    coldUntil: -Infinity,
-    removeAt: undefined,
-  };
+  const known = readyEndpoint({id, service: SERVICE, slots: 8});
+  return {...known, entry: {...known.entry, address, softwareVersion}};
 }
 
 function createRouting(route: Route): RoutingConfiguration {
