--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -13,6 +13,7 @@
   soak: 'soak/main.ts',
   edgecost: 'tools/edgecost.ts',
   decisioncost: 'tools/decisioncost.ts',
+  memorycost: 'tools/memorycost.ts',
   piececost: 'tools/piececost.ts',
   'standin-fast': 'standins/fast.ts',
   'standin-platform': 'standins/platform.ts',
