Keep a daemon of the own interface from ending by itself at its start

arbutusslipd ended with 2 when one of its ports was taken for a moment, although it needs neither the operators' nor the peers' port to serve; SIGHUP ended it, a signal to stop cut it in its start, and a log whose reader had gone ended it.

Its ports are now Ports, which are tried again; only the callers' is required, and one whose address the machine lacks ends the process with code 3. Signals have a handler before the rest of the program loads, and a stop in the middle of a start ends it in order. The last line says the cause of the end, and all wrong flags are named at once.

--- a/source/daemon/host.ts
+++ b/source/daemon/host.ts
@@ -26,9 +26,9 @@
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Platform} from '../platform/index.js';
+import {Port} from '../ports/index.js';
 import type {Load} from '../process/index.js';
 import type {Settings} from '../settings/index.js';
-import {listen} from '../wire/index.js';
 import {createListener} from './listener.js';
 import {createOperatorPort} from './operators.js';
 import {UnusedConnections} from './unused.js';
@@ -65,7 +65,9 @@
 
   private readonly callers: Server;
   private readonly unused: UnusedConnections;
+  private readonly callersPort: Port;
   private readonly operators: Server;
+  private readonly operatorsPort: Port;
   private state = hostChart.initial;
   private leaving: Promise<void> | undefined;
 
@@ -88,13 +90,31 @@
     this.callers = createListener(this);
     this.unused = new UnusedConnections(this.callers);
     this.operators = createOperatorPort(this);
+    this.callersPort = new Port({
+      role: 'callers',
+      address: settings.callers,
+      server: this.callers,
+      isRequired: true,
+      ...parts,
+    });
+    this.operatorsPort = new Port({
+      role: 'operators',
+      address: settings.operators,
+      server: this.operators,
+      isRequired: false,
+      ...parts,
+    });
   }
 
-  /** Opens the ports and joins the fleet. Throws a SettingsError. */
+  /**
+   * Opens the ports and joins the fleet once that of the callers is open, for
+   * which it waits if it is taken. Throws a PortError if waiting does not open it.
+   */
   async start(): Promise<void> {
-    await listen(this.operators, this.settings.operators);
-    await listen(this.callers, this.settings.callers);
-    await this.zone.start(this.plane.admission, this.plane.adapter);
+    void this.operatorsPort.open();
+    const isOpen = await this.callersPort.open();
+    if (!isOpen || this.leaving !== undefined) return;
+    this.zone.start(this.plane.admission, this.plane.adapter);
     this.move('listen');
   }
 
@@ -154,10 +174,12 @@
   }
 
   private async leave(): Promise<void> {
+    if (this.state === hostChart.initial) return this.stop();
     if (hostChart.allows(this.state, 'drain')) this.move('drain');
     await this.zone.announce();
     await this.wait(this.settings.drainMilliseconds);
-    const closed = new Promise(resolve => this.callers.close(resolve));
+    const closed = new Promise(resolve => this.callers.once('close', resolve));
+    this.callersPort.close();
     this.callers.closeIdleConnections();
     await this.exchanges.whenEmpty();
     const stopClosing = this.clock.every(IDLE_CLOSE_MILLISECONDS, () => {
@@ -175,7 +197,8 @@
   private stop(): void {
     this.move('stop');
     this.zone.stop();
-    this.operators.close();
+    this.callersPort.close();
+    this.operatorsPort.close();
     this.operators.closeAllConnections();
     this.metrics.close();
   }
--- a/source/daemon/main.ts
+++ b/source/daemon/main.ts
@@ -1,18 +1,11 @@
 #!/usr/bin/env node
-/** arbutusslipd, the daemon of one host. */
-import {argumentDefinitionsFor, settingsSchema} from '../settings/index.js';
-import {defineCommand, renderUsage} from 'citty';
+/**
+ * arbutusslipd, the daemon of one host. Handles signals before it loads the rest
+ * of the program. While that loads there is nothing to end in order, so a signal
+ * to stop ends the process at once.
+ */
+import {DaemonSignals} from './signals.js';
 
-import {runDaemon} from './run.js';
-
-const daemon = defineCommand({
-  meta: {name: 'arbutusslipd', description: 'One host of arbutusslip.'},
-  args: argumentDefinitionsFor(settingsSchema),
-});
-
-const flags = process.argv.slice(2);
-if (flags.includes('--help')) {
-  process.stdout.write(`${await renderUsage(daemon)}\n`);
-} else {
-  await runDaemon(flags, process.env);
-}
+const signals = new DaemonSignals(process, () => process.exit(0));
+const {startDaemon} = await import('./start.js');
+await startDaemon(signals);
--- a/source/daemon/zone.ts
+++ b/source/daemon/zone.ts
@@ -94,11 +94,11 @@
   }
 
   /** Joins the fleet; the request plane’s parts are given here. */
-  async start(admission: Admission, adapter: EndpointAdapter): Promise<void> {
+  start(admission: Admission, adapter: EndpointAdapter): void {
     const {settings, clock} = this.options;
     this.watch = this.createWatch(adapter);
     this.credits = this.createCredits(admission);
-    await this.mesh.start(settings.peers);
+    this.mesh.start(settings.peers);
     this.contend();
     void this.record.follower.run();
     void this.announce();
@@ -258,9 +258,11 @@
   }
 
   private createMesh(): Mesh {
-    const {clock, settings, metrics} = this.options;
+    const {clock, logger, settings, metrics} = this.options;
     return new Mesh({
       clock,
+      logger,
+      metrics,
       self: this.hello,
       secrets: settings.peerSecret.split(','),
       pulse: () => ({
--- a/source/peers/mesh.ts
+++ b/source/peers/mesh.ts
@@ -10,7 +10,10 @@
 import type {Cancel, Clock} from '../clock/index.js';
 import type {Heartbeat, Hello, Message} from '../messages/index.js';
 import type {HostEntry} from '../platform/index.js';
-import {listen, partsOf} from '../wire/index.js';
+import type {Logger} from '../logging/index.js';
+import type {Metrics} from '../metrics/index.js';
+import {Port} from '../ports/index.js';
+import {partsOf} from '../wire/index.js';
 import {Link} from './link.js';
 
 const CIPHERS = 'ECDHE-PSK-CHACHA20-POLY1305:ECDHE-PSK-AES128-CBC-SHA256';
@@ -33,6 +36,8 @@
 /** What a mesh is made from. */
 export interface MeshOptions {
   readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly self: Hello;
   /** The present secret first, then those that are still accepted. */
   readonly secrets: readonly string[];
@@ -53,6 +58,7 @@
   private readonly links = new Set<Link>();
   private readonly connecting = new Set<string>();
   private listed: readonly HostEntry[] = [];
+  private port: Port | undefined;
   private stopTimer: Cancel = () => {};
 
   constructor(private readonly options: MeshOptions) {
@@ -69,10 +75,18 @@
     this.server.on('tlsClientError', () => options.fault('handshake'));
   }
 
-  /** Listens for other hosts and keeps the links to those that are listed. */
-  async start(address: string): Promise<void> {
-    await listen(this.server, address);
-    const {clock} = this.options;
+  /**
+   * Listens for other hosts, as soon as the port is free, and keeps the links to
+   * those that are listed.
+   */
+  start(address: string): void {
+    const {clock, logger, metrics} = this.options;
+    const {server} = this;
+    const isRequired = false;
+    const role = 'peers';
+    const parts = {role, address, server, isRequired, clock, logger, metrics};
+    this.port = new Port(parts);
+    void this.port.open();
     this.stopTimer = clock.every(RECONNECT_MILLISECONDS, () =>
       this.connectAll(),
     );
@@ -80,7 +94,7 @@
 
   stop(): void {
     this.stopTimer();
-    this.server.close();
+    this.port?.close();
     for (const link of [...this.links]) link.close();
   }
 
--- a/source/process/end.ts
+++ b/source/process/end.ts
@@ -5,6 +5,7 @@
  */
 import type {Clock} from '../clock/index.js';
 import {formatJsonLine, writeLineNow, type Fields} from '../logging/index.js';
+import {PORT_ERROR_EXIT_CODE} from '../ports/index.js';
 import {memoryFields} from './load.js';
 import {errorFields, UNCAUGHT_ERROR_EXIT_CODE} from './uncaught.js';
 
@@ -24,7 +25,7 @@
 const CAUSES: ReadonlyMap<number, EndCause> = new Map([
   [UNCAUGHT_ERROR_EXIT_CODE, 'uncaught-error'],
   [SETTINGS_EXIT_CODE, 'settings'],
-  [3, 'port'],
+  [PORT_ERROR_EXIT_CODE, 'port'],
 ]);
 
 /** What an end reporter needs. */
@@ -34,6 +35,8 @@
   /** The process, except in tests. */
   readonly source: Pick<NodeJS.Process, 'on' | 'exit' | 'uptime'>;
   readonly clock: Clock;
+  /** Where the lines of the log go; standard output by default. */
+  readonly logDescriptor?: number;
 }
 
 /** Writes an event `end` when the process ends. */
@@ -97,7 +100,7 @@
   }
 
   private writeEnd(exitCode: number): void {
-    const {clock, source} = this.options;
+    const {clock, source, logDescriptor} = this.options;
     const cause = this.cause ?? CAUSES.get(exitCode) ?? 'unknown';
     const limit = this.memoryLimitMegabytes;
     const level = exitCode === 0 ? 'info' : 'error';
@@ -109,6 +112,6 @@
       ...memoryFields(),
       ...(limit === undefined ? {} : {memoryLimitMegabytes: limit}),
     });
-    writeLineNow(STDOUT_FILE_DESCRIPTOR, line);
+    writeLineNow(logDescriptor ?? STDOUT_FILE_DESCRIPTOR, line);
   }
 }
--- a/source/settings/read.ts
+++ b/source/settings/read.ts
@@ -41,8 +41,8 @@
 
 /**
  * Reads and validates settings. `flags` are the arguments of the command line,
- * `variables` the environment. Throws a SettingsError that names the first
- * unknown, missing or invalid flag.
+ * `variables` the environment. Throws a SettingsError that names the first flag
+ * that is unknown, or all that are missing or invalid.
  *
  * ```ts
  * const settings = readSettings(process.argv.slice(2), process.env, schema);
@@ -89,10 +89,16 @@
 ): z.infer<Schema> {
   const result = schema.safeParse(values);
   if (result.success) return result.data;
-  const [issue] = result.error.issues;
-  const name = String(issue?.path[0] ?? '');
-  const isMissing = !(name in values);
-  const variable = environmentVariableFor(name);
-  const reason = isMissing ? `is required (or ${variable})` : issue?.message;
-  throw new SettingsError(flagFor(name), reason ?? 'has an invalid value');
+  const problems = result.error.issues.map(({path, message}) => {
+    const setting = String(path[0] ?? '');
+    const variable = environmentVariableFor(setting);
+    const isMissing = !(setting in values);
+    const detail = isMissing ? `is required (or ${variable})` : message;
+    return {name: flagFor(setting), detail};
+  });
+  const texts = problems.map(({name, detail}) => `${name}: ${detail}`);
+  const [first] = problems;
+  const flag = first?.name ?? '';
+  const reason = texts.join('; ').slice(`${flag}: `.length);
+  throw new SettingsError(flag, reason, problems);
 }
