--- a/source/logging/sink.ts
+++ b/source/logging/sink.ts
@@ -7,6 +7,7 @@
 import {write} from 'node:fs';
 
 import type {Cancel, Clock} from '../clock/index.js';
+import {avoidWaiting} from './nonblocking.js';
 
 /** Rate limit, for warnings and errors and for all other lines separately. */
 const MAX_LINES_PER_SECOND = 150;
@@ -37,7 +38,9 @@
   constructor(
     private readonly descriptor: number,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    avoidWaiting(descriptor);
+  }
 
   /** Accepts one line, or counts it as dropped. */
   writeLine(level: string, line: string): void {
@@ -104,12 +107,23 @@
       for (const resolve of this.onWritten.splice(0)) resolve();
       return;
     }
-    const batch = this.buffered.join('');
+    const batch = Buffer.from(this.buffered.join(''));
     this.buffered = [];
     this.bufferedLength = 0;
     this.isWriting = true;
-    write(this.descriptor, batch, () => {
-      // A write error is ignored: a reader that has gone away must not make the
+    this.writeRest(batch);
+  }
+
+  /** Writes what is left of a batch, in as many parts as the reader takes. */
+  private writeRest(rest: Buffer): void {
+    write(this.descriptor, rest, (error, written) => {
+      const left = rest.subarray(error ? 0 : written);
+      if (left.length > 0 && (!error || error.code === 'EAGAIN')) {
+        const again = () => this.writeRest(left);
+        this.clock.after(error ? BATCH_INTERVAL_MILLISECONDS : 0, again);
+        return;
+      }
+      // Another error is ignored: a reader that has gone away must not make the
       // host fail, and there is nowhere to report it. The lines are lost.
       this.isWriting = false;
       this.writeBatch();
--- a/test/ends.test.ts
+++ b/test/ends.test.ts
@@ -1,5 +1,5 @@
 /** What a host process says when it ends: its log tells the causes apart. */
-import {spawnSync} from 'node:child_process';
+import {spawn, spawnSync} from 'node:child_process';
 import {writeFileSync} from 'node:fs';
 
 import test, {type ExecutionContext} from 'ava';
@@ -158,3 +158,35 @@
     /nodeId.*listen\.front/,
   );
 });
+
+/** Runs a command whose standard output is a pipe that is full and stays so. */
+const ON_FULL_PIPE =
+  'mkfifo "$0"; exec 3<>"$0"; head -c 65536 /dev/zero >&3; exec "$@" >&3';
+
+test('a log whose reader does not read does not keep a host from its end', async t => {
+  const fleet = await startFleet(t);
+  const host = await fleet.host('host-1');
+  host.child.kill('SIGKILL');
+  await host.ended;
+  const child = spawn(
+    '/bin/sh',
+    [
+      '-c',
+      ON_FULL_PIPE,
+      `${host.settings}.pipe`,
+      process.execPath,
+      'dist/arbutusslip-edge.js',
+    ],
+    {
+      env: {PATH: process.env['PATH'], ARBUTUSSLIP_BOOT: host.settings},
+      stdio: 'ignore',
+    },
+  );
+  t.teardown(() => child.kill('SIGKILL'));
+  const ended = new Promise<number | null>(resolve => {
+    child.once('exit', code => resolve(code));
+  });
+  await fleet.ready(host);
+  child.kill('SIGTERM');
+  t.is(await endOf({...host, ended}), 0);
+});
