--- a/source/process/end.ts
+++ b/source/process/end.ts
@@ -35,6 +35,8 @@
   /** The process, except in tests. */
   readonly source: Pick<NodeJS.Process, 'on' | 'exit' | 'uptime'>;
   readonly clock: Clock;
+  /** Where the lines of the log go; standard output by default. */
+  readonly logDescriptor?: number;
 }
 
 /** Writes an event `end` when the process ends. */
@@ -98,7 +100,7 @@
   }
 
   private writeEnd(exitCode: number): void {
-    const {clock, source} = this.options;
+    const {clock, source, logDescriptor} = this.options;
     const cause = this.cause ?? CAUSES.get(exitCode) ?? 'unknown';
     const limit = this.memoryLimitMegabytes;
     const level = exitCode === 0 ? 'info' : 'error';
@@ -110,6 +112,6 @@
       ...memoryFields(),
       ...(limit === undefined ? {} : {memoryLimitMegabytes: limit}),
     });
-    writeLineNow(STDOUT_FILE_DESCRIPTOR, line);
+    writeLineNow(logDescriptor ?? STDOUT_FILE_DESCRIPTOR, line);
   }
 }
