Leave the opening of ports in one step to the stand-ins, where an error on accept ends nothing

What was seen: after a port was open nothing listened for errors of its server, so that an accept that failed (EMFILE, ENOBUFS, ENOMEM) was an uncaught error, which ends the process. The programs open their ports with source/ports since; only stand-ins and tests still used `listen`.

--- a/source/edge/servers.ts
+++ b/source/edge/servers.ts
@@ -44,7 +44,7 @@
  *
  * ```ts
  * const server = createOperatorServer({metrics, quarantine, logger});
- * await listen(server, '10.1.0.24:9464');
+ * await new Port({role, address, server, isRequired, clock, logger, metrics}).open();
  * ```
  */
 export function createOperatorServer(parts: OperatorServerParts): Server {
--- a/source/wire/accepting.ts
+++ b/source/wire/accepting.ts
@@ -2,7 +2,7 @@
 import {connect} from 'node:net';
 
 import type {Clock} from '../clock/index.js';
-import {partsOf} from './listen.js';
+import {partsOf} from './address.js';
 
 /**
  * Resolves with whether a connection to an address is accepted within `timeout`
--- a/source/wire/exchange.ts
+++ b/source/wire/exchange.ts
@@ -7,7 +7,7 @@
 
 import {WireError} from '../errors/index.js';
 import {ByteCollector} from './collector.js';
-import {partsOf} from './listen.js';
+import {partsOf} from './address.js';
 import {abandonRequest, createRequest} from './request.js';
 
 /** Largest body of a reply, several times the largest page of the store. */
--- a/source/wire/guarded.ts
+++ b/source/wire/guarded.ts
@@ -8,7 +8,7 @@
 
 import {WireError} from '../errors/index.js';
 import type {Call} from './call.js';
-import {partsOf} from './listen.js';
+import {partsOf} from './address.js';
 
 /**
  * Makes the call if `mayAct` holds when the connection is ready. Answers
--- a/source/wire/listen.ts
+++ b/standins/listen.ts
@@ -1,20 +1,8 @@
-/** Opens a port; a port that cannot be opened is a failure of its setting. */
+/** Opens the port of a stand-in. */
 import type {Server} from 'node:net';
 
-import {SettingsError} from '../errors/index.js';
-
-/** An IP number and a port. */
-export interface AddressParts {
-  readonly host: string;
-  readonly port: number;
-}
-
-/** The parts of an address such as `127.0.0.1:80` or `[::1]:80`. */
-export function partsOf(address: string): AddressParts {
-  const split = address.lastIndexOf(':');
-  const host = address.slice(0, split).replace(/^\[|\]$/g, '');
-  return {host, port: Number(address.slice(split + 1))};
-}
+import {SettingsError} from '../source/errors/index.js';
+import {partsOf} from '../source/wire/index.js';
 
 /**
  * Listens on an address. Throws a SettingsError.
@@ -31,7 +19,13 @@
     server.once('error', fail);
     server.listen({host, port}, () => {
       server.removeListener('error', fail);
+      server.on('error', reportError);
       resolve();
     });
   });
 }
+
+/** An error on accept, as when descriptors run out, does not end a stand-in. */
+function reportError({message}: Error): void {
+  process.stderr.write(`the server goes on to listen: ${message}\n`);
+}
--- a/standins/server.ts
+++ b/standins/server.ts
@@ -10,7 +10,7 @@
   type ServerResponse,
 } from 'node:http';
 
-import {listen} from '../source/wire/index.js';
+import {listen} from './listen.js';
 
 /** A request with its body and the parts of its address. */
 export interface Received {
--- a/test/listen.test.ts
+++ b/test/listen.test.ts
@@ -1,9 +1,9 @@
-/** Errors of a server that listens. */
+/** Errors of a stand-in that listens. */
 import {createServer} from 'node:net';
 
 import test from 'ava';
 
-import {listen} from '../source/wire/index.js';
+import {listen} from '../standins/listen.js';
 import {freeAddress} from '../tools/ports.js';
 
 for (const code of ['EMFILE', 'ENOBUFS', 'ENOMEM']) {
--- a/test/outbound.test.ts
+++ b/test/outbound.test.ts
@@ -13,7 +13,7 @@
   type GossipMessage,
 } from '../source/gossip/index.js';
 import {FrameReader} from '../source/peers/index.js';
-import {listen} from '../source/wire/index.js';
+import {listen} from '../standins/listen.js';
 import {freeAddress} from '../tools/ports.js';
 
 const FROM = {
--- a/test/support/wire.ts
+++ b/test/support/wire.ts
@@ -1,7 +1,8 @@
 /** A way between two programs that can be cut or fall silent. */
 import {connect, createServer, type Server, type Socket} from 'node:net';
 
-import {listen, partsOf} from '../../source/wire/index.js';
+import {partsOf} from '../../source/wire/index.js';
+import {listen} from '../../standins/listen.js';
 import {freeAddress} from '../../tools/ports.js';
 
 /** Passes connections on until it is told otherwise. */
