Send the signal once the daemon says that it waits for its port

The test took it that a daemon runs its first line within a second; beside a load of 50 it did not (two of two runs), and Node ended it by the signal. It now waits for the line port-taken, which is what the title says.

--- a/test/daemonstart.test.ts
+++ b/test/daemonstart.test.ts
@@ -167,7 +167,7 @@
       const held = await HeldPort.take(addresses.callers);
       t.teardown(() => held.release());
       const daemon = startDaemon(t, addresses);
-      await wait(TAKEN_MILLISECONDS);
+      t.true(await comesToHold(() => daemon.errors().includes('port-taken')));
       daemon.process.kill(signal);
       t.is(await endOf(daemon), 0);
     },
