Start many hosts at once by a program of its own, with ports held and signals sent

Ports are drawn in three ways, since the kernel of the trials gives odd ports to servers that ask for any and even ones to connections, so that the two never meet; a drawer that closes each port before it asks for the next gets some of them twice.

--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -91,6 +91,10 @@
   knowsOthers = true;
   /** Seconds between SIGTERM and the kill, for hosts that are started next. */
   graceSeconds = 8;
+  /** Path of the program that hosts run which are started next. */
+  program = PROGRAM;
+  /** Finds the addresses of hosts that are placed next. */
+  freeAddress = freeAddress;
 
   static async start(t: ExecutionContext): Promise<EdgeFleet> {
     const fleet = new EdgeFleet();
@@ -199,8 +203,18 @@
     store = this.site.address,
     flags: LaunchFlags = {},
   ): Promise<HostProcess> {
+    return this.launch(await this.place(name, file, store, flags));
+  }
+
+  /** Gives a host its addresses and its settings, without starting it. */
+  async place(
+    name: string,
+    file?: string,
+    store = this.site.address,
+    flags: LaunchFlags = {},
+  ): Promise<HostPlace> {
     const [callers, readiness, control, metrics] = await Promise.all(
-      [0, 1, 2, 3].map(() => freeAddress()),
+      [0, 1, 2, 3].map(() => this.freeAddress()),
     );
     if (!callers || !readiness || !control || !metrics)
       throw new Error('no free ports');
@@ -209,7 +223,7 @@
     const settings = this.settingsOf(name, callers, readiness, control, store);
     writeFileSync(path, file ?? JSON.stringify(settings));
     this.seeds.push(control);
-    return this.launch({
+    return {
       name,
       callers,
       readiness,
@@ -217,7 +231,7 @@
       metrics,
       settings: path,
       flags,
-    });
+    };
   }
 
   /** Starts a host anew on the settings that it had. */
@@ -225,7 +239,8 @@
     return this.launch(host);
   }
 
-  private launch(place: HostPlace): HostProcess {
+  /** Starts a host in its place. */
+  launch(place: HostPlace): HostProcess {
     const [program = '', ...flags] = this.commandOf(place);
     const child = spawn(program, flags, {
       env: {PATH: process.env['PATH'], ARBUTUSSLIP_BOOT: place.settings},
@@ -251,7 +266,7 @@
   private commandOf({metrics, flags}: HostPlace): string[] {
     const {node = [], program = []} = flags;
     const port = `--metrics-port=${partsOf(metrics).port}`;
-    const command = [process.execPath, ...node, PROGRAM, port, ...program];
+    const command = [process.execPath, ...node, this.program, port, ...program];
     const limit = this.openFilesLimit;
     if (limit === undefined) return command;
     return ['/bin/sh', '-c', `ulimit -n ${limit}; exec "$0" "$@"`, ...command];
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -11,6 +11,7 @@
   document: 'tools/document.ts',
   cost: 'tools/cost.ts',
   soak: 'soak/main.ts',
+  starts: 'soak/startsmain.ts',
   edgecost: 'tools/edgecost.ts',
   decisioncost: 'tools/decisioncost.ts',
   piececost: 'tools/piececost.ts',
