--- /dev/null
+++ b/soak/bounds.ts
@@ -0,0 +1,51 @@
+/** The bounds that a soak holds processes to, as decisions about what was read. */
+
+/** Milliseconds within which a host is ready, once all is there that it waits for. */
+const START_MILLISECONDS_MOST = 10_000;
+/**
+ * Milliseconds of processor time in which Node itself starts: a signal before
+ * finds no listener of the program.
+ */
+const BOOT_PROCESSOR_MILLISECONDS = 100;
+
+/** What is known of a host that starts. */
+export interface StartReading {
+  readonly isReady: boolean;
+  /** Whether something is missing that it waits for. */
+  readonly isBlocked: boolean;
+  /** Milliseconds for which its main thread has waited for a processor so far. */
+  readonly processorWait: number;
+}
+
+/** The start of one process, against its bound. */
+export class StartBound {
+  private begunAt: number;
+  private waitBefore = 0;
+
+  constructor(now: number) {
+    this.begunAt = now;
+  }
+
+  /** Whether the host is overdue; time in which it is blocked does not count. */
+  isOverdue(
+    {isReady, isBlocked, processorWait}: StartReading,
+    now: number,
+  ): boolean {
+    if (isReady || isBlocked) {
+      this.begunAt = now;
+      this.waitBefore = processorWait;
+    }
+    const waited = processorWait - this.waitBefore;
+    return now - this.begunAt - waited > START_MILLISECONDS_MOST;
+  }
+}
+
+/** Whether a process can only have been starting Node when a signal came. */
+export function isBooting(processorMilliseconds: number): boolean {
+  return processorMilliseconds < BOOT_PROCESSOR_MILLISECONDS;
+}
+
+/** Whether the platform ends a process for its resident memory. */
+export function isTooLarge(resident: number, limit: number): boolean {
+  return resident > limit;
+}
--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -8,6 +8,10 @@
 /** Between the two parts of a body. */
 const BODY_GAP_MILLISECONDS = 60;
 
+/** `maxBodyBytes` of the configuration. */
+export const MAX_BODY_BYTES = 4_194_304;
+const LARGE_BODY = Buffer.alloc(MAX_BODY_BYTES, 'x');
+
 /** What came back. */
 export interface Reply extends Pick<Got, 'status' | 'body' | 'whole'> {
   /** Whether the caller gave up because nothing came in time. */
@@ -17,7 +21,7 @@
 /** Asks the host at an address; never throws. */
 export function askHost(
   address: string,
-  {route, key, id, work, isDeadly}: Asked,
+  {route, key, id, work, isDeadly, bodyBytes}: Asked,
   agent: Agent,
 ): Promise<Reply> {
   const resource = isDeadly ? DEADLY_RESOURCE : '1';
@@ -32,7 +36,7 @@
       `http://${address}/${route}/${resource}?work=${work}`,
       {
         agent,
-        method: route === 'record' ? 'POST' : 'GET',
+        method: route === 'record' || bodyBytes ? 'POST' : 'GET',
         headers: {
           host: 'register.example',
           authorization: `Bearer ${key}`,
@@ -53,6 +57,7 @@
       sent.destroy();
     }, CALLER_MILLISECONDS);
     sent.on('error', () => end(0, false));
+    if (bodyBytes) return void sent.end(LARGE_BODY.subarray(0, bodyBytes));
     if (route !== 'record') return void sent.end();
     sent.write('first part, ');
     setTimeout(() => sent.end('second part'), BODY_GAP_MILLISECONDS);
--- a/soak/endpoint.ts
+++ b/soak/endpoint.ts
@@ -117,9 +117,10 @@
     if (url.includes(`/${DEADLY_RESOURCE}?`)) return this.crash(response);
     response.writeHead(200, this.headersOf(id));
     if (!url.startsWith('/draft/')) {
-      const body = answerTo({id, route: 'read'});
       const {searchParams} = new URL(url, 'http://endpoint');
       const work = Number(searchParams.get('work'));
+      const size = Number(searchParams.get('bytes'));
+      const body = answerTo({id, route: 'read'}).padEnd(size);
       setTimeout(() => response.end(body), work);
       return;
     }
--- /dev/null
+++ b/soak/hosts.ts
@@ -0,0 +1,369 @@
+/**
+ * The host processes of a soak: starts, ends and freezes them by their own ids,
+ * starts each anew that ended by itself, and checks how they start, how they end
+ * and how much memory they take.
+ */
+import {
+  statusOf,
+  type EdgeFleet,
+  type HostPlace,
+  type HostProcess,
+} from '../test/support/edgeprocess.js';
+import {readProcess} from '../tools/process.js';
+import {isBooting, isTooLarge, StartBound} from './bounds.js';
+import type {CommonStart, MachineFault} from './faults.js';
+import type {Ledger} from './ledger.js';
+import {holdAddress} from './ports.js';
+import {processorWaitOf} from './processor.js';
+import {FaultyProxy} from './proxy.js';
+import {deployNodeFlags} from './deployfile.js';
+import type {Station} from './station.js';
+
+const UNDISTURBED = {
+  disturbed: 0,
+  calmed: 0,
+  up: true,
+  stopping: false,
+  held: 0,
+  frozen: 0,
+  starting: undefined,
+};
+/** As on the users’ machines, by the settings of their hosts. */
+const MEMORY_MEGABYTES = 350;
+const RESTART_MILLISECONDS = 300;
+const POLL_MILLISECONDS = 50;
+const MEMORY_MILLISECONDS = 100;
+const READY_MILLISECONDS_MOST = 1_000;
+/** From the order to stop: the grace time, freezes, and some more. */
+const STOP_MILLISECONDS_MOST = 20_000;
+/** Processes that are started one after the other where none becomes ready. */
+const STARTS_MOST = 3;
+const ERROR_LENGTH = 400;
+
+const wait = (duration: number) =>
+  new Promise<void>(resolve => setTimeout(resolve, duration));
+
+type PortHeld = Extract<MachineFault, {kind: 'port-held'}>;
+type SignalAtStart = Extract<MachineFault, {kind: 'signal-at-start'}>;
+
+/** All hosts. */
+export class SoakHosts {
+  readonly stations: Station[] = [];
+  /** Host processes that were told to end, and by which signal. */
+  private readonly told = new Map<HostProcess, 'SIGKILL' | 'SIGTERM'>();
+  /** Milliseconds of processor time that processes had when a signal came. */
+  private readonly signalled = new Map<HostProcess, number>();
+  private over = false;
+
+  constructor(
+    private readonly fleet: EdgeFleet,
+    private readonly ledger: Ledger,
+  ) {
+    fleet.memoryMegabytes = MEMORY_MEGABYTES;
+  }
+
+  /** Starts so many hosts; resolves when they are ready or it is sure that none will be. */
+  async start(count: number, how: CommonStart): Promise<void> {
+    const node = deployNodeFlags();
+    const places: HostPlace[] = [];
+    const stores: FaultyProxy[] = [];
+    for (let index = 0; index < count; index++) {
+      const store = new FaultyProxy(this.fleet.site.address);
+      await store.start();
+      stores.push(store);
+      const name = `host-${index}`;
+      const {address} = store;
+      places.push(await this.fleet.place(name, undefined, address, {node}));
+    }
+    const held = places[how.held?.host ?? -1];
+    const release =
+      how.held && held
+        ? await holdAddress(held[how.held.port])
+        : () => undefined;
+    const {site} = this.fleet;
+    site.faults.away = how.storeAway > 0;
+    setTimeout(() => (site.faults.away = false), how.storeAway);
+    await Promise.all(
+      places.map(async (place, index) => {
+        const store = stores[index];
+        await wait(how.delays[index] ?? 0);
+        if (!store || this.over) return;
+        const process = this.fleet.launch(place);
+        const station = {process, store, ...UNDISTURBED};
+        this.stations[index] = station;
+        this.watch(station, process);
+        if (how.held?.host === index)
+          this.releaseAfter(station, release, how.held.lasts);
+        await this.awaitStart(station);
+      }),
+    );
+  }
+
+  at(index: number): Station {
+    const station = this.stations[index];
+    if (!station) throw new RangeError(`no host ${index}`);
+    return station;
+  }
+
+  /** Whether a process was killed from outside. */
+  wasKilled(process: HostProcess): boolean {
+    return this.told.get(process) === 'SIGKILL';
+  }
+
+  /** Ends a host and starts it anew; resolves when it is ready. */
+  async restart(
+    station: Station,
+    how: 'kill' | 'stop',
+    /** Milliseconds after which it is told a second time. */
+    gap?: number,
+  ): Promise<void> {
+    if (!station.up) return;
+    await this.endProcess(station, how, gap);
+    await wait(RESTART_MILLISECONDS);
+    await this.bringUp(station, how);
+  }
+
+  /** As a restart; a stranger takes a port as soon as it is free. */
+  async restartHeld({host, how, port, lasts}: PortHeld): Promise<void> {
+    const station = this.at(host);
+    if (!station.up) return;
+    await this.endProcess(station, how);
+    await wait(RESTART_MILLISECONDS);
+    const release = await holdAddress(station.process[port]);
+    this.releaseAfter(station, release, lasts);
+    await this.bringUp(station, how);
+  }
+
+  /** Starts a host anew while its predecessor still drains. */
+  async succeed(station: Station): Promise<void> {
+    if (!station.up) return;
+    const ended = this.endProcess(station, 'stop');
+    const successor = this.fleet.restart(station.process);
+    this.watch(station, successor);
+    await ended;
+    station.process = successor;
+    station.up = true;
+    station.stopping = false;
+    await this.awaitStart(station);
+  }
+
+  /** Starts a host anew and sends it a signal a while after that. */
+  async signalAtStart({host, signal, after}: SignalAtStart): Promise<void> {
+    const station = this.at(host);
+    if (!station.up) return;
+    await this.endProcess(station, 'kill');
+    await wait(RESTART_MILLISECONDS);
+    const started = this.bringUp(station, 'kill');
+    await wait(after);
+    if (signal === 'SIGTERM') await this.restart(station, 'stop');
+    else this.reload(station);
+    await started;
+  }
+
+  /** Kills all hosts and starts them together. */
+  async startAll({delays, storeAway, held}: CommonStart): Promise<void> {
+    const {faults} = this.fleet.site;
+    faults.away ||= storeAway > 0;
+    if (storeAway > 0) setTimeout(() => (faults.away = false), storeAway);
+    const up = this.stations.filter(station => station.up);
+    await Promise.all(up.map(station => this.endProcess(station, 'kill')));
+    await wait(RESTART_MILLISECONDS);
+    await Promise.all(
+      up.map(async station => {
+        const index = this.stations.indexOf(station);
+        if (held?.host === index) {
+          const release = await holdAddress(station.process[held.port]);
+          this.releaseAfter(station, release, held.lasts);
+        }
+        await wait(delays[index] ?? 0);
+        await this.bringUp(station, 'kill');
+      }),
+    );
+  }
+
+  reload({process, up}: Station): void {
+    if (up) this.signal(process, 'SIGHUP');
+  }
+
+  async freeze(station: Station, lasts: number): Promise<void> {
+    const {child} = station.process;
+    station.disturbed++;
+    station.frozen++;
+    child.kill('SIGSTOP');
+    await wait(lasts);
+    child.kill('SIGCONT');
+    station.frozen--;
+    station.calmed++;
+  }
+
+  /** Ends a process that takes more memory than its settings say, as the platform does. */
+  async watchMemory(station: Station): Promise<void> {
+    while (!this.over) {
+      await wait(MEMORY_MILLISECONDS);
+      const {process, up} = station;
+      const resident = readingOf(process)?.residentMegabytes ?? 0;
+      if (!up || !isTooLarge(resident, MEMORY_MEGABYTES)) continue;
+      const megabytes = `${Math.round(resident)} MB`;
+      this.ledger.broken('memory-bounded', `${process.name} ${megabytes}`);
+      await this.restart(station, 'kill');
+    }
+  }
+
+  /** No process is checked or started from now on. */
+  end(): void {
+    this.over = true;
+    for (const {store} of this.stations) store.stop();
+  }
+
+  private async endProcess(
+    station: Station,
+    how: 'kill' | 'stop',
+    gap?: number,
+  ): Promise<void> {
+    station.up = false;
+    if (how === 'kill') station.disturbed++;
+    else station.stopping = true;
+    const {process} = station;
+    const signal = how === 'kill' ? 'SIGKILL' : 'SIGTERM';
+    this.told.set(process, signal);
+    this.signal(process, signal);
+    if (gap !== undefined) {
+      await Promise.race([wait(gap), process.ended]);
+      this.signal(process, signal);
+    }
+    // A host that is frozen as well ends when it wakes.
+    const late = wait(STOP_MILLISECONDS_MOST).then(() => 'late' as const);
+    if ((await Promise.race([process.ended, late])) !== 'late') return;
+    if (!this.over)
+      this.ledger.ended(process.name, `not ${STOP_MILLISECONDS_MOST} ms after`);
+    this.told.set(process, 'SIGKILL');
+    process.child.kill('SIGKILL');
+    await process.ended;
+  }
+
+  private async bringUp(station: Station, how: 'kill' | 'stop'): Promise<void> {
+    this.launch(station);
+    await this.awaitStart(station);
+    if (how === 'kill') station.calmed++;
+  }
+
+  private launch(station: Station): void {
+    if (this.over) return;
+    station.process = this.fleet.restart(station.process);
+    station.up = true;
+    station.stopping = false;
+    this.watch(station, station.process);
+  }
+
+  private releaseAfter(
+    station: Station,
+    release: () => void,
+    lasts: number,
+  ): void {
+    station.held++;
+    setTimeout(() => {
+      release();
+      station.held--;
+    }, lasts);
+  }
+
+  /** Resolves when a host is ready, or is overdue and was started anew in vain. */
+  private awaitStart(station: Station): Promise<void> {
+    station.starting ??= this.checkStart(station).finally(
+      () => (station.starting = undefined),
+    );
+    return station.starting;
+  }
+
+  private async checkStart(station: Station): Promise<void> {
+    for (let starts = 0; starts < STARTS_MOST && !this.over; starts++) {
+      const overdue = await this.overdueProcess(station);
+      if (!overdue) return;
+      const detail = `${overdue.name} ${overdue.child.pid} is not ready`;
+      this.ledger.broken('starts', detail);
+      this.told.set(overdue, 'SIGKILL');
+      overdue.child.kill('SIGKILL');
+      await overdue.ended;
+      if (station.process === overdue && station.up) this.launch(station);
+    }
+  }
+
+  /** The process that is overdue to be ready; none if one became ready in time. */
+  private async overdueProcess(
+    station: Station,
+  ): Promise<HostProcess | undefined> {
+    let {process} = station;
+    let bound = new StartBound(performance.now());
+    while (!this.over) {
+      if (process !== station.process) {
+        process = station.process;
+        bound = new StartBound(performance.now());
+      }
+      const isReady = await isReadyHost(process);
+      const isBlocked = this.isBlocked(station);
+      if (isReady && station.up) return undefined;
+      const processorWait = processorWaitOf(process.child.pid);
+      const reading = {isReady, isBlocked, processorWait};
+      if (bound.isOverdue(reading, performance.now())) return process;
+      await wait(POLL_MILLISECONDS);
+    }
+    return undefined;
+  }
+
+  /** Whether something is missing that a host waits for. */
+  private isBlocked({up, held, frozen, store}: Station): boolean {
+    const {away, busy} = this.fleet.site.faults;
+    return !up || held > 0 || frozen > 0 || away || busy || !store.passes;
+  }
+
+  private signal(process: HostProcess, name: NodeJS.Signals): void {
+    const reading = readingOf(process);
+    if (reading) this.signalled.set(process, reading.processor * 1_000);
+    process.child.kill(name);
+  }
+
+  /** Checks how a process ends, and starts one anew that ended by itself. */
+  private watch(station: Station, process: HostProcess): void {
+    const started = performance.now();
+    void process.ended.then(async code => {
+      if (this.over) return;
+      const {signalCode} = process.child;
+      const signal = this.told.get(process);
+      const bootTime = this.signalled.get(process) ?? Infinity;
+      const isExcused = signalCode !== null && isBooting(bootTime);
+      const isStopped = signal === 'SIGTERM' && code === 0;
+      if (signal === 'SIGKILL' || isStopped) return;
+      const age = Math.round(performance.now() - started);
+      const error = process.errors.join('').slice(-ERROR_LENGTH);
+      const booted = `signal at ${Math.round(bootTime)} ms of processor time`;
+      if (!isExcused)
+        this.ledger.ended(
+          process.name,
+          `${code} ${signalCode} after ${age} ms, ${booted}, ` +
+            `${process.lines.length} lines ${error}`,
+        );
+      if (signal) return;
+      await wait(RESTART_MILLISECONDS);
+      if (station.process !== process || !station.up) return;
+      this.launch(station);
+      await this.awaitStart(station);
+    });
+  }
+}
+
+function readingOf({
+  child,
+}: HostProcess): ReturnType<typeof readProcess> | undefined {
+  const isOver = child.exitCode !== null || child.signalCode !== null;
+  if (isOver || child.pid === undefined) return undefined;
+  try {
+    return readProcess(child.pid);
+  } catch {
+    return undefined;
+  }
+}
+
+async function isReadyHost({readiness}: HostProcess): Promise<boolean> {
+  const late = wait(READY_MILLISECONDS_MOST).then(() => 0);
+  return (await Promise.race([statusOf(readiness, '/'), late])) === 200;
+}
--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -22,6 +22,8 @@
     | 'passed-on-is-answered'
     | 'ends-only-when-told'
     | 'usage-was-run'
+    | 'memory-bounded'
+    | 'starts'
     | 'served-again';
   readonly detail: string;
 }
@@ -38,6 +40,8 @@
   readonly work: number;
   /** Whether endpoints crash when they run it. */
   readonly isDeadly?: boolean;
+  /** Bytes of its body, where it is a large one. */
+  readonly bodyBytes?: number;
 }
 
 /** What a caller got. */
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -12,8 +12,12 @@
   endpoints: z.coerce.number().int().default(4),
   callers: z.coerce.number().int().default(3),
   seconds: z.coerce.number().default(12),
+  /** Whether the machine and its neighbours do wrong as well. */
+  machine: z.enum(['on', 'off']).default('on'),
+  /** Path of the program of the hosts. */
+  program: z.string().optional(),
 });
-const {first, seeds, seconds, ...size} = readSettings(
+const {first, seeds, seconds, machine, program, ...size} = readSettings(
   process.argv.slice(2),
   {},
   settingsSchema,
@@ -24,8 +28,15 @@
 let broken = 0;
 for (let seed = start; seed < start + seeds; seed++) {
   const lasts = seconds * 1_000;
-  const soak = new Soak({...size, seed, lasts});
+  const soak = new Soak({
+    ...size,
+    seed,
+    lasts,
+    hasMachineFaults: machine === 'on',
+    ...(program && {program}),
+  });
   const end = () => {
+    console.log(`kept in ${soak.keepOutput()}`);
     soak.end();
     process.exit(1);
   };
@@ -43,6 +54,7 @@
   );
   if (violations.length === 0) continue;
   broken++;
+  console.log(`kept in ${report.output}`);
   console.log(JSON.stringify({violations: violations.slice(0, 20), faults}));
 }
 console.log(`${seeds - broken} passed, ${broken} failed`);
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -3,68 +3,9 @@
  * and overlap; every fault ends before the calm at the end.
  */
 import type {RandomSource} from '../source/random/index.js';
+import type {Fault, PlannedFault, SoakSize} from './faults.js';
 import type {ProxyMode} from './proxy.js';
 
-/** One fault, or one step of planned work. */
-export type Fault =
-  | {readonly kind: 'kill' | 'stop' | 'reload'; readonly host: number}
-  | {readonly kind: 'freeze'; readonly host: number; readonly lasts: number}
-  | {
-      readonly kind: 'store-cut';
-      readonly host: number;
-      readonly mode: ProxyMode;
-      readonly lasts: number;
-    }
-  | {
-      readonly kind: 'endpoint-cut';
-      readonly endpoint: number;
-      readonly mode: ProxyMode;
-      readonly lasts: number;
-    }
-  | {
-      readonly kind: 'store-away' | 'store-busy';
-      readonly lasts: number;
-    }
-  | {readonly kind: 'store-loses'; readonly answers: number}
-  | {readonly kind: 'store-forgets'}
-  | {
-      readonly kind: 'store-restored';
-      /** Milliseconds of writing that are lost. */
-      readonly age: number;
-      /** Milliseconds for which the store is away. */
-      readonly lasts: number;
-      /** Milliseconds after which writers have written again what is lost. */
-      readonly rewrittenAfter: number;
-    }
-  | {
-      readonly kind: 'endpoint-leaves' | 'endpoint-crashes';
-      readonly endpoint: number;
-    }
-  | {readonly kind: 'keys-change'}
-  | {
-      readonly kind: 'stop-twice';
-      readonly host: number;
-      /** Milliseconds from the first signal to the second. */
-      readonly gap: number;
-    }
-  | {readonly kind: 'overload'; readonly lasts: number}
-  /** A request on which endpoints crash comes again and again at all hosts. */
-  | {readonly kind: 'deadly'; readonly lasts: number};
-
-/** A fault with its time, in milliseconds from the start. */
-export interface PlannedFault {
-  readonly at: number;
-  readonly fault: Fault;
-}
-
-/** How large the deployment is. */
-export interface SoakSize {
-  readonly hosts: number;
-  readonly endpoints: number;
-  /** Milliseconds of faults. */
-  readonly lasts: number;
-}
-
 const MODES: readonly ProxyMode[] = ['delay', 'reset', 'silent', 'one-way'];
 const FIRST_MILLISECONDS = 500;
 const GAP_MILLISECONDS_MOST = 900;
--- a/soak/ports.ts
+++ b/soak/ports.ts
@@ -8,6 +8,15 @@
 import type {RandomSource} from '../source/random/index.js';
 import {partsOf} from '../source/wire/index.js';
 
+/** Ports of a host, by what they serve. */
+export const PORT_NAMES = [
+  'callers',
+  'readiness',
+  'control',
+  'metrics',
+] as const;
+export type PortName = (typeof PORT_NAMES)[number];
+
 const LOOPBACK = '127.0.0.1';
 
 /**
--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -1,6 +1,7 @@
 /**
  * A loopback proxy that misbehaves on demand: it delays, resets, silences or
- * cuts connections one way, those that are open as well as new ones.
+ * cuts connections one way, or reads nothing, those that are open as well as new
+ * ones.
  */
 import {connect, createServer, type Server, type Socket} from 'node:net';
 import type {AddressInfo} from 'node:net';
@@ -8,7 +9,8 @@
 import {partsOf} from '../source/wire/index.js';
 
 /** What a proxy does with its connections. */
-export type ProxyMode = 'pass' | 'delay' | 'reset' | 'silent' | 'one-way';
+export type ProxyMode =
+  'pass' | 'delay' | 'reset' | 'silent' | 'one-way' | 'deaf';
 
 const DELAY_MILLISECONDS = 120;
 
@@ -17,6 +19,8 @@
   address = '';
   private mode: ProxyMode = 'pass';
   private readonly sockets = new Set<Socket>();
+  /** The sockets of those that connect to the proxy. */
+  private readonly nears = new Set<Socket>();
   private readonly server: Server;
 
   constructor(private readonly target: string) {
@@ -36,6 +40,11 @@
   set(mode: ProxyMode): void {
     this.mode = mode;
     if (mode === 'reset') this.resetAll();
+    for (const near of this.nears) this.pace(near);
+  }
+
+  get passes(): boolean {
+    return this.mode === 'pass';
   }
 
   stop(): void {
@@ -50,6 +59,14 @@
     this.watch(far);
     this.pipe(near, far, true);
     this.pipe(far, near, false);
+    this.nears.add(near);
+    near.on('close', () => this.nears.delete(near));
+    this.pace(near);
+  }
+
+  private pace(near: Socket): void {
+    if (this.mode === 'deaf') near.pause();
+    else near.resume();
   }
 
   /**
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -7,26 +7,19 @@
 import {Agent} from 'node:http';
 
 import {seededRandom, type RandomSource} from '../source/random/index.js';
-import {
-  EdgeFleet,
-  statusOf,
-  until,
-  type HostProcess,
-  type Line,
-} from '../test/support/edgeprocess.js';
-import {askHost} from './caller.js';
+import {EdgeFleet, statusOf, until} from '../test/support/edgeprocess.js';
+import {openDeafCallers} from './burdens.js';
+import {askHost, MAX_BODY_BYTES} from './caller.js';
 import {SoakEndpoints, type Sender} from './endpoints.js';
-import {Ledger, TEAM, type Asked, type Got, type Violation} from './ledger.js';
-import {
-  deadlyPlanOf,
-  loadPlanOf,
-  planOf,
-  restorePlanOf,
-  type Fault,
-  type SoakSize,
-} from './plan.js';
+import type {CommonStart, Fault, PlannedFault, SoakSize} from './faults.js';
+import {SoakHosts} from './hosts.js';
+import {Ledger, type Asked, type Got, type Violation} from './ledger.js';
+import {commonStartOf, machinePlanOf} from './machineplan.js';
+import {keepOutput} from './output.js';
+import {deadlyPlanOf, loadPlanOf, planOf, restorePlanOf} from './plan.js';
+import type {FaultyProxy} from './proxy.js';
+import {queuedOf, readDuties} from './reading.js';
 import {StoreCopies} from './restore.js';
-import {FaultyProxy} from './proxy.js';
 import type {Station} from './station.js';
 
 /** What a soak is. */
@@ -34,6 +27,10 @@
   readonly seed: number;
   /** Callers of each host. */
   readonly callers: number;
+  /** Whether the machine and its neighbours do wrong as well. */
+  readonly hasMachineFaults?: boolean;
+  /** Path of the program of the hosts; that of the build where it is absent. */
+  readonly program?: string;
 }
 
 /** What came of it. */
@@ -49,6 +46,8 @@
   /** Answers of the hosts with their metrics. */
   readonly scrapes: number;
   readonly violations: readonly Violation[];
+  /** Path of what is kept of it where a promise was broken. */
+  readonly output?: string;
 }
 
 const ROUTES = ['read', 'record', 'draft'] as const;
@@ -62,6 +61,10 @@
 const RESTORE_SEED = 3_000_000;
 /** Keeps the deadly requests apart from the plan of the faults. */
 const DEADLY_SEED = 4_000_003;
+/** Keeps the machine's faults apart from the plan of the others. */
+const MACHINE_SEED = 5_000_003;
+/** Keeps the first start apart from the plan of the faults. */
+const START_SEED = 6_000_003;
 const DEADLY_INTERVAL_MILLISECONDS = 120;
 /** Deadly requests in the calm at the end, and crashes that they may cause. */
 const LAST_DEADLY_REQUESTS = 24;
@@ -71,21 +74,22 @@
 const OVERLOAD_WORK_MILLISECONDS = 150;
 /** Callers that an overload adds for each host. */
 const OVERLOAD_CALLERS = 16;
-const ERROR_LENGTH = 400;
-const BOOT_MILLISECONDS = 300;
-/** A request that waited longer before it was sent had been queued. */
-const QUEUED_MILLISECONDS = 100;
-const RESTART_MILLISECONDS = 300;
+/** Callers that send large bodies to one host. */
+const LARGE_CALLERS = 40;
+/** Bodies of at least this share of the most that the configuration allows. */
+const LARGE_SHARE_LEAST = 0.25;
 const RETRY_MILLISECONDS = 40;
 const PAUSE_MILLISECONDS_MOST = 60;
 /** Within which everything is served again once the faults are over. */
 const RECOVERY_MILLISECONDS = 60_000;
 
-const UNDISTURBED = {disturbed: 0, calmed: 0, up: true, stopping: false};
-
 const wait = (duration: number) =>
   new Promise<void>(resolve => setTimeout(resolve, duration));
 
+type Question = Pick<
+  Asked,
+  'key' | 'route' | 'work' | 'isDeadly' | 'bodyBytes'
+>;
 type RestoreFault = Extract<Fault, {kind: 'store-restored'}>;
 
 /** Plays one soak to its end. */
@@ -93,7 +97,7 @@
   private readonly fleet = new EdgeFleet();
   private readonly ledger = new Ledger();
   private readonly random: RandomSource;
-  private readonly stations: Station[] = [];
+  private readonly hosts: SoakHosts;
   private copies: StoreCopies | undefined;
   private readonly endpoints: SoakEndpoints;
   private readonly faults: string[] = [];
@@ -103,14 +107,15 @@
   private over = false;
   private attempts = 0;
   private scrapes = 0;
-  /** Host processes that were told to end, and by which signal. */
-  private readonly told = new Map<HostProcess, 'SIGKILL' | 'SIGTERM'>();
   /** Disturbances of the whole deployment, and how many have ended. */
   private troubles = 0;
   private calmed = 0;
 
   constructor(private readonly options: SoakOptions) {
     this.random = seededRandom(options.seed + CALLERS_SEED);
+    const {program} = options;
+    if (program) this.fleet.program = program;
+    this.hosts = new SoakHosts(this.fleet, this.ledger);
     this.endpoints = new SoakEndpoints({
       fleet: this.fleet,
       ledger: this.ledger,
@@ -123,56 +128,78 @@
 
   /** Plays it; everything that it started has ended when it resolves. */
   async play(): Promise<SoakReport> {
-    const {seed, callers} = this.options;
+    const {seed} = this.options;
+    let output: string | undefined;
     try {
       await this.begin();
-      const asking = this.stations.flatMap((_, index) =>
-        Array.from({length: callers}, () => this.call(index)),
-      );
-      const scraping = this.stations.map(station => this.scrape(station));
-      await this.disturb();
-      await Promise.all(this.repairs);
-      await this.recover();
-      await this.checkDeadly();
-      await this.recover();
-      this.over = true;
-      this.copies?.stop();
-      await Promise.all([...asking, ...scraping]);
-      this.readDuties();
+      await this.playFaults();
+    } catch (error) {
+      this.keepOutput();
+      throw error;
     } finally {
       this.end();
     }
     const {ledger, faults, scrapes} = this;
     const {asked, served, turnedAway, violations} = ledger;
-    const {queued} = this;
+    if (violations.length > 0) output = this.keepOutput();
     return {
       seed,
       faults,
       asked,
       served,
       turnedAway,
-      queued,
+      queued: queuedOf(this.fleet),
       scrapes,
       violations,
+      ...(output && {output}),
     };
   }
 
+  /** Writes what is known so far into a file, and returns its path. */
+  keepOutput(): string {
+    const {seed} = this.options;
+    const {violations} = this.ledger;
+    const {faults} = this;
+    return keepOutput({seed, faults, violations, processes: this.fleet.hosts});
+  }
+
   private async begin(): Promise<void> {
     const {hosts, endpoints} = this.options;
     await this.fleet.site.start();
     this.copies = new StoreCopies(this.fleet.site);
     this.fleet.configure(this.keys);
     await this.endpoints.start(endpoints);
-    for (let index = 0; index < hosts; index++) {
-      const store = new FaultyProxy(this.fleet.site.address);
-      await store.start();
-      const name = `host-${index}`;
-      const process = await this.fleet.host(name, undefined, store.address);
-      const station = {process, store, ...UNDISTURBED};
-      this.stations.push(station);
-      this.watch(station);
-    }
-    for (const {process} of this.stations) await this.fleet.ready(process);
+    const start = this.firstStart();
+    this.faults.push(`0 ${JSON.stringify(start)}`);
+    await this.hosts.start(hosts, start);
+  }
+
+  private firstStart(): CommonStart {
+    const {seed, hosts, hasMachineFaults} = this.options;
+    if (!hasMachineFaults) return {delays: [], storeAway: 0};
+    return commonStartOf(seededRandom(seed + START_SEED), hosts);
+  }
+
+  private async playFaults(): Promise<void> {
+    const {callers} = this.options;
+    const {stations} = this;
+    const asking = stations.flatMap((_, index) =>
+      Array.from({length: callers}, () => this.call(index)),
+    );
+    const watching = stations.flatMap(station => [
+      this.scrape(station),
+      this.hosts.watchMemory(station),
+    ]);
+    await this.disturb();
+    await Promise.all(this.repairs);
+    await this.recover();
+    await this.checkDeadly();
+    await this.recover();
+    this.over = true;
+    this.copies?.stop();
+    this.hosts.end();
+    await Promise.all([...asking, ...watching]);
+    readDuties(this.fleet.site.duties, this.ledger);
   }
 
   private async disturb(): Promise<void> {
@@ -183,6 +210,7 @@
       ...loadPlanOf(seededRandom(seed + LOAD_SEED), this.options),
       ...restorePlanOf(seededRandom(seed + RESTORE_SEED), this.options),
       ...deadlyPlanOf(seededRandom(seed + DEADLY_SEED), this.options),
+      ...this.machinePlan(),
     ].sort((one, other) => one.at - other.at);
     for (const {at, fault} of plan) {
       await wait(Math.max(began + at - performance.now(), 0));
@@ -191,21 +219,27 @@
     }
   }
 
+  private machinePlan(): PlannedFault[] {
+    const {seed, hasMachineFaults} = this.options;
+    if (!hasMachineFaults) return [];
+    return machinePlanOf(seededRandom(seed + MACHINE_SEED), this.options);
+  }
+
   private async carryOut(fault: Fault): Promise<void> {
     switch (fault.kind) {
       case 'kill':
       case 'stop':
-        return this.restart(this.station(fault.host), fault.kind);
+        return this.hosts.restart(this.station(fault.host), fault.kind);
       case 'stop-twice':
-        return this.restart(this.station(fault.host), 'stop', fault.gap);
+        return this.hosts.restart(this.station(fault.host), 'stop', fault.gap);
       case 'overload':
         return this.overload(fault.lasts);
       case 'deadly':
         return this.sendDeadly(fault.lasts / DEADLY_INTERVAL_MILLISECONDS);
       case 'reload':
-        return void this.signal(this.station(fault.host), 'SIGHUP');
+        return this.hosts.reload(this.station(fault.host));
       case 'freeze':
-        return this.freeze(this.station(fault.host), fault.lasts);
+        return this.hosts.freeze(this.station(fault.host), fault.lasts);
       case 'store-cut': {
         const station = this.station(fault.host);
         return this.cut(station.store, fault.mode, fault.lasts);
@@ -231,69 +265,25 @@
         return this.endpoints.crash(fault.endpoint);
       case 'keys-change':
         return this.changeKeys();
+      case 'all-started':
+        return this.hosts.startAll(fault.start);
+      case 'port-held':
+        return this.hosts.restartHeld(fault);
+      case 'early-successor':
+        return this.hosts.succeed(this.station(fault.host));
+      case 'signal-at-start':
+        return this.hosts.signalAtStart(fault);
+      case 'large-bodies':
+        return this.sendLarge(fault.host, fault.lasts);
+      case 'deaf-callers':
+        return this.openDeaf(fault.host, fault.lasts);
+      case 'deaf-endpoint': {
+        const proxy = this.endpoints.proxy(fault.endpoint);
+        return this.cut(proxy, 'deaf', fault.lasts);
+      }
     }
   }
 
-  private async restart(
-    station: Station,
-    how: 'kill' | 'stop',
-    /** Milliseconds after which it is told a second time. */
-    gap?: number,
-  ): Promise<void> {
-    if (!station.up) return;
-    station.up = false;
-    if (how === 'kill') station.disturbed++;
-    else station.stopping = true;
-    const signal = how === 'kill' ? 'SIGKILL' : 'SIGTERM';
-    const {child, ended} = station.process;
-    this.told.set(station.process, signal);
-    child.kill(signal);
-    if (gap !== undefined) {
-      await Promise.race([wait(gap), ended]);
-      child.kill(signal);
-    }
-    // A host that is frozen as well ends when it wakes.
-    await ended;
-    await wait(RESTART_MILLISECONDS);
-    this.launch(station);
-    await this.fleet.ready(station.process);
-    if (how === 'kill') station.calmed++;
-  }
-
-  private launch(station: Station): void {
-    station.process = this.fleet.restart(station.process);
-    station.up = true;
-    station.stopping = false;
-    this.watch(station);
-  }
-
-  /** Checks how a process ends, and starts one anew that ended by itself. */
-  private watch(station: Station): void {
-    const {process} = station;
-    const started = performance.now();
-    void process.ended.then(async code => {
-      if (this.over) return;
-      const {signalCode} = process.child;
-      const signal = this.told.get(process);
-      const isLoading = signalCode === 'SIGTERM';
-      const isStopped = signal === 'SIGTERM' && (code === 0 || isLoading);
-      if (signal === 'SIGKILL' || isStopped) return;
-      // Node itself is still starting, so the program has no listener yet.
-      const age = performance.now() - started;
-      const isBooting = signalCode === 'SIGHUP' && age < BOOT_MILLISECONDS;
-      const error = process.errors.join('').slice(-ERROR_LENGTH);
-      if (!isBooting)
-        this.ledger.ended(
-          process.name,
-          `${code} ${signalCode} after ${Math.round(age)} ms, ` +
-            `${process.lines.length} lines ${error}`,
-        );
-      if (signal) return;
-      await wait(RESTART_MILLISECONDS);
-      if (station.process === process && station.up) this.launch(station);
-    });
-  }
-
   /** Reads the metrics of a host once a second. */
   private async scrape(station: Station): Promise<void> {
     while (!this.over) {
@@ -316,17 +306,39 @@
     await Promise.all(asking);
   }
 
-  private signal({process: {child}, up}: Station, name: NodeJS.Signals): void {
-    if (up) child.kill(name);
+  /** Many callers send large bodies to one host. */
+  private async sendLarge(host: number, lasts: number): Promise<void> {
+    this.troubles++;
+    const end = performance.now() + lasts;
+    const isOver = () => this.over || performance.now() > end;
+    const send = async () => {
+      const agent = new Agent({keepAlive: true, maxSockets: 1});
+      while (!isOver()) {
+        const share = this.random.next() * (1 - LARGE_SHARE_LEAST);
+        const bodyBytes = Math.round((1 - share) * MAX_BODY_BYTES);
+        const route = this.random.next() < 1 / 2 ? 'read' : 'record';
+        const {newestKey: key} = this;
+        const asked = {key, route, work: WORK_MILLISECONDS, bodyBytes} as const;
+        await this.askFor(host, asked, agent);
+      }
+      agent.destroy();
+    };
+    await Promise.all(Array.from({length: LARGE_CALLERS}, send));
+    this.calmed++;
   }
 
-  private async freeze(station: Station, lasts: number): Promise<void> {
-    const {child} = station.process;
-    station.disturbed++;
-    child.kill('SIGSTOP');
+  /** Callers ask a host for large answers and read none. */
+  private async openDeaf(host: number, lasts: number): Promise<void> {
+    this.troubles++;
+    const {callers} = this.station(host).process;
+    const {newestKey: key} = this;
+    const close = openDeafCallers(callers, () => {
+      const asked = {key, route: 'read', work: 0} as const;
+      return {key, id: this.enter(host, asked).id};
+    });
     await wait(lasts);
-    child.kill('SIGCONT');
-    station.calmed++;
+    close();
+    this.calmed++;
   }
 
   private async cut(
@@ -428,9 +440,17 @@
 
   private async askFor(
     index: number,
-    spec: Pick<Asked, 'key' | 'route' | 'work' | 'isDeadly'>,
+    spec: Question,
     agent: Agent,
   ): Promise<Got> {
+    const asked = this.enter(index, spec);
+    const got = await this.ask(this.station(index), asked, agent);
+    this.ledger.get(asked, got);
+    return got;
+  }
+
+  /** Enters a request in the ledger before it is sent. */
+  private enter(index: number, spec: Question): Asked {
     const station = this.station(index);
     const {key} = spec;
     const asked = {
@@ -440,9 +460,7 @@
       withdrawn: !this.keys.includes(key) && this.isCurrent(station),
     };
     this.ledger.ask(asked);
-    const got = await this.ask(station, asked, agent);
-    this.ledger.get(asked, got);
-    return got;
+    return asked;
   }
 
   /** Asks, and notes whether anything but a planned stop can have cut it. */
@@ -461,7 +479,7 @@
       this.isCalm(station) &&
       this.disturbancesOf(station) === before;
     const plannedOnly = stopped && undisturbed && !reply.overdue;
-    const excused = reply.overdue || this.told.get(process) === 'SIGKILL';
+    const excused = reply.overdue || this.hosts.wasKilled(process);
     return {...reply, plannedOnly, excused};
   }
 
@@ -492,27 +510,6 @@
     this.ledger.broken('served-again', 'not within a minute of the last fault');
   }
 
-  private get queued(): number {
-    const lines = this.fleet.hosts.flatMap(host => host.lines);
-    const isQueued = ({event, fields}: Line) =>
-      event === 'request-sent' &&
-      Number(fields['waited']) > QUEUED_MILLISECONDS;
-    return lines.filter(isQueued).length;
-  }
-
-  private readDuties(): void {
-    const runs = new Map<number, number>();
-    for (const {path, fence, body} of this.fleet.site.duties) {
-      this.ledger.fence(path, fence);
-      if (path !== '/usage') continue;
-      const window = Number(body['windowId']);
-      this.ledger.report(window, JSON.stringify(body['counts']));
-      const counts = body['counts'] as Record<string, number>;
-      runs.set(window, counts[TEAM] ?? 0);
-    }
-    this.ledger.checkUsage([...runs.values()].reduce((a, b) => a + b, 0));
-  }
-
   /** The host that sends a request. */
   private senderOf(request: string): Sender {
     const [host = ''] = request.split('.');
@@ -521,16 +518,18 @@
     return {process, disturbances: this.disturbancesOf(station)};
   }
 
+  private get stations(): readonly Station[] {
+    return this.hosts.stations;
+  }
+
   private station(index: number): Station {
-    const station = this.stations[index];
-    if (!station) throw new RangeError(`no host ${index}`);
-    return station;
+    return this.hosts.at(index);
   }
 
   /** Ends everything that this soak has started. */
   end(): void {
     this.over = true;
-    for (const {store} of this.stations) store.stop();
+    this.hosts.end();
     this.fleet.stop();
     this.endpoints.stop();
   }
--- a/soak/starts.ts
+++ b/soak/starts.ts
@@ -16,17 +16,15 @@
   type HostProcess,
 } from '../test/support/edgeprocess.js';
 import {askHost} from './caller.js';
+import {deployNodeFlags} from './deployfile.js';
 import {answerTo} from './ledger.js';
-import {AddressDrawer, holdAddress, type Draw} from './ports.js';
-
-/** Ports of a host, by what they serve. */
-export const PORT_NAMES = [
-  'callers',
-  'readiness',
-  'control',
-  'metrics',
-] as const;
-export type PortName = (typeof PORT_NAMES)[number];
+import {
+  AddressDrawer,
+  holdAddress,
+  PORT_NAMES,
+  type Draw,
+  type PortName,
+} from './ports.js';
 
 /** What is started, and what is done to it. */
 export interface StartsOptions {
@@ -102,22 +100,10 @@
 const STOP_MILLISECONDS_MOST = 12_000;
 const ERROR_LENGTH = 300;
 const KEY = 'key-0';
-const DEPLOY_FILE = 'deploy/system.toml';
 
 const wait = (duration: number) =>
   new Promise<void>(resolve => setTimeout(resolve, duration));
 
-/** The flags of Node in the command of the deploy file. */
-export function deployNodeFlags(): readonly string[] {
-  const [, run = ''] =
-    /^run = "(.*)"$/m.exec(readFileSync(DEPLOY_FILE, 'utf8')) ?? [];
-  const [, ...words] = run.split(' ');
-  return words.slice(
-    0,
-    words.findIndex(word => !word.startsWith('-')),
-  );
-}
-
 interface Start {
   readonly place: HostPlace;
   process: HostProcess | undefined;
@@ -160,11 +146,16 @@
       await wait(began + lasts - performance.now());
       return await this.report();
     } finally {
-      this.over = true;
-      this.fleet.stop();
+      this.end();
     }
   }
 
+  /** Ends everything that it has started. */
+  end(): void {
+    this.over = true;
+    this.fleet.stop();
+  }
+
   private async begin(): Promise<void> {
     const {fleet} = this;
     await fleet.site.start();
--- a/soak/startsmain.ts
+++ b/soak/startsmain.ts
@@ -1,9 +1,11 @@
 /** Starts many hosts at once, so many times, and prints what came of it. */
+import {loadavg} from 'node:os';
+
 import * as z from 'zod';
 
 import {readSettings} from '../source/settings/index.js';
-import {DRAWS} from './ports.js';
-import {PORT_NAMES, Starts, type StartsReport} from './starts.js';
+import {DRAWS, PORT_NAMES} from './ports.js';
+import {Starts, type StartsReport} from './starts.js';
 
 const settingsSchema = z.strictObject({
   program: z.string().default('dist/arbutusslip-edge.js'),
@@ -36,8 +38,17 @@
     lasts: seconds * 1_000,
     ...(heldSeconds !== undefined && {heldFor: heldSeconds * 1_000}),
   });
+  const end = () => {
+    starts.end();
+    process.exit(1);
+  };
+  process.once('SIGTERM', end);
+  process.once('SIGINT', end);
   const report = await starts.play();
-  console.log(new Date().toISOString(), summaryOf(report));
+  process.off('SIGTERM', end);
+  process.off('SIGINT', end);
+  const [load] = loadavg();
+  console.log(new Date().toISOString(), `load ${load}`, summaryOf(report));
   console.log(JSON.stringify(report));
 }
 process.exit(0);
--- a/soak/station.ts
+++ b/soak/station.ts
@@ -13,4 +13,10 @@
   up: boolean;
   /** Whether it has been told to stop. */
   stopping: boolean;
+  /** Ports of it that somebody else holds. */
+  held: number;
+  /** Freezes that have not ended. */
+  frozen: number;
+  /** Resolves when it has started, while it does. */
+  starting: Promise<void> | undefined;
 }
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -91,6 +91,8 @@
   knowsOthers = true;
   /** Seconds between SIGTERM and the kill, for hosts that are started next. */
   graceSeconds = 8;
+  /** Memory that hosts which are started next are told they may take. */
+  memoryMegabytes = 200;
   /** Path of the program that hosts run which are started next. */
   program = PROGRAM;
   /** Finds the addresses of hosts that are placed next. */
@@ -315,7 +317,7 @@
       zones: {palermo: 'sicilia'},
       listen: {front, readiness, control},
       seedNodes: this.knowsOthers ? this.seeds.slice(0, 3) : [],
-      limits: {memoryMb: 200},
+      limits: {memoryMb: this.memoryMegabytes},
       bounds: {
         graceS: this.graceSeconds,
         drainMs: 2_000,
