--- a/soak/hosts.ts
+++ b/soak/hosts.ts
@@ -203,8 +203,7 @@
       const {process, up} = station;
       const resident = readingOf(process)?.residentMegabytes ?? 0;
       if (!up || !isTooLarge(resident, MEMORY_MEGABYTES)) continue;
-      const megabytes = `${Math.round(resident)} MB`;
-      this.ledger.broken('memory-bounded', `${process.name} ${megabytes}`);
+      this.ledger.tooLarge(process.name, resident);
       await this.restart(station, 'kill');
     }
   }
@@ -279,8 +278,7 @@
     for (let starts = 0; starts < STARTS_MOST && !this.over; starts++) {
       const overdue = await this.overdueProcess(station);
       if (!overdue) return;
-      const detail = `${overdue.name} ${overdue.child.pid} is not ready`;
-      this.ledger.broken('starts', detail);
+      this.ledger.overdue(`${overdue.name} ${overdue.child.pid}`);
       this.told.set(overdue, 'SIGKILL');
       overdue.child.kill('SIGKILL');
       await overdue.ended;
--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -173,6 +173,16 @@
     this.broken('ends-only-when-told', `${host} ${how}`);
   }
 
+  /** Notes that a host is not ready in time though nothing is missing. */
+  overdue(host: string): void {
+    this.broken('starts', host);
+  }
+
+  /** Notes that a host process has more resident megabytes than it may. */
+  tooLarge(host: string, megabytes: number): void {
+    this.broken('memory-bounded', `${host} ${Math.round(megabytes)} MB`);
+  }
+
   /** Notes the fence of a call. */
   fence(subject: string, fence: number): void {
     const before = this.fences.get(subject) ?? fence;
--- a/soak/machineplan.ts
+++ b/soak/machineplan.ts
@@ -2,7 +2,7 @@
  * What the machine of a soak does wrong beside its other faults, and what
  * neighbours do that read nothing or send much, from the seed alone.
  */
-import type {RandomSource} from '../source/random/index.js';
+import {seededRandom, type RandomSource} from '../source/random/index.js';
 import type {
   CommonStart,
   MachineFault,
@@ -19,11 +19,19 @@
 const SIGNAL_MILLISECONDS_MOST = 900;
 const MISSING_SHARE = 0.5;
 
+/** Mixes a seed, as the first numbers of seeds in a row are much alike. */
+const SEED_FACTOR = 0x9e3779b1;
+
+/** The generator of the machine’s faults, apart from that of others. */
+export function machineRandomOf(seed: number): RandomSource {
+  return seededRandom(Math.imul(seed, SEED_FACTOR));
+}
+
 /**
  * When the hosts start, and what is missing then.
  *
  * ```ts
- * const start = commonStartOf(seededRandom(5), 3);
+ * const start = commonStartOf(machineRandomOf(5), 3);
  * ```
  */
 export function commonStartOf(
@@ -50,7 +58,7 @@
  * The faults of the machine and of such neighbours.
  *
  * ```ts
- * const plan = machinePlanOf(seededRandom(5), {hosts: 3, endpoints: 4, lasts: 8_000});
+ * const plan = machinePlanOf(machineRandomOf(5), {hosts: 3, endpoints: 4, lasts: 8_000});
  * ```
  */
 export function machinePlanOf(
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -7,6 +7,12 @@
 
 import {answerTo, Ledger, TEAM, type Asked} from '../soak/ledger.js';
 import {Backoffs} from '../soak/backoffs.js';
+import {isBooting, isTooLarge, StartBound} from '../soak/bounds.js';
+import {
+  commonStartOf,
+  machinePlanOf,
+  machineRandomOf,
+} from '../soak/machineplan.js';
 import {deadlyPlanOf, loadPlanOf, planOf, restorePlanOf} from '../soak/plan.js';
 import {REGRESSIONS} from '../soak/seeds.js';
 import {Soak} from '../soak/soak.js';
@@ -20,6 +26,7 @@
     t.log(`seed ${seed}`);
     const report = await new Soak({...SIZE, ...size, seed}).play();
     for (const fault of report.faults) t.log(fault);
+    if (report.output) t.log(`kept in ${report.output}`);
     t.true(report.served > 0);
     t.true(report.scrapes > 0);
     t.deepEqual(report.violations, []);
@@ -42,6 +49,62 @@
     deadlyPlanOf(seededRandom(seed), {...SIZE, lasts: 30_000});
   t.deepEqual(deadly(7), deadly(7));
   t.notDeepEqual(deadly(7), deadly(8));
+  const machine = (seed: number) =>
+    machinePlanOf(machineRandomOf(seed), {...SIZE, lasts: 30_000});
+  t.deepEqual(machine(7), machine(7));
+  t.notDeepEqual(machine(7), machine(8));
+  const start = (seed: number) => commonStartOf(machineRandomOf(seed), 3);
+  t.deepEqual(start(7), start(7));
+  t.notDeepEqual(start(7), start(8));
+});
+
+test('all hosts of a seed start within 0.3 s, and some seeds lack the store or a port', t => {
+  const seeds = Array.from({length: 40}, (_, seed) => seed);
+  const starts = seeds.map(seed => commonStartOf(machineRandomOf(seed), 3));
+  t.true(starts.every(({delays}) => delays.every(delay => delay < 300)));
+  t.true(starts.some(({storeAway}) => storeAway > 0));
+  t.true(starts.some(({storeAway, held}) => storeAway === 0 && !held));
+  t.is(new Set(starts.map(({held}) => held?.port)).size, 5);
+});
+
+test('each fault of the machine is in the plan of some seed', t => {
+  const kinds = new Set<string>();
+  for (let seed = 0; seed < 20; seed++) {
+    const plan = machinePlanOf(machineRandomOf(seed), {...SIZE, lasts: 30_000});
+    for (const {fault} of plan) kinds.add(fault.kind);
+  }
+  t.deepEqual([...kinds].sort(), [
+    'all-started',
+    'deaf-callers',
+    'deaf-endpoint',
+    'early-successor',
+    'large-bodies',
+    'port-held',
+    'signal-at-start',
+  ]);
+});
+
+test('a host that is not ready ten seconds after all is there is noticed', t => {
+  const bound = new StartBound(0);
+  const silent = {isReady: false, isBlocked: false, processorWait: 0};
+  const blocked = {...silent, isBlocked: true};
+  t.false(bound.isOverdue(silent, 9_900));
+  t.true(bound.isOverdue(silent, 10_100));
+  t.false(bound.isOverdue(blocked, 12_000));
+  t.false(bound.isOverdue(silent, 21_900));
+  t.false(bound.isOverdue({...silent, processorWait: 500}, 22_400));
+  t.true(bound.isOverdue({...silent, processorWait: 500}, 22_600));
+  t.false(bound.isOverdue({...silent, isReady: true}, 40_000));
+});
+
+test('a process is too large above the memory of its settings only', t => {
+  t.false(isTooLarge(350, 350));
+  t.true(isTooLarge(350.1, 350));
+});
+
+test('a signal is excused only while Node itself starts', t => {
+  t.true(isBooting(90));
+  t.false(isBooting(100));
 });
 
 test('a host that sends on to an endpoint that wants nothing is noticed', t => {
@@ -209,6 +272,8 @@
     ],
     ['ends-only-when-told', ledger => ledger.ended('host-0', 'code 1')],
     ['usage-was-run', ledger => ledger.checkUsage(1)],
+    ['starts', ledger => ledger.overdue('host-0')],
+    ['memory-bounded', ledger => ledger.tooLarge('host-0', 351)],
   ];
   for (const [promise, play] of cases) {
     t.deepEqual(promisesBroken(play), [promise]);
