--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -26,9 +26,10 @@
 /** Callers that an overload adds for each host. */
 const OVERLOAD_CALLERS = 16;
 /** Callers that send large bodies to one host. */
-const LARGE_CALLERS = 40;
+const LARGE_CALLERS = 60;
+const LARGE_WORK_MILLISECONDS = 300;
 /** Bodies of at least this share of the most that the configuration allows. */
-const LARGE_SHARE_LEAST = 0.25;
+const LARGE_SHARE_LEAST = 0.5;
 const RETRY_MILLISECONDS = 40;
 const PAUSE_MILLISECONDS_MOST = 60;
 
@@ -95,7 +96,8 @@
         const bodyBytes = Math.round((1 - share) * MAX_BODY_BYTES);
         const route = this.random.next() < 1 / 2 ? 'read' : 'record';
         const {newestKey: key} = this;
-        const asked = {key, route, work: WORK_MILLISECONDS, bodyBytes} as const;
+        const work = LARGE_WORK_MILLISECONDS;
+        const asked = {key, route, work, bodyBytes} as const;
         await this.askFor(host, asked, agent);
       }
       agent.destroy();
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -84,7 +84,14 @@
       readonly after: number;
     }
   | {
-      readonly kind: 'large-bodies' | 'deaf-callers';
+      readonly kind: 'large-bodies';
+      readonly host: number;
+      readonly lasts: number;
+      /** Whether no endpoint reads meanwhile. */
+      readonly isUnread: boolean;
+    }
+  | {
+      readonly kind: 'deaf-callers';
       readonly host: number;
       readonly lasts: number;
     }
--- a/soak/hosts.ts
+++ b/soak/hosts.ts
@@ -49,6 +49,8 @@
 /** All hosts. */
 export class SoakHosts {
   readonly stations: Station[] = [];
+  /** The most that a host process has taken of memory. */
+  peakMegabytes = 0;
   /** Host processes that were told to end, and by which signal. */
   private readonly told = new Map<HostProcess, 'SIGKILL' | 'SIGTERM'>();
   /** Milliseconds of processor time that processes had when a signal came. */
@@ -202,6 +204,7 @@
       await wait(MEMORY_MILLISECONDS);
       const {process, up} = station;
       const resident = readingOf(process)?.residentMegabytes ?? 0;
+      this.peakMegabytes = Math.max(this.peakMegabytes, resident);
       if (!up || !isTooLarge(resident, MEMORY_MEGABYTES)) continue;
       this.ledger.tooLarge(process.name, resident);
       await this.restart(station, 'kill');
@@ -355,7 +358,9 @@
   const isOver = child.exitCode !== null || child.signalCode !== null;
   if (isOver || child.pid === undefined) return undefined;
   try {
-    return readProcess(child.pid);
+    const reading = readProcess(child.pid);
+    // A process that has just ended has no memory.
+    return Number.isNaN(reading.residentMegabytes) ? undefined : reading;
   } catch {
     return undefined;
   }
--- a/soak/machineplan.ts
+++ b/soak/machineplan.ts
@@ -84,6 +84,7 @@
   const signal = pick(2) === 0 ? 'SIGHUP' : 'SIGTERM';
   const lasts = random.next() * LASTS_MILLISECONDS_MOST;
   const after = random.next() * SIGNAL_MILLISECONDS_MOST;
+  const isUnread = pick(2) === 0;
   const start = commonStartOf(random, hosts);
   const faults: readonly MachineFault[] = [
     {kind: 'port-held', host, how, port, lasts},
@@ -92,7 +93,7 @@
     {kind: 'signal-at-start', host, signal, after},
     {kind: 'early-successor', host},
     {kind: 'all-started', start},
-    {kind: 'large-bodies', host, lasts},
+    {kind: 'large-bodies', host, lasts, isUnread},
     {kind: 'deaf-callers', host, lasts},
     {kind: 'deaf-endpoint', endpoint, lasts},
   ];
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -50,6 +50,7 @@
   console.log(
     `seed ${seed}: ${faults.length} faults, ${served} of ${asked} served, ` +
       `${turnedAway} turned away, ${queued} queued, ${scrapes} scrapes, ` +
+      `at most ${Math.round(report.peakMegabytes)} MB, ` +
       `${violations.length} promises broken`,
   );
   if (violations.length === 0) continue;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -45,6 +45,8 @@
   readonly queued: number;
   /** Answers of the hosts with their metrics. */
   readonly scrapes: number;
+  /** The most that a host process has taken of memory. */
+  readonly peakMegabytes: number;
   readonly violations: readonly Violation[];
   /** Path of what is kept of it where a promise was broken. */
   readonly output?: string;
@@ -70,6 +72,7 @@
 const wait = (duration: number) =>
   new Promise<void>(resolve => setTimeout(resolve, duration));
 
+type LargeBodies = Extract<Fault, {kind: 'large-bodies'}>;
 type RestoreFault = Extract<Fault, {kind: 'store-restored'}>;
 
 /** Plays one soak to its end. */
@@ -127,6 +130,7 @@
       turnedAway,
       queued: queuedOf(this.fleet),
       scrapes,
+      peakMegabytes: this.hosts.peakMegabytes,
       violations,
       ...(output && {output}),
     };
@@ -252,7 +256,7 @@
       case 'signal-at-start':
         return this.hosts.signalAtStart(fault);
       case 'large-bodies':
-        return this.callers.sendLarge(fault.host, fault.lasts);
+        return this.sendLarge(fault);
       case 'deaf-callers':
         return this.callers.openDeaf(fault.host, fault.lasts);
       case 'deaf-endpoint': {
@@ -284,6 +288,15 @@
     this.troubles.end();
   }
 
+  private async sendLarge({host, lasts, isUnread}: LargeBodies): Promise<void> {
+    const {endpoints} = this.options;
+    const count = isUnread ? endpoints : 0;
+    const cuts = Array.from({length: count}, (_, index) =>
+      this.cut(this.endpoints.proxy(index), 'deaf', lasts),
+    );
+    await Promise.all([this.callers.sendLarge(host, lasts), ...cuts]);
+  }
+
   private async whileTrue(
     fault: 'away' | 'busy',
     lasts: number,
