--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -26,7 +26,7 @@
 /** Callers that an overload adds for each host. */
 const OVERLOAD_CALLERS = 16;
 /** Callers that send large bodies to one host. */
-const LARGE_CALLERS = 60;
+const LARGE_CALLERS = 120;
 const LARGE_WORK_MILLISECONDS = 300;
 /** Bodies of at least this share of the most that the configuration allows. */
 const LARGE_SHARE_LEAST = 0.5;
--- a/soak/machineplan.ts
+++ b/soak/machineplan.ts
@@ -15,6 +15,8 @@
 const FIRST_MILLISECONDS = 500;
 const GAP_MILLISECONDS_MOST = 4_000;
 const LASTS_MILLISECONDS_MOST = 2_500;
+/** Of large bodies, at least. */
+const LARGE_MILLISECONDS = 2_000;
 /** From the first millisecond until well behind the end of a start. */
 const SIGNAL_MILLISECONDS_MOST = 900;
 const MISSING_SHARE = 0.5;
@@ -93,7 +95,7 @@
     {kind: 'signal-at-start', host, signal, after},
     {kind: 'early-successor', host},
     {kind: 'all-started', start},
-    {kind: 'large-bodies', host, lasts, isUnread},
+    {kind: 'large-bodies', host, lasts: LARGE_MILLISECONDS + lasts, isUnread},
     {kind: 'deaf-callers', host, lasts},
     {kind: 'deaf-endpoint', endpoint, lasts},
   ];
