--- a/soak/bounds.ts
+++ b/soak/bounds.ts
@@ -2,11 +2,16 @@
 
 /** Milliseconds within which a host is ready, once all is there that it waits for. */
 const START_MILLISECONDS_MOST = 10_000;
-/**
- * Milliseconds of processor time in which Node itself starts: a signal before
- * finds no listener of the program.
- */
-const BOOT_PROCESSOR_MILLISECONDS = 100;
+/** Milliseconds of processor time in which Node itself has started. */
+const BOOT_PROCESSOR_MILLISECONDS = 250;
+
+/** What is known of a process when a signal comes. */
+export interface SignalReading {
+  /** Milliseconds of processor time since its start. */
+  readonly processorTime: number;
+  /** Whether the first line of the program has run: it listens for SIGHUP. */
+  readonly listens: boolean;
+}
 
 /** What is known of a host that starts. */
 export interface StartReading {
@@ -40,9 +45,9 @@
   }
 }
 
-/** Whether a process can only have been starting Node when a signal came. */
-export function isBooting(processorMilliseconds: number): boolean {
-  return processorMilliseconds < BOOT_PROCESSOR_MILLISECONDS;
+/** Whether Node itself was still starting when a signal came. */
+export function isBooting({processorTime, listens}: SignalReading): boolean {
+  return !listens && processorTime < BOOT_PROCESSOR_MILLISECONDS;
 }
 
 /** Whether the platform ends a process for its resident memory. */
--- a/soak/hosts.ts
+++ b/soak/hosts.ts
@@ -10,11 +10,16 @@
   type HostProcess,
 } from '../test/support/edgeprocess.js';
 import {readProcess} from '../tools/process.js';
-import {isBooting, isTooLarge, StartBound} from './bounds.js';
+import {
+  isBooting,
+  isTooLarge,
+  StartBound,
+  type SignalReading,
+} from './bounds.js';
 import type {CommonStart, MachineFault} from './faults.js';
 import type {Ledger} from './ledger.js';
 import {holdAddress} from './ports.js';
-import {processorWaitOf} from './processor.js';
+import {listensForReload, processorWaitOf} from './processor.js';
 import {FaultyProxy} from './proxy.js';
 import {deployNodeFlags} from './deployfile.js';
 import type {Station} from './station.js';
@@ -53,8 +58,8 @@
   peakMegabytes = 0;
   /** Host processes that were told to end, and by which signal. */
   private readonly told = new Map<HostProcess, 'SIGKILL' | 'SIGTERM'>();
-  /** Milliseconds of processor time that processes had when a signal came. */
-  private readonly signalled = new Map<HostProcess, number>();
+  /** What processes were at when the last signal came. */
+  private readonly signalled = new Map<HostProcess, SignalReading>();
   private over = false;
 
   constructor(
@@ -82,23 +87,22 @@
       how.held && held
         ? await holdAddress(held[how.held.port])
         : () => undefined;
-    const {site} = this.fleet;
-    site.faults.away = how.storeAway > 0;
-    setTimeout(() => (site.faults.away = false), how.storeAway);
-    await Promise.all(
-      places.map(async (place, index) => {
-        const store = stores[index];
-        await wait(how.delays[index] ?? 0);
-        if (!store || this.over) return;
-        const process = this.fleet.launch(place);
-        const station = {process, store, ...UNDISTURBED};
-        this.stations[index] = station;
-        this.watch(station, process);
-        if (how.held?.host === index)
-          this.releaseAfter(station, release, how.held.lasts);
-        await this.awaitStart(station);
-      }),
-    );
+    const back = this.storeBack(how.storeAway);
+    const starting = places.map(async (place, index) => {
+      const store = stores[index];
+      await wait(how.delays[index] ?? 0);
+      if (!store || this.over) return;
+      const process = this.fleet.launch(place);
+      const station = {process, store, ...UNDISTURBED};
+      this.stations[index] = station;
+      this.watch(station, process);
+      const isHeld = how.held?.host === index;
+      await Promise.all([
+        isHeld && this.releaseAfter(station, release, how.held.lasts),
+        this.awaitStart(station),
+      ]);
+    });
+    await Promise.all([...starting, back]);
   }
 
   at(index: number): Station {
@@ -132,8 +136,10 @@
     await this.endProcess(station, how);
     await wait(RESTART_MILLISECONDS);
     const release = await holdAddress(station.process[port]);
-    this.releaseAfter(station, release, lasts);
-    await this.bringUp(station, how);
+    await Promise.all([
+      this.releaseAfter(station, release, lasts),
+      this.bringUp(station, how),
+    ]);
   }
 
   /** Starts a host anew while its predecessor still drains. */
@@ -164,23 +170,22 @@
 
   /** Kills all hosts and starts them together. */
   async startAll({delays, storeAway, held}: CommonStart): Promise<void> {
-    const {faults} = this.fleet.site;
-    faults.away ||= storeAway > 0;
-    if (storeAway > 0) setTimeout(() => (faults.away = false), storeAway);
+    const back = this.storeBack(storeAway);
     const up = this.stations.filter(station => station.up);
     await Promise.all(up.map(station => this.endProcess(station, 'kill')));
     await wait(RESTART_MILLISECONDS);
-    await Promise.all(
-      up.map(async station => {
-        const index = this.stations.indexOf(station);
-        if (held?.host === index) {
-          const release = await holdAddress(station.process[held.port]);
-          this.releaseAfter(station, release, held.lasts);
-        }
-        await wait(delays[index] ?? 0);
-        await this.bringUp(station, 'kill');
-      }),
-    );
+    const starting = up.map(async station => {
+      const index = this.stations.indexOf(station);
+      let free: Promise<void> | undefined;
+      if (held?.host === index) {
+        const release = await holdAddress(station.process[held.port]);
+        free = this.releaseAfter(station, release, held.lasts);
+      }
+      await wait(delays[index] ?? 0);
+      await this.bringUp(station, 'kill');
+      await free;
+    });
+    await Promise.all([...starting, back]);
   }
 
   reload({process, up}: Station): void {
@@ -217,6 +222,15 @@
     for (const {store} of this.stations) store.stop();
   }
 
+  /** The store is away for so many milliseconds; resolves when it is back. */
+  private async storeBack(after: number): Promise<void> {
+    if (after === 0) return;
+    const {faults} = this.fleet.site;
+    faults.away = true;
+    await wait(after);
+    faults.away = false;
+  }
+
   private async endProcess(
     station: Station,
     how: 'kill' | 'stop',
@@ -257,16 +271,16 @@
     this.watch(station, station.process);
   }
 
-  private releaseAfter(
+  /** Resolves when the port is free. */
+  private async releaseAfter(
     station: Station,
     release: () => void,
     lasts: number,
-  ): void {
+  ): Promise<void> {
     station.held++;
-    setTimeout(() => {
-      release();
-      station.held--;
-    }, lasts);
+    await wait(lasts);
+    release();
+    station.held--;
   }
 
   /** Resolves when a host is ready, or is overdue and was started anew in vain. */
@@ -319,7 +333,9 @@
 
   private signal(process: HostProcess, name: NodeJS.Signals): void {
     const reading = readingOf(process);
-    if (reading) this.signalled.set(process, reading.processor * 1_000);
+    const listens = listensForReload(process.child.pid);
+    const processorTime = (reading?.processor ?? 0) * 1_000;
+    if (reading) this.signalled.set(process, {processorTime, listens});
     process.child.kill(name);
   }
 
@@ -330,17 +346,16 @@
       if (this.over) return;
       const {signalCode} = process.child;
       const signal = this.told.get(process);
-      const bootTime = this.signalled.get(process) ?? Infinity;
-      const isExcused = signalCode !== null && isBooting(bootTime);
+      const reading = this.signalled.get(process);
+      const isExcused = signalCode !== null && reading && isBooting(reading);
       const isStopped = signal === 'SIGTERM' && code === 0;
       if (signal === 'SIGKILL' || isStopped) return;
       const age = Math.round(performance.now() - started);
       const error = process.errors.join('').slice(-ERROR_LENGTH);
-      const booted = `signal at ${Math.round(bootTime)} ms of processor time`;
       if (!isExcused)
         this.ledger.ended(
           process.name,
-          `${code} ${signalCode} after ${age} ms, ${booted}, ` +
+          `${code} ${signalCode} after ${age} ms, ${JSON.stringify(reading)}, ` +
             `${process.lines.length} lines ${error}`,
         );
       if (signal) return;
--- a/soak/processor.ts
+++ b/soak/processor.ts
@@ -1,4 +1,4 @@
-/** How long a process has waited for a processor. */
+/** What the kernel knows of a process beside its counters. */
 import {readFileSync} from 'node:fs';
 
 const NANOSECONDS_PER_MILLISECOND = 1_000_000;
@@ -17,3 +17,14 @@
     return 0;
   }
 }
+
+/** Whether a process handles SIGHUP. */
+export function listensForReload(pid: number | undefined): boolean {
+  try {
+    const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+    const [, caught = ''] = /SigCgt:\s+(\w+)/.exec(status) ?? [];
+    return (parseInt(caught.slice(-1), 16) & 1) === 1;
+  } catch {
+    return false;
+  }
+}
