--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -208,7 +208,7 @@
     return this.launch(await this.place(name, file, store, flags));
   }
 
-  /** Gives a host its addresses and its settings, without starting it. */
+  /** Chooses the ports of a host and writes its settings; starts nothing. */
   async place(
     name: string,
     file?: string,
@@ -241,7 +241,7 @@
     return this.launch(host);
   }
 
-  /** Starts a host in its place. */
+  /** Starts a host at a place. */
   launch(place: HostPlace): HostProcess {
     const [program = '', ...flags] = this.commandOf(place);
     const child = spawn(program, flags, {
