--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -1,5 +1,6 @@
 /** One request of a caller, on the connection that its agent keeps. */
 import {request, type Agent} from 'node:http';
+import type {Socket} from 'node:net';
 
 import {DEADLY_RESOURCE, type Asked, type Got} from './ledger.js';
 
@@ -12,6 +13,15 @@
 export const MAX_BODY_BYTES = 4_194_304;
 const LARGE_BODY = Buffer.alloc(MAX_BODY_BYTES, 'x');
 
+/** Connections whose late errors, behind an answer, are passed over. */
+const quiet = new WeakSet<Socket>();
+
+function quieten(socket: Socket): void {
+  if (quiet.has(socket)) return;
+  quiet.add(socket);
+  socket.on('error', () => socket.destroy());
+}
+
 /** What came back. */
 export interface Reply extends Pick<Got, 'status' | 'body' | 'whole'> {
   /** Whether the caller gave up because nothing came in time. */
@@ -57,6 +67,7 @@
       sent.destroy();
     }, CALLER_MILLISECONDS);
     sent.on('error', () => end(0, false));
+    sent.on('socket', quieten);
     if (bodyBytes) return void sent.end(LARGE_BODY.subarray(0, bodyBytes));
     if (route !== 'record') return void sent.end();
     sent.write('first part, ');
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -111,11 +111,14 @@
     this.options.troubles.begin();
     const {callers} = this.options.hosts.at(host).process;
     const {newestKey: key} = this;
+    const ids: string[] = [];
     const close = openDeafCallers(callers, () => {
-      const asked = {key, route: 'read', work: 0} as const;
-      return {key, id: this.enter(host, asked).id};
+      const {id} = this.enter(host, {key, route: 'read', work: 0});
+      ids.push(id);
+      return {key, id};
     });
     await wait(lasts);
+    ids.forEach(id => this.options.ledger.leave(id));
     close();
     this.options.troubles.end();
   }
--- a/soak/endpoints.ts
+++ b/soak/endpoints.ts
@@ -109,12 +109,7 @@
       onArrived: arrived =>
         ledger.arrive({...arrived, left: this.hasLeft(id, arrived.id)}),
       onReceived: request => this.checkBackoff(id, request),
-      onBackoff: request =>
-        this.backoffs.begin(
-          this.sendingHost(request, id),
-          BACKOFF_SECONDS * 1_000,
-          performance.now(),
-        ),
+      onBackoff: request => this.beginBackoff(id, request),
       onCrash: () => this.handleCrash(id),
     });
     await endpoint.start();
@@ -133,6 +128,14 @@
     this.options.onRepair(this.crash(index));
   }
 
+  /** An endpoint has turned a request away; a host that has cut it hears nothing. */
+  private beginBackoff(endpoint: string, request: string): void {
+    if (!this.options.ledger.isAwaited(request)) return;
+    const sender = this.sendingHost(request, endpoint);
+    const duration = BACKOFF_SECONDS * 1_000;
+    this.backoffs.begin(sender, duration, performance.now());
+  }
+
   private checkBackoff(endpoint: string, request: string): void {
     const sender = this.sendingHost(request, endpoint);
     if (!this.backoffs.arrive(sender, performance.now())) return;
--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -98,6 +98,8 @@
   turnedAway = 0;
   asked = 0;
   private readonly open = new Map<string, Asked>();
+  /** Requests whose callers still wait. */
+  private readonly waiting = new Set<string>();
   private readonly runs = new Map<string, number>();
   private readonly refused = new Set<string>();
   /** Requests whose connection was closed without an answer, and no excuse. */
@@ -108,6 +110,17 @@
   ask(asked: Asked): void {
     this.asked++;
     this.open.set(asked.id, asked);
+    this.waiting.add(asked.id);
+  }
+
+  /** Notes that a caller has gone. */
+  leave(id: string): void {
+    this.waiting.delete(id);
+  }
+
+  /** Whether the caller of a request still waits. */
+  isAwaited(id: string): boolean {
+    return this.waiting.has(id);
   }
 
   /** Notes what an endpoint got, which then runs it. */
@@ -131,6 +144,7 @@
   get(asked: Asked, got: Got): void {
     const {id, route} = asked;
     const {status, body, whole, plannedOnly, excused} = got;
+    this.leave(id);
     if (status === 200 && whole && body === answerTo(asked)) {
       this.served++;
       return;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -35,16 +35,19 @@
     hasMachineFaults: machine === 'on',
     ...(program && {program}),
   });
-  const end = () => {
+  const end = (cause: unknown) => {
+    console.log(cause);
     console.log(`kept in ${soak.keepOutput()}`);
     soak.end();
     process.exit(1);
   };
   process.once('SIGTERM', end);
   process.once('SIGINT', end);
+  process.once('uncaughtException', end);
   const report = await soak.play();
   process.off('SIGTERM', end);
   process.off('SIGINT', end);
+  process.off('uncaughtException', end);
   const {asked, served, violations, faults} = report;
   const {turnedAway, queued, scrapes} = report;
   console.log(
--- a/soak/seeds.ts
+++ b/soak/seeds.ts
@@ -10,6 +10,14 @@
   readonly cause: string;
 }
 
+const MACHINE_SIZE = {
+  hosts: 2,
+  endpoints: 3,
+  callers: 2,
+  lasts: 5_000,
+  hasMachineFaults: true,
+};
+
 export const REGRESSIONS: readonly Regression[] = [
   {
     seed: 142,
@@ -25,4 +33,14 @@
     size: {hosts: 4, endpoints: 4, callers: 3, lasts: 12_000},
     cause: 'a host exited on a request that came as it stored its usage',
   },
+  {
+    seed: 20261208,
+    size: MACHINE_SIZE,
+    cause: 'SIGTERM ended a host that was still starting',
+  },
+  {
+    seed: 20261253,
+    size: MACHINE_SIZE,
+    cause: 'a host whose port was taken at its start never became ready',
+  },
 ];
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -164,6 +164,18 @@
   t.deepEqual(broken, []);
 });
 
+test('a request is awaited until its caller has an answer or leaves', t => {
+  const ledger = new Ledger();
+  t.false(ledger.isAwaited(ASKED.id));
+  ledger.ask(ASKED);
+  t.true(ledger.isAwaited(ASKED.id));
+  ledger.get(ASKED, WHOLE);
+  t.false(ledger.isAwaited(ASKED.id));
+  ledger.ask(ASKED);
+  ledger.leave(ASKED.id);
+  t.false(ledger.isAwaited(ASKED.id));
+});
+
 test('the ledger notices each promise that is broken', t => {
   const cases: readonly [string, (ledger: Ledger) => void][] = [
     [
