--- a/source/errors/index.ts
+++ b/source/errors/index.ts
@@ -5,6 +5,7 @@
   SettingsError,
   StateChartError,
   WireError,
+  type SettingsProblem,
 } from './failure.js';
 export {
   outcomeSchema,
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -45,13 +45,20 @@
   readonly flags: LaunchFlags;
 }
 
+/** The content of a settings file, in sections. */
+export type HostSettings = Readonly<Record<string, unknown>> & {
+  readonly bounds: Readonly<Record<string, unknown>>;
+  readonly listen: Readonly<Record<string, unknown>>;
+  readonly limits: Readonly<Record<string, unknown>>;
+};
+
 /** One host process. */
 export interface HostProcess extends HostPlace {
   readonly child: ChildProcess;
   readonly lines: Line[];
   /** What it has written to standard error. */
   readonly errors: string[];
-  /** Resolves with the exit code. */
+  /** Resolves with the exit code, when all that was written has been read. */
   readonly ended: Promise<number | null>;
 }
 
@@ -97,6 +104,8 @@
   program = PROGRAM;
   /** Finds the addresses of hosts that are placed next. */
   freeAddress = freeAddress;
+  /** Changes the settings of hosts that are started next. */
+  changeSettings: (settings: HostSettings) => object = settings => settings;
 
   static async start(t: ExecutionContext): Promise<EdgeFleet> {
     const fleet = new EdgeFleet();
@@ -222,7 +231,9 @@
       throw new Error('no free ports');
     const folder = mkdtempSync(join(tmpdir(), 'arbutusslip-'));
     const path = join(folder, 'settings.json');
-    const settings = this.settingsOf(name, callers, readiness, control, store);
+    const settings = this.changeSettings(
+      this.settingsOf(name, callers, readiness, control, store),
+    );
     writeFileSync(path, file ?? JSON.stringify(settings));
     this.seeds.push(control);
     return {
@@ -258,7 +269,7 @@
     const errors: string[] = [];
     child.stderr?.on('data', (part: Buffer) => errors.push(part.toString()));
     const ended = new Promise<number | null>(resolve => {
-      child.once('exit', code => resolve(code));
+      child.once('close', code => resolve(code));
     });
     const host = {...place, child, lines, errors, ended};
     this.hosts.push(host);
@@ -310,7 +321,7 @@
     readiness: string,
     control: string,
     store: string,
-  ): object {
+  ): HostSettings {
     return {
       nodeId: name,
       zone: 'palermo',
