--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -14,6 +14,7 @@
 import type {Asked, Got, Ledger} from './ledger.js';
 import type {Station} from './station.js';
 import type {Troubles} from './troubles.js';
+import {wait} from './wait.js';
 
 const ROUTES = ['read', 'record', 'draft'] as const;
 /** Share of requests that bear a key which may be withdrawn. */
@@ -33,9 +34,6 @@
 const RETRY_MILLISECONDS = 40;
 const PAUSE_MILLISECONDS_MOST = 60;
 
-const wait = (duration: number) =>
-  new Promise<void>(resolve => setTimeout(resolve, duration));
-
 type Question = Pick<
   Asked,
   'key' | 'route' | 'work' | 'isDeadly' | 'bodyBytes'
--- a/soak/endpoints.ts
+++ b/soak/endpoints.ts
@@ -11,14 +11,12 @@
 import {BACKOFF_SECONDS, SoakEndpoint, traitsOf} from './endpoint.js';
 import type {Ledger} from './ledger.js';
 import {FaultyProxy} from './proxy.js';
+import {wait} from './wait.js';
 
 const LEAVE_MILLISECONDS = 2_500;
 /** Milliseconds that what is under way may take to arrive. */
 const FLIGHT_MILLISECONDS = 1_000;
 
-const wait = (duration: number) =>
-  new Promise<void>(resolve => setTimeout(resolve, duration));
-
 /** The host that has sent a request. */
 export interface Sender {
   readonly process: HostProcess;
--- a/soak/hosts.ts
+++ b/soak/hosts.ts
@@ -23,6 +23,7 @@
 import {FaultyProxy} from './proxy.js';
 import {deployNodeFlags} from './deployfile.js';
 import type {Station} from './station.js';
+import {wait} from './wait.js';
 
 const UNDISTURBED = {
   disturbed: 0,
@@ -45,9 +46,6 @@
 const STARTS_MOST = 3;
 const ERROR_LENGTH = 400;
 
-const wait = (duration: number) =>
-  new Promise<void>(resolve => setTimeout(resolve, duration));
-
 type PortHeld = Extract<MachineFault, {kind: 'port-held'}>;
 type SignalAtStart = Extract<MachineFault, {kind: 'signal-at-start'}>;
 
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -21,6 +21,7 @@
 import {StoreCopies} from './restore.js';
 import type {Station} from './station.js';
 import {Troubles} from './troubles.js';
+import {wait} from './wait.js';
 
 /** What a soak is. */
 export interface SoakOptions extends SoakSize {
@@ -69,9 +70,6 @@
 /** Within which everything is served again once the faults are over. */
 const RECOVERY_MILLISECONDS = 60_000;
 
-const wait = (duration: number) =>
-  new Promise<void>(resolve => setTimeout(resolve, duration));
-
 type LargeBodies = Extract<Fault, {kind: 'large-bodies'}>;
 type RestoreFault = Extract<Fault, {kind: 'store-restored'}>;
 
--- a/soak/starts.ts
+++ b/soak/starts.ts
@@ -25,6 +25,7 @@
   type Draw,
   type PortName,
 } from './ports.js';
+import {wait} from './wait.js';
 
 /** What is started, and what is done to it. */
 export interface StartsOptions {
@@ -101,9 +102,6 @@
 const ERROR_LENGTH = 300;
 const KEY = 'key-0';
 
-const wait = (duration: number) =>
-  new Promise<void>(resolve => setTimeout(resolve, duration));
-
 interface Start {
   readonly place: HostPlace;
   process: HostProcess | undefined;
--- a/soak/startsmain.ts
+++ b/soak/startsmain.ts
@@ -54,16 +54,13 @@
 process.exit(0);
 
 function summaryOf(report: StartsReport): string {
-  const {ready, neverReady, ends, taken, starts, readyAfter} = report;
-  const {asked, unanswered, aliveNotServing, cutAtStop, stoppedAfter} = report;
+  const {ready, neverReady, ends, taken, starts, repeated} = report;
+  const {asked, unanswered, aliveNotServing, cutAtStop} = report;
   const ports = taken.map(({port}) => port).join(' ');
   return (
-    `${report.repeated} ports drawn twice, ${ready} ready (last after ${readyAfter.at(-1)} ms), ` +
-    `${neverReady.length} never, ${starts} starts, ` +
-    `${ends.length} ends by themselves, EADDRINUSE ${taken.length} (${ports}), ` +
-    `${unanswered} of ${asked} unanswered, ` +
-    `${aliveNotServing.length} alive and not serving, ` +
-    `${cutAtStop} cut at the stop after ${stoppedAfter} ms, ` +
-    `${report.signalsKept.length} signals kept`
+    `${repeated} ports drawn twice, ${ready} ready, ${neverReady.length} never, ` +
+    `${starts} starts, ${ends.length} ends by themselves, ` +
+    `EADDRINUSE ${taken.length} (${ports}), ${unanswered} of ${asked} unanswered, ` +
+    `${aliveNotServing.length} alive and not serving, ${cutAtStop} cut at the stop`
   );
 }
