Judge hosts by what they have heard, and their starts by what the soak could serve

It counts now from the host's own line on it.

Time in which a pause of one poll lasts 150 ms no longer counts.

--- a/soak/backoffs.ts
+++ b/soak/backoffs.ts
@@ -18,6 +18,8 @@
 }
 
 interface Backoff {
+  /** The request that was turned away. */
+  readonly request: string;
   readonly disturbances: number;
   readonly from: number;
   readonly until: number;
@@ -29,14 +31,24 @@
   private readonly backoffs = new Map<string, Backoff>();
 
   /** An endpoint has told a host to send nothing for some milliseconds. */
-  begin(host: SendingHost, duration: number, now: number): void {
+  begin(
+    host: SendingHost,
+    request: string,
+    duration: number,
+    now: number,
+  ): void {
     const {disturbances} = host;
     const from = now + NOTICE_MILLISECONDS;
     const until = now + duration;
-    const backoff = {disturbances, from, until, arrivals: 0};
+    const backoff = {request, disturbances, from, until, arrivals: 0};
     this.backoffs.set(keyOf(host), backoff);
   }
 
+  /** The request of a host that an endpoint has turned away last. */
+  turnedAway(host: SendingHost): string | undefined {
+    return this.backoffs.get(keyOf(host))?.request;
+  }
+
   /** A request has come; returns whether it is one too many. */
   arrive(host: SendingHost, now: number): boolean {
     const backoff = this.backoffs.get(keyOf(host));
--- a/soak/bounds.ts
+++ b/soak/bounds.ts
@@ -20,22 +20,28 @@
   readonly isBlocked: boolean;
   /** Milliseconds for which its main thread has waited for a processor so far. */
   readonly processorWait: number;
+  /** Whether the soak, and with it the store, was late itself since the last reading. */
+  readonly isStarved: boolean;
 }
 
 /** The start of one process, against its bound. */
 export class StartBound {
   private begunAt: number;
+  private lastAt: number;
   private waitBefore = 0;
 
   constructor(now: number) {
     this.begunAt = now;
+    this.lastAt = now;
   }
 
-  /** Whether the host is overdue; time in which it is blocked does not count. */
+  /** Whether the host is overdue; time in which it is blocked or all are late does not count. */
   isOverdue(
-    {isReady, isBlocked, processorWait}: StartReading,
+    {isReady, isBlocked, processorWait, isStarved}: StartReading,
     now: number,
   ): boolean {
+    if (isStarved) this.begunAt += now - this.lastAt;
+    this.lastAt = now;
     if (isReady || isBlocked) {
       this.begunAt = now;
       this.waitBefore = processorWait;
--- a/soak/endpoints.ts
+++ b/soak/endpoints.ts
@@ -131,11 +131,14 @@
     if (!this.options.ledger.isAwaited(request)) return;
     const sender = this.sendingHost(request, endpoint);
     const duration = BACKOFF_SECONDS * 1_000;
-    this.backoffs.begin(sender, duration, performance.now());
+    this.backoffs.begin(sender, request, duration, performance.now());
   }
 
   private checkBackoff(endpoint: string, request: string): void {
     const sender = this.sendingHost(request, endpoint);
+    const {process} = this.options.senderOf(request);
+    const cause = this.backoffs.turnedAway(sender);
+    if (!cause || !hasHeard(process.lines, endpoint, cause, request)) return;
     if (!this.backoffs.arrive(sender, performance.now())) return;
     const detail = `${request} at ${endpoint}`;
     this.options.ledger.broken('endpoint-is-left-alone', detail);
@@ -175,6 +178,28 @@
   }
 }
 
+/**
+ * Whether a host has said that an endpoint turned a request of it away, and that
+ * before it sent another one there where it logs the send.
+ */
+export function hasHeard(
+  lines: readonly Line[],
+  endpoint: string,
+  turnedAway: string,
+  sent: string,
+): boolean {
+  const indexOf = (name: string, request: string) =>
+    lines.findLastIndex(
+      ({event, fields}) =>
+        event === name &&
+        fields['request'] === request &&
+        fields['endpoint'] === endpoint,
+    );
+  const heardAt = indexOf('attempt-failed', turnedAway);
+  const sentAt = indexOf('request-sent', sent);
+  return heardAt >= 0 && (sentAt < 0 || sentAt > heardAt);
+}
+
 /** Whether a line says that a host knows an endpoint to leave. */
 function saysLeaving({event, fields}: Line, endpoint: string): boolean {
   if (event === 'endpoint-leaving') return fields['endpoint'] === endpoint;
--- a/soak/hosts.ts
+++ b/soak/hosts.ts
@@ -38,6 +38,8 @@
 const MEMORY_MEGABYTES = 350;
 const RESTART_MILLISECONDS = 300;
 const POLL_MILLISECONDS = 50;
+/** A pause of one poll that lasts longer shows that the soak itself is late. */
+const STARVED_MILLISECONDS = 150;
 const MEMORY_MILLISECONDS = 100;
 const READY_MILLISECONDS_MOST = 1_000;
 /** From the order to stop: the grace time, freezes, and some more. */
@@ -307,6 +309,7 @@
   ): Promise<HostProcess | undefined> {
     let {process} = station;
     let bound = new StartBound(performance.now());
+    let isStarved = false;
     while (!this.over) {
       if (process !== station.process) {
         process = station.process;
@@ -316,9 +319,11 @@
       const isBlocked = this.isBlocked(station);
       if (isReady && station.up) return undefined;
       const processorWait = processorWaitOf(process.child.pid);
-      const reading = {isReady, isBlocked, processorWait};
+      const reading = {isReady, isBlocked, processorWait, isStarved};
       if (bound.isOverdue(reading, performance.now())) return process;
+      const asleepAt = performance.now();
       await wait(POLL_MILLISECONDS);
+      isStarved = performance.now() - asleepAt > STARVED_MILLISECONDS;
     }
     return undefined;
   }
