--- a/soak/endpoints.ts
+++ b/soak/endpoints.ts
@@ -11,14 +11,12 @@
 import {BACKOFF_SECONDS, SoakEndpoint, traitsOf} from './endpoint.js';
 import type {Ledger} from './ledger.js';
 import {FaultyProxy} from './proxy.js';
+import {wait} from './wait.js';
 
 const LEAVE_MILLISECONDS = 2_500;
 /** Milliseconds that what is under way may take to arrive. */
 const FLIGHT_MILLISECONDS = 1_000;
 
-const wait = (duration: number) =>
-  new Promise<void>(resolve => setTimeout(resolve, duration));
-
 /** The host that has sent a request. */
 export interface Sender {
   readonly process: HostProcess;
@@ -109,12 +107,7 @@
       onArrived: arrived =>
         ledger.arrive({...arrived, left: this.hasLeft(id, arrived.id)}),
       onReceived: request => this.checkBackoff(id, request),
-      onBackoff: request =>
-        this.backoffs.begin(
-          this.sendingHost(request, id),
-          BACKOFF_SECONDS * 1_000,
-          performance.now(),
-        ),
+      onBackoff: request => this.beginBackoff(id, request),
       onCrash: () => this.handleCrash(id),
     });
     await endpoint.start();
@@ -133,8 +126,19 @@
     this.options.onRepair(this.crash(index));
   }
 
+  /** An endpoint has turned a request away; a host that has cut it hears nothing. */
+  private beginBackoff(endpoint: string, request: string): void {
+    if (!this.options.ledger.isAwaited(request)) return;
+    const sender = this.sendingHost(request, endpoint);
+    const duration = BACKOFF_SECONDS * 1_000;
+    this.backoffs.begin(sender, request, duration, performance.now());
+  }
+
   private checkBackoff(endpoint: string, request: string): void {
     const sender = this.sendingHost(request, endpoint);
+    const {process} = this.options.senderOf(request);
+    const cause = this.backoffs.turnedAway(sender);
+    if (!cause || !hasHeard(process.lines, endpoint, cause, request)) return;
     if (!this.backoffs.arrive(sender, performance.now())) return;
     const detail = `${request} at ${endpoint}`;
     this.options.ledger.broken('endpoint-is-left-alone', detail);
@@ -174,6 +178,28 @@
   }
 }
 
+/**
+ * Whether a host has said that an endpoint turned a request of it away, and that
+ * before it sent another one there where it logs the send.
+ */
+export function hasHeard(
+  lines: readonly Line[],
+  endpoint: string,
+  turnedAway: string,
+  sent: string,
+): boolean {
+  const indexOf = (name: string, request: string) =>
+    lines.findLastIndex(
+      ({event, fields}) =>
+        event === name &&
+        fields['request'] === request &&
+        fields['endpoint'] === endpoint,
+    );
+  const heardAt = indexOf('attempt-failed', turnedAway);
+  const sentAt = indexOf('request-sent', sent);
+  return heardAt >= 0 && (sentAt < 0 || sentAt > heardAt);
+}
+
 /** Whether a line says that a host knows an endpoint to leave. */
 function saysLeaving({event, fields}: Line, endpoint: string): boolean {
   if (event === 'endpoint-leaving') return fields['endpoint'] === endpoint;
--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -22,6 +22,8 @@
     | 'passed-on-is-answered'
     | 'ends-only-when-told'
     | 'usage-was-run'
+    | 'memory-bounded'
+    | 'starts'
     | 'served-again';
   readonly detail: string;
 }
@@ -38,6 +40,8 @@
   readonly work: number;
   /** Whether endpoints crash when they run it. */
   readonly isDeadly?: boolean;
+  /** Bytes of its body, where it is a large one. */
+  readonly bodyBytes?: number;
 }
 
 /** What a caller got. */
@@ -94,6 +98,8 @@
   turnedAway = 0;
   asked = 0;
   private readonly open = new Map<string, Asked>();
+  /** Requests whose callers still wait. */
+  private readonly waiting = new Set<string>();
   private readonly runs = new Map<string, number>();
   private readonly refused = new Set<string>();
   /** Requests whose connection was closed without an answer, and no excuse. */
@@ -104,6 +110,17 @@
   ask(asked: Asked): void {
     this.asked++;
     this.open.set(asked.id, asked);
+    this.waiting.add(asked.id);
+  }
+
+  /** Notes that a caller has gone. */
+  leave(id: string): void {
+    this.waiting.delete(id);
+  }
+
+  /** Whether the caller of a request still waits. */
+  isAwaited(id: string): boolean {
+    return this.waiting.has(id);
   }
 
   /** Notes what an endpoint got, which then runs it. */
@@ -127,6 +144,7 @@
   get(asked: Asked, got: Got): void {
     const {id, route} = asked;
     const {status, body, whole, plannedOnly, excused} = got;
+    this.leave(id);
     if (status === 200 && whole && body === answerTo(asked)) {
       this.served++;
       return;
@@ -169,6 +187,16 @@
     this.broken('ends-only-when-told', `${host} ${how}`);
   }
 
+  /** Notes that a host is not ready in time though nothing is missing. */
+  overdue(host: string): void {
+    this.broken('starts', host);
+  }
+
+  /** Notes that a host process has more resident megabytes than it may. */
+  tooLarge(host: string, megabytes: number): void {
+    this.broken('memory-bounded', `${host} ${Math.round(megabytes)} MB`);
+  }
+
   /** Notes the fence of a call. */
   fence(subject: string, fence: number): void {
     const before = this.fences.get(subject) ?? fence;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -6,34 +6,32 @@
  */
 import {Agent} from 'node:http';
 
-import {seededRandom, type RandomSource} from '../source/random/index.js';
-import {
-  EdgeFleet,
-  statusOf,
-  until,
-  type HostProcess,
-  type Line,
-} from '../test/support/edgeprocess.js';
-import {askHost} from './caller.js';
-import {SoakEndpoints, type Sender} from './endpoints.js';
-import {Ledger, TEAM, type Asked, type Got, type Violation} from './ledger.js';
-import {
-  deadlyPlanOf,
-  loadPlanOf,
-  planOf,
-  restorePlanOf,
-  type Fault,
-  type SoakSize,
-} from './plan.js';
+import {seededRandom} from '../source/random/index.js';
+import {EdgeFleet, statusOf, until} from '../test/support/edgeprocess.js';
+import {SoakCallers} from './callers.js';
+import {SoakEndpoints} from './endpoints.js';
+import type {CommonStart, Fault, PlannedFault, SoakSize} from './faults.js';
+import {SoakHosts} from './hosts.js';
+import {Ledger, type Violation} from './ledger.js';
+import {commonStartOf, machinePlanOf, machineRandomOf} from './machineplan.js';
+import {keepOutput} from './output.js';
+import {deadlyPlanOf, loadPlanOf, planOf, restorePlanOf} from './plan.js';
+import type {FaultyProxy} from './proxy.js';
+import {queuedOf, readDuties} from './reading.js';
 import {StoreCopies} from './restore.js';
-import {FaultyProxy} from './proxy.js';
 import type {Station} from './station.js';
+import {Troubles} from './troubles.js';
+import {wait} from './wait.js';
 
 /** What a soak is. */
 export interface SoakOptions extends SoakSize {
   readonly seed: number;
   /** Callers of each host. */
   readonly callers: number;
+  /** Whether the machine and its neighbours do wrong as well. */
+  readonly hasMachineFaults?: boolean;
+  /** Path of the program of the hosts; that of the build where it is absent. */
+  readonly program?: string;
 }
 
 /** What came of it. */
@@ -48,131 +46,140 @@
   readonly queued: number;
   /** Answers of the hosts with their metrics. */
   readonly scrapes: number;
+  /** The most that a host process has taken of memory. */
+  readonly peakMegabytes: number;
   readonly violations: readonly Violation[];
+  /** Path of what is kept of it where a promise was broken. */
+  readonly output?: string;
 }
 
-const ROUTES = ['read', 'record', 'draft'] as const;
-/** Share of requests that bear a key which may be withdrawn. */
-const OLD_KEY_SHARE = 0.2;
-/** Keeps what callers do apart from the plan of the faults. */
-const CALLERS_SEED = 1_000_003;
 /** Keeps the phases of overload apart from the plan of the faults. */
 const LOAD_SEED = 2_000_003;
 /** Keeps the restores of the store apart from the plan of the faults. */
 const RESTORE_SEED = 3_000_000;
 /** Keeps the deadly requests apart from the plan of the faults. */
 const DEADLY_SEED = 4_000_003;
-const DEADLY_INTERVAL_MILLISECONDS = 120;
+/** Keeps the machine's faults apart from the plan of the others. */
+const MACHINE_SEED = 5_000_003;
+/** Keeps the first start apart from the plan of the faults. */
+const START_SEED = 6_000_003;
 /** Deadly requests in the calm at the end, and crashes that they may cause. */
 const LAST_DEADLY_REQUESTS = 24;
 const LAST_CRASHES_MOST = 6;
 const SCRAPE_MILLISECONDS = 1_000;
-const WORK_MILLISECONDS = 20;
-const OVERLOAD_WORK_MILLISECONDS = 150;
-/** Callers that an overload adds for each host. */
-const OVERLOAD_CALLERS = 16;
-const ERROR_LENGTH = 400;
-const BOOT_MILLISECONDS = 300;
-/** A request that waited longer before it was sent had been queued. */
-const QUEUED_MILLISECONDS = 100;
-const RESTART_MILLISECONDS = 300;
-const RETRY_MILLISECONDS = 40;
-const PAUSE_MILLISECONDS_MOST = 60;
 /** Within which everything is served again once the faults are over. */
 const RECOVERY_MILLISECONDS = 60_000;
 
-const UNDISTURBED = {disturbed: 0, calmed: 0, up: true, stopping: false};
-
-const wait = (duration: number) =>
-  new Promise<void>(resolve => setTimeout(resolve, duration));
-
+type LargeBodies = Extract<Fault, {kind: 'large-bodies'}>;
 type RestoreFault = Extract<Fault, {kind: 'store-restored'}>;
 
 /** Plays one soak to its end. */
 export class Soak {
   private readonly fleet = new EdgeFleet();
   private readonly ledger = new Ledger();
-  private readonly random: RandomSource;
-  private readonly stations: Station[] = [];
+  private readonly hosts: SoakHosts;
+  private readonly callers: SoakCallers;
   private copies: StoreCopies | undefined;
   private readonly endpoints: SoakEndpoints;
   private readonly faults: string[] = [];
   private readonly repairs: Promise<void>[] = [];
-  private keys: string[] = ['key-0'];
-  private keyCount = 1;
   private over = false;
-  private attempts = 0;
   private scrapes = 0;
-  /** Host processes that were told to end, and by which signal. */
-  private readonly told = new Map<HostProcess, 'SIGKILL' | 'SIGTERM'>();
-  /** Disturbances of the whole deployment, and how many have ended. */
-  private troubles = 0;
-  private calmed = 0;
+  private readonly troubles = new Troubles();
 
   constructor(private readonly options: SoakOptions) {
-    this.random = seededRandom(options.seed + CALLERS_SEED);
+    const {program, seed} = options;
+    if (program) this.fleet.program = program;
+    const {fleet, ledger, troubles} = this;
+    this.hosts = new SoakHosts(fleet, ledger);
+    const {hosts} = this;
+    this.callers = new SoakCallers({fleet, ledger, hosts, troubles, seed});
     this.endpoints = new SoakEndpoints({
-      fleet: this.fleet,
-      ledger: this.ledger,
-      senderOf: request => this.senderOf(request),
-      onTrouble: () => this.troubles++,
-      onCalm: () => this.calmed++,
+      fleet,
+      ledger,
+      senderOf: request => this.callers.senderOf(request),
+      onTrouble: () => troubles.begin(),
+      onCalm: () => troubles.end(),
       onRepair: repair => this.repairs.push(repair),
     });
   }
 
   /** Plays it; everything that it started has ended when it resolves. */
   async play(): Promise<SoakReport> {
-    const {seed, callers} = this.options;
+    const {seed} = this.options;
+    let output: string | undefined;
     try {
       await this.begin();
-      const asking = this.stations.flatMap((_, index) =>
-        Array.from({length: callers}, () => this.call(index)),
-      );
-      const scraping = this.stations.map(station => this.scrape(station));
-      await this.disturb();
-      await Promise.all(this.repairs);
-      await this.recover();
-      await this.checkDeadly();
-      await this.recover();
-      this.over = true;
-      this.copies?.stop();
-      await Promise.all([...asking, ...scraping]);
-      this.readDuties();
+      await this.playFaults();
+    } catch (error) {
+      this.keepOutput();
+      throw error;
     } finally {
       this.end();
     }
     const {ledger, faults, scrapes} = this;
     const {asked, served, turnedAway, violations} = ledger;
-    const {queued} = this;
+    if (violations.length > 0) output = this.keepOutput();
     return {
       seed,
       faults,
       asked,
       served,
       turnedAway,
-      queued,
+      queued: queuedOf(this.fleet),
       scrapes,
+      peakMegabytes: this.hosts.peakMegabytes,
       violations,
+      ...(output && {output}),
     };
   }
 
+  /** Writes what is known so far into a file, and returns its path. */
+  keepOutput(): string {
+    const {seed} = this.options;
+    const {violations} = this.ledger;
+    const {faults} = this;
+    return keepOutput({seed, faults, violations, processes: this.fleet.hosts});
+  }
+
   private async begin(): Promise<void> {
     const {hosts, endpoints} = this.options;
     await this.fleet.site.start();
     this.copies = new StoreCopies(this.fleet.site);
-    this.fleet.configure(this.keys);
+    this.fleet.configure(this.callers.keys);
     await this.endpoints.start(endpoints);
-    for (let index = 0; index < hosts; index++) {
-      const store = new FaultyProxy(this.fleet.site.address);
-      await store.start();
-      const name = `host-${index}`;
-      const process = await this.fleet.host(name, undefined, store.address);
-      const station = {process, store, ...UNDISTURBED};
-      this.stations.push(station);
-      this.watch(station);
-    }
-    for (const {process} of this.stations) await this.fleet.ready(process);
+    const start = this.firstStart();
+    this.faults.push(`0 ${JSON.stringify(start)}`);
+    await this.hosts.start(hosts, start);
+  }
+
+  private firstStart(): CommonStart {
+    const {seed, hosts, hasMachineFaults} = this.options;
+    if (!hasMachineFaults) return {delays: [], storeAway: 0};
+    return commonStartOf(machineRandomOf(seed + START_SEED), hosts);
+  }
+
+  private async playFaults(): Promise<void> {
+    const {callers} = this.options;
+    const {stations} = this;
+    const asking = stations.flatMap((_, index) =>
+      Array.from({length: callers}, () => this.callers.call(index)),
+    );
+    const watching = stations.flatMap(station => [
+      this.scrape(station),
+      this.hosts.watchMemory(station),
+    ]);
+    await this.disturb();
+    await Promise.all(this.repairs);
+    await this.recover();
+    await this.checkDeadly();
+    await this.recover();
+    this.over = true;
+    this.callers.stop();
+    this.copies?.stop();
+    this.hosts.end();
+    await Promise.all([...asking, ...watching]);
+    readDuties(this.fleet.site.duties, this.ledger);
   }
 
   private async disturb(): Promise<void> {
@@ -183,6 +190,7 @@
       ...loadPlanOf(seededRandom(seed + LOAD_SEED), this.options),
       ...restorePlanOf(seededRandom(seed + RESTORE_SEED), this.options),
       ...deadlyPlanOf(seededRandom(seed + DEADLY_SEED), this.options),
+      ...this.machinePlan(),
     ].sort((one, other) => one.at - other.at);
     for (const {at, fault} of plan) {
       await wait(Math.max(began + at - performance.now(), 0));
@@ -191,21 +199,27 @@
     }
   }
 
+  private machinePlan(): PlannedFault[] {
+    const {seed, hasMachineFaults} = this.options;
+    if (!hasMachineFaults) return [];
+    return machinePlanOf(machineRandomOf(seed + MACHINE_SEED), this.options);
+  }
+
   private async carryOut(fault: Fault): Promise<void> {
     switch (fault.kind) {
       case 'kill':
       case 'stop':
-        return this.restart(this.station(fault.host), fault.kind);
+        return this.hosts.restart(this.station(fault.host), fault.kind);
       case 'stop-twice':
-        return this.restart(this.station(fault.host), 'stop', fault.gap);
+        return this.hosts.restart(this.station(fault.host), 'stop', fault.gap);
       case 'overload':
-        return this.overload(fault.lasts);
+        return this.callers.overload(fault.lasts);
       case 'deadly':
-        return this.sendDeadly(fault.lasts / DEADLY_INTERVAL_MILLISECONDS);
+        return this.callers.sendDeadlyFor(fault.lasts);
       case 'reload':
-        return void this.signal(this.station(fault.host), 'SIGHUP');
+        return this.hosts.reload(this.station(fault.host));
       case 'freeze':
-        return this.freeze(this.station(fault.host), fault.lasts);
+        return this.hosts.freeze(this.station(fault.host), fault.lasts);
       case 'store-cut': {
         const station = this.station(fault.host);
         return this.cut(station.store, fault.mode, fault.lasts);
@@ -230,68 +244,24 @@
       case 'endpoint-crashes':
         return this.endpoints.crash(fault.endpoint);
       case 'keys-change':
-        return this.changeKeys();
-    }
-  }
-
-  private async restart(
-    station: Station,
-    how: 'kill' | 'stop',
-    /** Milliseconds after which it is told a second time. */
-    gap?: number,
-  ): Promise<void> {
-    if (!station.up) return;
-    station.up = false;
-    if (how === 'kill') station.disturbed++;
-    else station.stopping = true;
-    const signal = how === 'kill' ? 'SIGKILL' : 'SIGTERM';
-    const {child, ended} = station.process;
-    this.told.set(station.process, signal);
-    child.kill(signal);
-    if (gap !== undefined) {
-      await Promise.race([wait(gap), ended]);
-      child.kill(signal);
+        return this.callers.changeKeys();
+      case 'all-started':
+        return this.hosts.startAll(fault.start);
+      case 'port-held':
+        return this.hosts.restartHeld(fault);
+      case 'early-successor':
+        return this.hosts.succeed(this.station(fault.host));
+      case 'signal-at-start':
+        return this.hosts.signalAtStart(fault);
+      case 'large-bodies':
+        return this.sendLarge(fault);
+      case 'deaf-callers':
+        return this.callers.openDeaf(fault.host, fault.lasts);
+      case 'deaf-endpoint': {
+        const proxy = this.endpoints.proxy(fault.endpoint);
+        return this.cut(proxy, 'deaf', fault.lasts);
+      }
     }
-    // A host that is frozen as well ends when it wakes.
-    await ended;
-    await wait(RESTART_MILLISECONDS);
-    this.launch(station);
-    await this.fleet.ready(station.process);
-    if (how === 'kill') station.calmed++;
-  }
-
-  private launch(station: Station): void {
-    station.process = this.fleet.restart(station.process);
-    station.up = true;
-    station.stopping = false;
-    this.watch(station);
-  }
-
-  /** Checks how a process ends, and starts one anew that ended by itself. */
-  private watch(station: Station): void {
-    const {process} = station;
-    const started = performance.now();
-    void process.ended.then(async code => {
-      if (this.over) return;
-      const {signalCode} = process.child;
-      const signal = this.told.get(process);
-      const isLoading = signalCode === 'SIGTERM';
-      const isStopped = signal === 'SIGTERM' && (code === 0 || isLoading);
-      if (signal === 'SIGKILL' || isStopped) return;
-      // Node itself is still starting, so the program has no listener yet.
-      const age = performance.now() - started;
-      const isBooting = signalCode === 'SIGHUP' && age < BOOT_MILLISECONDS;
-      const error = process.errors.join('').slice(-ERROR_LENGTH);
-      if (!isBooting)
-        this.ledger.ended(
-          process.name,
-          `${code} ${signalCode} after ${Math.round(age)} ms, ` +
-            `${process.lines.length} lines ${error}`,
-        );
-      if (signal) return;
-      await wait(RESTART_MILLISECONDS);
-      if (station.process === process && station.up) this.launch(station);
-    });
   }
 
   /** Reads the metrics of a host once a second. */
@@ -304,41 +274,25 @@
     }
   }
 
-  /** More requests at once than the endpoints have slots. */
-  private async overload(lasts: number): Promise<void> {
-    const end = performance.now() + lasts;
-    const isOver = () => this.over || performance.now() > end;
-    const asking = this.stations.flatMap((_, index) =>
-      Array.from({length: OVERLOAD_CALLERS}, () =>
-        this.callUntil(index, isOver, OVERLOAD_WORK_MILLISECONDS),
-      ),
-    );
-    await Promise.all(asking);
-  }
-
-  private signal({process: {child}, up}: Station, name: NodeJS.Signals): void {
-    if (up) child.kill(name);
-  }
-
-  private async freeze(station: Station, lasts: number): Promise<void> {
-    const {child} = station.process;
-    station.disturbed++;
-    child.kill('SIGSTOP');
-    await wait(lasts);
-    child.kill('SIGCONT');
-    station.calmed++;
-  }
-
   private async cut(
     proxy: FaultyProxy,
     mode: Parameters<FaultyProxy['set']>[0],
     lasts: number,
   ): Promise<void> {
-    this.troubles++;
+    this.troubles.begin();
     proxy.set(mode);
     await wait(lasts);
     proxy.set('pass');
-    this.calmed++;
+    this.troubles.end();
+  }
+
+  private async sendLarge({host, lasts, isUnread}: LargeBodies): Promise<void> {
+    const {endpoints} = this.options;
+    const count = isUnread ? endpoints : 0;
+    const cuts = Array.from({length: count}, (_, index) =>
+      this.cut(this.endpoints.proxy(index), 'deaf', lasts),
+    );
+    await Promise.all([this.callers.sendLarge(host, lasts), ...cuts]);
   }
 
   private async whileTrue(
@@ -363,116 +317,15 @@
     rewrite?.();
   }
 
-  /** Sends a request on which endpoints crash so many times, to each host in turn. */
-  private async sendDeadly(count: number): Promise<void> {
-    const agent = new Agent({keepAlive: false});
-    const asked = {
-      route: 'read',
-      work: WORK_MILLISECONDS,
-      isDeadly: true,
-    } as const;
-    for (let number = 0; number < count; number++) {
-      const index = number % this.stations.length;
-      void this.askFor(index, {...asked, key: this.newestKey}, agent);
-      await wait(DEADLY_INTERVAL_MILLISECONDS);
-    }
-  }
-
   /** Checks that a deadly request stops to crash endpoints, in the calm. */
   private async checkDeadly(): Promise<void> {
     const before = this.endpoints.crashes;
-    await this.sendDeadly(LAST_DEADLY_REQUESTS);
+    await this.callers.sendDeadly(LAST_DEADLY_REQUESTS);
     const crashes = this.endpoints.crashes - before;
     if (crashes > LAST_CRASHES_MOST)
       this.ledger.broken('crashing-request-stops', `${crashes} crashes`);
   }
 
-  private changeKeys(): void {
-    this.keys = [...this.keys, `key-${this.keyCount++}`].slice(-2);
-    this.fleet.configure(this.keys);
-  }
-
-  /** Whether a host has said that it knows the newest configuration. */
-  private isCurrent({process: {lines}}: Station): boolean {
-    const known = lines.findLast(({event}) => event === 'configuration');
-    return known?.fields['version'] === this.fleet.configured;
-  }
-
-  private call(index: number): Promise<void> {
-    return this.callUntil(index, () => this.over, WORK_MILLISECONDS);
-  }
-
-  /** Asks on one kept connection, again and again. */
-  private async callUntil(
-    index: number,
-    isOver: () => boolean,
-    work: number,
-  ): Promise<void> {
-    const agent = new Agent({keepAlive: true, maxSockets: 1});
-    while (!isOver()) {
-      const known = Math.floor(this.random.next() * this.keyCount);
-      const old = this.random.next() < OLD_KEY_SHARE;
-      const key = old ? `key-${known}` : this.newestKey;
-      const route = ROUTES[Math.floor(this.random.next() * ROUTES.length)];
-      const asked = {key, route: route ?? 'read', work};
-      const got = await this.askFor(index, asked, agent);
-      const pause = this.random.next() * PAUSE_MILLISECONDS_MOST;
-      await wait(got.status === 0 ? RETRY_MILLISECONDS : pause);
-    }
-    agent.destroy();
-  }
-
-  private get newestKey(): string {
-    return this.keys.at(-1) ?? '';
-  }
-
-  private async askFor(
-    index: number,
-    spec: Pick<Asked, 'key' | 'route' | 'work' | 'isDeadly'>,
-    agent: Agent,
-  ): Promise<Got> {
-    const station = this.station(index);
-    const {key} = spec;
-    const asked = {
-      ...spec,
-      id: `${index}.${this.attempts++}.${this.options.seed}`,
-      host: station.process.name,
-      withdrawn: !this.keys.includes(key) && this.isCurrent(station),
-    };
-    this.ledger.ask(asked);
-    const got = await this.ask(station, asked, agent);
-    this.ledger.get(asked, got);
-    return got;
-  }
-
-  /** Asks, and notes whether anything but a planned stop can have cut it. */
-  private async ask(
-    station: Station,
-    asked: Asked,
-    agent: Agent,
-  ): Promise<Got> {
-    const {process} = station;
-    const before = this.disturbancesOf(station);
-    const calmBefore = this.isCalm(station);
-    const reply = await askHost(process.callers, asked, agent);
-    const stopped = station.stopping || process !== station.process;
-    const undisturbed =
-      calmBefore &&
-      this.isCalm(station) &&
-      this.disturbancesOf(station) === before;
-    const plannedOnly = stopped && undisturbed && !reply.overdue;
-    const excused = reply.overdue || this.told.get(process) === 'SIGKILL';
-    return {...reply, plannedOnly, excused};
-  }
-
-  private disturbancesOf({disturbed}: Station): number {
-    return disturbed + this.troubles;
-  }
-
-  private isCalm({calmed, disturbed}: Station): boolean {
-    return calmed === disturbed && this.calmed === this.troubles;
-  }
-
   /** Waits until every host serves every route again. */
   private async recover(): Promise<void> {
     const {site} = this.fleet;
@@ -480,57 +333,29 @@
     const end = performance.now() + RECOVERY_MILLISECONDS;
     const agent = new Agent({keepAlive: false});
     for (const index of this.stations.keys()) {
-      await until(async () => {
-        const {newestKey: key} = this;
-        const work = WORK_MILLISECONDS;
-        const asked = {key, route: 'read', work} as const;
-        const got = await this.askFor(index, asked, agent);
-        return got.status === 200 || performance.now() > end;
-      });
+      await until(
+        async () =>
+          (await this.callers.isServed(index, agent)) ||
+          performance.now() > end,
+      );
     }
     if (performance.now() <= end) return;
     this.ledger.broken('served-again', 'not within a minute of the last fault');
   }
 
-  private get queued(): number {
-    const lines = this.fleet.hosts.flatMap(host => host.lines);
-    const isQueued = ({event, fields}: Line) =>
-      event === 'request-sent' &&
-      Number(fields['waited']) > QUEUED_MILLISECONDS;
-    return lines.filter(isQueued).length;
-  }
-
-  private readDuties(): void {
-    const runs = new Map<number, number>();
-    for (const {path, fence, body} of this.fleet.site.duties) {
-      this.ledger.fence(path, fence);
-      if (path !== '/usage') continue;
-      const window = Number(body['windowId']);
-      this.ledger.report(window, JSON.stringify(body['counts']));
-      const counts = body['counts'] as Record<string, number>;
-      runs.set(window, counts[TEAM] ?? 0);
-    }
-    this.ledger.checkUsage([...runs.values()].reduce((a, b) => a + b, 0));
-  }
-
-  /** The host that sends a request. */
-  private senderOf(request: string): Sender {
-    const [host = ''] = request.split('.');
-    const station = this.station(Number(host));
-    const {process} = station;
-    return {process, disturbances: this.disturbancesOf(station)};
+  private get stations(): readonly Station[] {
+    return this.hosts.stations;
   }
 
   private station(index: number): Station {
-    const station = this.stations[index];
-    if (!station) throw new RangeError(`no host ${index}`);
-    return station;
+    return this.hosts.at(index);
   }
 
   /** Ends everything that this soak has started. */
   end(): void {
     this.over = true;
-    for (const {store} of this.stations) store.stop();
+    this.callers.stop();
+    this.hosts.end();
     this.fleet.stop();
     this.endpoints.stop();
   }
