--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -106,8 +106,6 @@
   freeAddress = freeAddress;
   /** Changes the settings of hosts that are started next. */
   changeSettings: (settings: HostSettings) => object = settings => settings;
-  /** Memory that hosts which are started next are told they may take. */
-  memoryMegabytes = 200;
 
   static async start(t: ExecutionContext): Promise<EdgeFleet> {
     const fleet = new EdgeFleet();
