Keep the program that starts many hosts with the tools, and count only runs in the measure of memory

The benchmark counted each request of an endpoint as a run, by the id in its header, so that health checks and questions for reports, which have none, all counted as one request that ran again.

--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -11,7 +11,7 @@
   document: 'tools/document.ts',
   cost: 'tools/cost.ts',
   soak: 'soak/main.ts',
-  starts: 'soak/startsmain.ts',
+  starts: 'tools/starts.ts',
   edgecost: 'tools/edgecost.ts',
   decisioncost: 'tools/decisioncost.ts',
   memorycost: 'tools/memorycost.ts',
--- a/soak/starts.ts
+++ b/tools/hoststarts.ts
@@ -15,17 +15,17 @@
   type HostPlace,
   type HostProcess,
 } from '../test/support/edgeprocess.js';
-import {askHost} from './caller.js';
-import {deployNodeFlags} from './deployfile.js';
-import {answerTo} from './ledger.js';
+import {askHost} from '../soak/caller.js';
+import {deployNodeFlags} from '../soak/deployfile.js';
+import {answerTo} from '../soak/ledger.js';
 import {
   AddressDrawer,
   holdAddress,
   PORT_NAMES,
   type Draw,
   type PortName,
-} from './ports.js';
-import {wait} from './wait.js';
+} from '../soak/ports.js';
+import {wait} from '../soak/wait.js';
 
 /** What is started, and what is done to it. */
 export interface StartsOptions {
--- a/tools/memorycost.ts
+++ b/tools/memorycost.ts
@@ -165,6 +165,13 @@
 const ran = new Set<string>();
 let ranTwice = 0;
 
+/** Records a run; health checks and questions for reports are none. */
+function recordRun(id: string, url: string): void {
+  if (!url.startsWith(`/${LARGE}/`)) return;
+  if (ran.has(id)) ranTwice++;
+  ran.add(id);
+}
+
 /** Starts an endpoint for large bodies. */
 function startEndpoint(): Promise<string> {
   if (settings.deaf) {
@@ -178,8 +185,7 @@
     message.on('error', () => {});
     message.on('end', () => {
       const id = String(message.headers['x-attempt-id']);
-      if (ran.has(id)) ranTwice++;
-      ran.add(id);
+      recordRun(id, message.url ?? '');
       response.writeHead(200, {
         'x-attempt-id': id,
         'x-response-seal': 'seal',
--- a/soak/startsmain.ts
+++ b/tools/starts.ts
@@ -4,8 +4,8 @@
 import * as z from 'zod';
 
 import {readSettings} from '../source/settings/index.js';
-import {DRAWS, PORT_NAMES} from './ports.js';
-import {Starts, type StartsReport} from './starts.js';
+import {DRAWS, PORT_NAMES} from '../soak/ports.js';
+import {Starts, type StartsReport} from './hoststarts.js';
 
 const settingsSchema = z.strictObject({
   program: z.string().default('dist/arbutusslip-edge.js'),
