--- a/test/abandoned.test.ts
+++ b/test/abandoned.test.ts
@@ -41,7 +41,7 @@
 
 test('a call that is given up at its time limit is reset', async t => {
   const {address, ended} = await startSilentServer(t);
-  const call = {address, method: 'POST', path: '/', bound: 50, headers: {}};
+  const call = {address, method: 'POST', path: '/', bound: 500, headers: {}};
   const error = await t.throwsAsync(exchangeBytes(call), {
     instanceOf: WireError,
   });
