Read all that a program has written before its end is looked at

A program that starts wrong now ends at once, and the test looked at the text at the event of the exit, which may come before the last of the pipe is read. It waits for the streams to close; what it checks stays.

--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -54,7 +54,8 @@
     errors = (errors + text.toString()).slice(-20_000);
   });
   const exited = new Promise<number | null>(resolve => {
-    child.once('exit', code => resolve(code));
+    // All that it has written has been read by then.
+    child.once('close', code => resolve(code));
   });
   return {name, address, process: child, exited, errors: () => errors};
 }
