Split the host along its concepts

What it only passed through is moved into modules of its folder, without a change of behaviour; components are constructed, started and stopped in the same order:

- context.ts: the dependencies of a host (EdgeHostParts), and what all its components share: the corrected clock, its address, the gossip;
- leadership.ts: the usage meter, the autoscaler and the leader elector, which exist only together (where the platform has an interface for leader tasks);
- blocking.ts: the quarantine and the records of what it has blocked;
- pulses.ts: what this host says in its pulses, and the receipt and batch of those of others;
- endpointnotices.ts: what is logged and told others of the limits and the withholding of endpoints;
- drain.ts: the end of the requests of a host that stops, with its times;
- redispatcher.ts: the periodic dispatch while requests are queued.

--- a/source/edge/index.ts
+++ b/source/edge/index.ts
@@ -7,7 +7,8 @@
 } from './platform.js';
 export {runEdge, type EdgeOptions} from './run.js';
 export {PlatformView, type PlatformViewOptions} from './platformview.js';
-export {EdgeHost, type EdgeHostParts} from './host.js';
+export type {EdgeHostParts} from './context.js';
+export {EdgeHost} from './host.js';
 export {
   DEFAULT_EDGE_SETTINGS,
   edgeSettingsSchema,
