--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -5,13 +5,12 @@
  * every host sends to every other. The more hosts there are, the longer its
  * period, so that the cost to one host does not grow with the fleet.
  */
-import {createServer, type Socket} from 'node:net';
+import {createServer} from 'node:net';
 
 import {rendezvousOrder, type LimitStatement} from '../balance/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
-import {FrameReader} from '../peers/index.js';
 import type {Sheet} from '../platform/index.js';
 import {Port} from '../ports/index.js';
 import type {BegunSuspect, CrashReport} from '../quarantine/index.js';
@@ -21,6 +20,7 @@
   type StorePosition,
 } from '../store/index.js';
 import type {BegunGroup} from '../versions/index.js';
+import {InboundConnections} from './inbound.js';
 import {
   applyHostList,
   applyPulse,
@@ -110,7 +110,7 @@
   private readonly peers = new Map<string, Peer>();
   /** The port for the other hosts, which is opened by `start`. */
   readonly port: Port;
-  private readonly inbound = new Set<Socket>();
+  private readonly inbound: InboundConnections;
   private readonly missing = new MissingRecords();
   private readonly seeds: readonly OutboundConnection[];
   private seedsContactedAt = -Infinity;
@@ -123,10 +123,13 @@
     this.seeds = seeds
       .filter(address => address !== self.address)
       .map(address => new OutboundConnection(address, clock));
+    this.inbound = new InboundConnections(logger, value =>
+      this.handleMessage(value),
+    );
     this.port = new Port({
       role: 'control',
       address: self.address,
-      server: createServer(socket => this.acceptConnection(socket)),
+      server: createServer(socket => this.inbound.accept(socket)),
       isRequired: true,
       clock,
       logger,
@@ -146,7 +149,7 @@
   stop(): void {
     this.stopTimer();
     this.port.close();
-    for (const socket of this.inbound) socket.destroy();
+    this.inbound.destroy();
     for (const {outbound} of this.peers.values()) outbound.reset();
     for (const outbound of this.seeds) outbound.reset();
   }
@@ -307,22 +310,6 @@
     }
   }
 
-  private acceptConnection(socket: Socket): void {
-    const reader = new FrameReader();
-    this.inbound.add(socket);
-    socket.on('error', () => socket.destroy());
-    socket.on('close', () => this.inbound.delete(socket));
-    socket.on('data', bytes => {
-      try {
-        for (const value of reader.push(bytes)) this.handleMessage(value);
-      } catch (error) {
-        const detail = error instanceof Error ? error.message : '';
-        this.options.logger.warn('gossip-malformed', {detail});
-        socket.destroy();
-      }
-    });
-  }
-
   private handleMessage(value: unknown): void {
     const parsed = gossipSchema.safeParse(value);
     if (!parsed.success) {
