--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -17,6 +17,7 @@
 import {partsOf} from '../../source/wire/index.js';
 import {freeAddress} from '../../tools/ports.js';
 import {Site} from '../../standins/site.js';
+import {routeOf} from './edgeroute.js';
 
 const PROGRAM = 'dist/arbutusslip-edge.js';
 const POLL_MILLISECONDS = 20;
@@ -364,23 +365,6 @@
   };
 }
 
-function routeOf(name: string, kind: string, timeoutMs: number): object {
-  return {
-    name,
-    host: 'register.example',
-    pathPrefix: `/${name}/`,
-    kind,
-    timeoutMs,
-    sloMs: 500,
-    priority: 1,
-    service: 'register',
-    maxAttempts: kind === 'non_idempotent' ? 1 : 2,
-    public: false,
-    sticky: false,
-    resumable: kind === 'streaming',
-  };
-}
-
 /** Resolves when something holds. */
 export async function until(
   holds: () => boolean | Promise<boolean>,
