Close the connection of an endpoint that answers and does not read the request

Once the response has ended and the request has not been sent, the connection is reset: it could carry no further request.

--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -5,7 +5,7 @@
  * of its own, because a reset of a reused connection does not tell whether the
  * request ran.
  */
-import type {ClientRequest, RequestOptions} from 'node:http';
+import type {ClientRequest, IncomingMessage, RequestOptions} from 'node:http';
 import type {Socket} from 'node:net';
 
 import type {CancellationSignal} from '../cancellation/index.js';
@@ -133,6 +133,7 @@
         responded = true;
         stopWatching();
         stopCounting();
+        closeUnlessSent(sent, message);
         // Without this, a reset would look like the end of a response that has
         // no content length. Bytes after a complete response are no part of it.
         sent.on('error', error => {
@@ -186,6 +187,16 @@
   return stop;
 }
 
+/**
+ * Closes the connection if the response has ended and the request has not: its
+ * endpoint may never read the rest.
+ */
+function closeUnlessSent(sent: ClientRequest, message: IncomingMessage): void {
+  message.once('end', () => {
+    if (!sent.writableFinished) abandonRequest(sent);
+  });
+}
+
 /** Holds the room of a body until it has left the process or is given up. */
 function holdUntilSent(sent: ClientRequest, holding: Holding): void {
   holding.retain();
--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -16,6 +16,7 @@
 import {SystemClock} from '../source/clock/index.js';
 import {Refusal, WireError} from '../source/errors/index.js';
 import {ConnectionPool, type EndpointRequest} from '../source/forward/index.js';
+import {Holding} from '../source/memory/index.js';
 import {readWhole} from '../source/relay/index.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nx-served-by: test\r\n';
@@ -195,3 +196,33 @@
   while (ends.length === 0) await new Promise(done => setTimeout(done, 5));
   t.deepEqual(ends, ['read ECONNRESET']);
 });
+
+for (const fresh of [true, false]) {
+  const kind = fresh ? 'a single-use' : 'a pooled';
+  test(`an endpoint that answers and never reads the body does not keep its memory, on ${kind} connection`, async t => {
+    const address = await startServer(t, socket => {
+      socket.pause();
+      socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+    });
+    const bytes = 8_000_000;
+    let freed = 0;
+    const holding = new Holding(bytes, count => (freed += count));
+    const signal = new Cancellation();
+    const headers = ['Host', address, 'Content-Length', String(bytes)];
+    const body = Buffer.alloc(bytes);
+    const request = {...requestTo(address, fresh), headers, body, holding};
+    const response = await createPool().send(request, signal);
+    const answer = await readWhole(response.message, {
+      limit: 1_000,
+      silence: 5_000,
+      signal,
+    });
+    t.is(answer.toString(), 'ok');
+    t.true(await response.isComplete());
+    holding.release();
+    const end = performance.now() + 2_000;
+    while (freed === 0 && performance.now() < end)
+      await new Promise(resolve => setTimeout(resolve, 10));
+    t.is(freed, bytes);
+  });
+}
