--- a/source/memory/account.ts
+++ b/source/memory/account.ts
@@ -48,7 +48,8 @@
   private readonly small = new WaitingBodies<WaitingRequest>();
   private readonly large = new WaitingBodies<WaitingRequest>();
   private isReached = false;
-  private cancelLeaving: Cancel = () => {};
+  /** Set while nobody waits and the budget does not yet count as left. */
+  private cancelLeaving: Cancel | undefined;
 
   constructor(private readonly options: MemoryAccountOptions) {
     const {budget, metrics} = options;
@@ -64,6 +65,12 @@
     metrics.gauge('budget-bytes', {}, () => budget.total);
   }
 
+  /** Bytes of the largest body that can be taken at all. */
+  get largestBody(): number {
+    const {bodies, smallBodies} = this.budget;
+    return bodies - smallBodies;
+  }
+
   /** Counts bytes of buffered answers; a negative amount frees them. */
   addAnswerBytes(bytes: number): void {
     this.answers += bytes;
@@ -76,7 +83,7 @@
   tryReserve(bytes: number): Holding | undefined {
     const {budget} = this;
     if (!canEverFit(budget, bytes)) {
-      const detail = `the body is over what this host can hold, ${budget.bodies - budget.smallBodies} bytes`;
+      const detail = `the body is over what this host can hold, ${this.largestBody} bytes`;
       throw new Refusal('body-too-large', 'not-run', detail);
     }
     if (this.queueFor(bytes).size > 0) return undefined;
@@ -179,7 +186,8 @@
   }
 
   private noteReached(): void {
-    this.cancelLeaving();
+    this.cancelLeaving?.();
+    this.cancelLeaving = undefined;
     if (this.isReached) return;
     this.isReached = true;
     const {budget, logger} = this.options;
@@ -194,9 +202,9 @@
 
   private noteLeft(): void {
     if (!this.isReached || this.small.size > 0 || this.large.size > 0) return;
-    this.cancelLeaving();
     const {clock, logger} = this.options;
-    this.cancelLeaving = clock.after(LEFT_MILLISECONDS, () => {
+    this.cancelLeaving ??= clock.after(LEFT_MILLISECONDS, () => {
+      this.cancelLeaving = undefined;
       this.isReached = false;
       logger.info('memory-budget-left', {budget: this.budget.total});
     });
--- a/test/memoryaccount.test.ts
+++ b/test/memoryaccount.test.ts
@@ -235,6 +235,18 @@
   t.deepEqual(world.events, ['memory-budget-reached', 'memory-budget-left']);
 });
 
+test('the log says that the budget is left though small bodies go on to come and go', async t => {
+  const world = fullWorld();
+  for (let index = 0; index < 3; index++) world.ask(`${index}`, LARGE);
+  for (const name of ['one', 'two', 'three']) await world.free(name);
+  for (let index = 0; index < 12; index++) {
+    world.ask(`small ${index}`, 1_000);
+    await world.free(`small ${index}`);
+    world.clock.advance(1_000);
+  }
+  t.deepEqual(world.events, ['memory-budget-reached', 'memory-budget-left']);
+});
+
 test('what is held never exceeds the budget, and nobody waits for ever', async t => {
   const steps = fc.array(
     fc.record({
