Take chunked bodies where the limit of a body is over what a host can hold

A chunked body over 64 KiB reserves room for the largest one that is allowed; where maxBodyBytes is over the room of the host (66.7 MiB at 350 MB), each was refused as too large, one of 70 kB too. It reserves the largest body that the host can hold. By reading (review); no test of its own.

--- a/source/forward/bodyreader.ts
+++ b/source/forward/bodyreader.ts
@@ -57,13 +57,14 @@
     limit: number,
   ): Promise<void> {
     const {cancellation: signal} = context;
-    const first = Math.min(FIRST_CHUNKED_BYTES, limit);
+    const most = Math.min(limit, this.memory.largestBody);
+    const first = Math.min(FIRST_CHUNKED_BYTES, most);
     await this.takeRoom(context, first, 0);
     const step = {
       bytes: first,
-      pass: () => this.takeRoom(context, limit, first),
+      pass: () => this.takeRoom(context, most, first),
     };
-    const body = await readBytes(message, limit, {signal, step});
+    const body = await readBytes(message, most, {signal, step});
     context.body = body;
     context.holding?.shrinkTo(body.length);
   }
