End a loading process though its log is a full pipe

SIGTERM while the program loads writes one line at once; where standard output was a full pipe that nobody reads, the write waited and the process lived on (review, a trial: 9.5 s after SIGTERM at 130 ms, until SIGKILL). The stream is created first, after which such a write fails.

--- a/source/edge/main.ts
+++ b/source/edge/main.ts
@@ -13,6 +13,8 @@
 const stopWhileLoading = (signal: StopSignal) => {
   const time = new Date().toISOString();
   const line = {time, level: 'info', event: 'stop', fields: {signal}};
+  // Once the stream exists, a write to a pipe that is full fails and does not wait.
+  void process.stdout;
   try {
     writeSync(STDOUT_FILE_DESCRIPTOR, `${JSON.stringify(line)}\n`);
   } finally {
