Refuse a port number that is none in the settings of the daemon

The settings refuse it with code 2; a port whose number Node refuses counts as one that cannot be opened.

--- a/source/ports/port.ts
+++ b/source/ports/port.ts
@@ -113,7 +113,13 @@
   private listen(): void {
     const {server, address} = this.options;
     this.tries++;
-    server.listen(partsOf(address));
+    try {
+      server.listen(partsOf(address));
+    } catch (error) {
+      // Node throws where the number of the port is none.
+      if (!(error instanceof Error)) throw error;
+      this.handleError(error);
+    }
   }
 
   private handleListening(): void {
--- a/source/settings/schema.ts
+++ b/source/settings/schema.ts
@@ -5,12 +5,15 @@
  */
 import * as z from 'zod';
 
+import {partsOf} from '../wire/index.js';
+
+const ADDRESS_FORM = 'an IP number and a port, as 127.0.0.1:8080';
+const MAX_PORT = 65_535;
+
 const addressSchema = z
   .string()
-  .regex(
-    /^[0-9a-fA-F.:[\]]+:\d{1,5}$/,
-    'an IP number and a port, as 127.0.0.1:8080',
-  );
+  .regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, ADDRESS_FORM)
+  .refine(text => partsOf(text).port <= MAX_PORT, ADDRESS_FORM);
 
 const durationSchema = z.coerce.number().int().min(1).max(3_600_000);
 const countSchema = z.coerce.number().int().min(1).max(1_000_000_000);
--- a/test/input.test.ts
+++ b/test/input.test.ts
@@ -379,6 +379,11 @@
     flags: ['--name=h', '--zone=z', '--region=r', '--callers=nowhere'],
     says: /--callers: an IP number and a port/,
   },
+  {
+    title: 'a port that is none',
+    flags: ['--name=h', '--zone=z', '--region=r', '--callers=127.0.0.1:99999'],
+    says: /--callers: an IP number and a port/,
+  },
   {
     title: 'a word that is no flag',
     flags: ['serve'],
