--- a/review/support-2/standins.mjs
+++ b/review/support-2/standins.mjs
@@ -30,6 +30,8 @@
 
 const REPOSITORY = fileURLToPath(new URL('../..', import.meta.url));
 const HEARTBEAT_MILLISECONDS = 1200;
+/** An entry is removed after that much silence. */
+const ENTRY_MILLISECONDS = 3 * HEARTBEAT_MILLISECONDS;
 const PARTITIONS = 12;
 
 /** A random part of the loopback range, so that two runs do not meet. */
@@ -343,16 +345,52 @@
     this.sequence++;
     const entry = {...this.entry, coldLeftMs, sequence: this.sequence};
     this.store.put('keyed.servers', this.id, entry);
+    clearTimeout(this.lapse);
+    this.lapse = setTimeout(
+      () => this.store.put('keyed.servers', this.id, undefined),
+      ENTRY_MILLISECONDS,
+    );
+    this.lapse.unref();
+  }
+
+  /** Accepts connections no more, and ends those that are open. */
+  shut() {
+    this.isDown = true;
+    clearInterval(this.timer);
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** Accepts connections again at the same address, as another incarnation. */
+  async reopen() {
+    const {host, port} = partsOf(this.entry.address);
+    await new Promise(resolve => this.server.listen(port, host, resolve));
+    this.isDown = false;
+    this.entry = {...this.entry, born: Date.now()};
+    this.sequence = 0;
+    this.timer = setInterval(() => this.beat(), HEARTBEAT_MILLISECONDS);
   }
 
   stop() {
     clearInterval(this.timer);
+    clearTimeout(this.lapse);
     this.server.close();
     this.server.closeAllConnections();
   }
 
   async handle(message, response) {
     const {headers, url} = message;
+    if (url === '/-/report') {
+      message.resume();
+      const {born, version} = this.entry;
+      const report = {stage: 'both', models: [], born, version};
+      const text = JSON.stringify(report);
+      response.writeHead(200, {
+        'content-type': 'application/json',
+        'content-length': Buffer.byteLength(text),
+      });
+      return response.end(text);
+    }
     if (url === '/health' || url.startsWith('/-/')) {
       message.resume();
       response.writeHead(url === '/health' ? 200 : 404, {
