Let hosts find each other in the store, and be careful until told

Cause: hosts learned of each other only through the seeds read at their start, and one that knew nobody took the whole of each limit over all hosts.

Change: hosts enter themselves in a keyed topic and read it at the start and then slowly, all together once in 5 s; entries are where to look, only pulses count. A host that nobody has told of the others takes a quarter of a limit by 12 hosts at least; one that is cut off from others and the store keeps to the hosts it knew. Together these stay within 1.5 times a limit (property test).

test/outofstep: its two hosts must not know each other, so the stand-in of the store now turns calls for that topic away; its checks are unchanged.

--- a/source/balance/eligible.ts
+++ b/source/balance/eligible.ts
@@ -11,6 +11,7 @@
   type AllowedRegions,
   type Service,
 } from '../routing/index.js';
+import {assumedHosts, type SharingHosts} from '../membership/index.js';
 import {EligibleSet} from './eligibleset.js';
 import type {NamedLimits} from './namedlimits.js';
 import type {WithheldEndpoints} from './withheld.js';
@@ -19,6 +20,7 @@
   isBelowRate,
   namedLimitRate,
   nextExpiry,
+  shareOfRate,
   withSend,
   type RecentSends,
 } from './sharedrate.js';
@@ -58,7 +60,7 @@
 export class EligibleEndpoints {
   directory: Directory = new Map();
   services: ReadonlyMap<string, Service> = new Map();
-  hosts: readonly string[];
+  private sharing: SharingHosts;
   private zonesOut: ReadonlySet<string> = new Set();
   private byService: ReadonlyMap<string, readonly KnownEndpoint[]> = new Map();
   /** The sends to endpoints that have a limit. */
@@ -74,7 +76,7 @@
     private readonly limits: NamedLimits,
     private readonly withheld: WithheldEndpoints,
   ) {
-    this.hosts = [location.host];
+    this.sharing = {hosts: [location.host], confidence: 'confirmed'};
   }
 
   setServices(services: ReadonlyMap<string, Service>): void {
@@ -89,13 +91,25 @@
     this.invalidate();
   }
 
-  /** Sets the hosts that are believed to be alive, including this one. */
-  setHosts(hosts: readonly string[]): void {
+  /** The names of the hosts that are believed to be alive, including this one. */
+  get hosts(): readonly string[] {
+    return this.sharing.hosts;
+  }
+
+  /** The number of hosts among which a limit is divided. */
+  get assumedHosts(): number {
+    return assumedHosts(this.sharing);
+  }
+
+  /** Sets the hosts that share the limits, including this one. */
+  setSharing(sharing: SharingHosts): void {
+    const {hosts, confidence} = sharing;
     const isSame =
+      confidence === this.sharing.confidence &&
       hosts.length === this.hosts.length &&
       hosts.every((name, index) => name === this.hosts[index]);
     if (isSame) return;
-    this.hosts = hosts;
+    this.sharing = sharing;
     this.hostRates.clear();
     this.invalidate();
   }
@@ -267,9 +281,11 @@
     if (cached !== undefined) return cached;
     const {host} = this.location;
     const parts: number[] = [];
-    if (coldRate > 0) parts.push(coldStartRate(id, coldRate, host, this.hosts));
+    const {sharing} = this;
+    if (coldRate > 0)
+      parts.push(shareOfRate(coldStartRate, id, coldRate, host, sharing));
     if (named !== undefined)
-      parts.push(namedLimitRate(id, named, host, this.hosts));
+      parts.push(shareOfRate(namedLimitRate, id, named, host, sharing));
     const rate = Math.min(...parts);
     if (this.hostRates.size >= MAX_CACHED_RATES) this.hostRates.clear();
     this.hostRates.set(key, rate);
--- a/source/balance/index.ts
+++ b/source/balance/index.ts
@@ -27,6 +27,7 @@
   isBelowRate,
   MIN_RATE,
   namedLimitRate,
+  shareOfRate,
   withSend,
   type RecentSends,
 } from './sharedrate.js';
--- a/source/balance/selector.ts
+++ b/source/balance/selector.ts
@@ -13,6 +13,7 @@
   type Directory,
   type KnownEndpoint,
 } from '../directory/index.js';
+import type {SharingHosts} from '../membership/index.js';
 import type {AllowedRegions, Service} from '../routing/index.js';
 import {ServiceRates} from '../servicerates/index.js';
 import {chooseEngine, chooseLeastBusy, type Candidate} from './choose.js';
@@ -116,9 +117,19 @@
     this.endpoints.setZonesOut(zones);
   }
 
-  /** Sets the hosts that are believed to be alive, including this one. */
+  /** Sets the hosts that share the limits, including this one, as known for sure. */
   setHosts(hosts: readonly string[]): void {
-    this.endpoints.setHosts(hosts);
+    this.setSharing({hosts, confidence: 'confirmed'});
+  }
+
+  /** Sets the hosts that share the limits, and how sure this host is of them. */
+  setSharing(sharing: SharingHosts): void {
+    this.endpoints.setSharing(sharing);
+  }
+
+  /** The number of hosts among which a limit is divided. */
+  get assumedHosts(): number {
+    return this.endpoints.assumedHosts;
   }
 
   get hostCount(): number {
--- a/source/balance/sharedrate.ts
+++ b/source/balance/sharedrate.ts
@@ -3,8 +3,10 @@
  * its cold start, or because it has named a limit. Hosts have no time to
  * coordinate. So a few hosts, which all hosts derive alike, get an equal part of
  * the rate and the rest none. Where the rate is below one request a second, one
- * host sends.
+ * host sends. Hosts that are not sure who the others are cannot derive that: each
+ * takes a small part, of which the parts of all are a fraction of the rate.
  */
+import {assumedHosts, type SharingHosts} from '../membership/index.js';
 import {rendezvousRank} from './rendezvous.js';
 
 /** Hosts that send to an endpoint in its cold start. */
@@ -14,6 +16,11 @@
 const WINDOW_MILLISECONDS = 4_000;
 /** Lowest rate, so that an endpoint is asked now and then whether it still holds. */
 export const MIN_RATE = 0.1;
+/**
+ * Part of a rate that hosts which were told nothing use together, beside those that
+ * are sure and use all of it; as much again is for those that are cut off.
+ */
+const CAUTIOUS_FRACTION = 0.25;
 /** Time after which a send no longer counts at any rate. */
 const MAX_WINDOW_MILLISECONDS = SECOND_MILLISECONDS / MIN_RATE;
 
@@ -53,6 +60,32 @@
   return hostRate(endpoint, rate, host, hosts, hosts.length);
 }
 
+/** This host’s part of a rate, of `coldStartRate` or `namedLimitRate`. */
+export type RateShare = typeof coldStartRate;
+
+/**
+ * Requests a second that this host may send, given how sure it is of the others.
+ * A host that was sure before keeps at least the part that it had.
+ *
+ * ```ts
+ * const rate = shareOfRate(coldStartRate, 'engine-3', 12, 'host-1', sharing);
+ * ```
+ */
+export function shareOfRate(
+  shareOf: RateShare,
+  endpoint: string,
+  rate: number,
+  host: string,
+  sharing: SharingHosts,
+): number {
+  const {hosts, confidence} = sharing;
+  const isUnconfirmed = confidence === 'unconfirmed';
+  const share = isUnconfirmed ? 0 : shareOf(endpoint, rate, host, hosts);
+  if (confidence === 'confirmed') return share;
+  const cautious = Math.max(rate, MIN_RATE) * CAUTIOUS_FRACTION;
+  return Math.max(share, cautious / assumedHosts(sharing));
+}
+
 /** Whether one more request may be sent now; `rate` is in requests a second. */
 export function isBelowRate(
   sends: RecentSends,
--- a/source/edge/blocking.ts
+++ b/source/edge/blocking.ts
@@ -26,7 +26,7 @@
 ): Blocking {
   const {settings, platform, clock, logger, metrics, random} = context;
   const from = context.address;
-  const hosts = () => context.gossip()?.hostsSharingLimits ?? [settings.name];
+  const hosts = () => context.gossip()?.sharing.hosts ?? [settings.name];
   const quarantine = new Quarantine({
     host: settings.name,
     hosts,
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -10,12 +10,8 @@
 import {CorrectedClock} from '../clock/index.js';
 import {HostDescriptors} from '../descriptors/index.js';
 import {ConnectionPool, Forwarder} from '../forward/index.js';
-import {
-  Feeder,
-  GossipNode,
-  incarnationOf,
-  type HostAddress,
-} from '../gossip/index.js';
+import {Feeder, type GossipNode} from '../gossip/index.js';
+import type {HostRegistry} from '../hostregistry/index.js';
 import {MemoryAccount, memoryBudgetOf} from '../memory/index.js';
 import type {Load} from '../process/index.js';
 import type {BlockedRecords, Quarantine} from '../quarantine/index.js';
@@ -26,6 +22,7 @@
 import type {EdgeHostParts, HostContext} from './context.js';
 import {endRequests} from './drain.js';
 import {handleLimitChange, logWithholding} from './endpointnotices.js';
+import {createGossip, createRegistry} from './gossiping.js';
 import {createLeadership, type Leadership} from './leadership.js';
 import {PlatformView} from './platformview.js';
 import {EdgePorts} from './ports.js';
@@ -33,11 +30,7 @@
 import {PulseExchange} from './pulses.js';
 import {RatesNotices} from './ratesnotices.js';
 import {Redispatcher} from './redispatcher.js';
-import {
-  createRollouts,
-  handleRolloutOrder,
-  rolloutMessages,
-} from './rollingout.js';
+import {createRollouts, handleRolloutOrder} from './rollingout.js';
 import {createOperatorServer, createReadinessServer} from './servers.js';
 import type {EdgeSettings} from './settings.js';
 import {ZoneRecorder} from './zonerecorder.js';
@@ -63,6 +56,7 @@
   private readonly pulses: PulseExchange;
   private readonly gossip: GossipNode | undefined;
   private readonly feeder: Feeder | undefined;
+  private readonly registry: HostRegistry | undefined;
   private readonly callers: CallerServer;
   private readonly ports: EdgePorts;
   private state = hostChart.initial;
@@ -177,8 +171,20 @@
       usage: this.leadership?.usage,
       isLeaving: () => this.state === 'draining',
     });
-    this.gossip = this.createGossip();
+    this.gossip = createGossip(context, {
+      selector,
+      platformView,
+      quarantine,
+      versions: this.versions,
+      rollouts,
+      pulses: this.pulses,
+      usage: this.leadership?.usage,
+      descriptors: descriptors.budget,
+      feeder: () => this.feeder,
+      registry: () => this.registry,
+    });
     this.feeder = this.gossip && this.createFeeder(this.gossip);
+    this.registry = this.gossip && createRegistry(context, this.gossip);
     this.callers = new CallerServer(
       {address: settings.callers, clock, logger, metrics, descriptors},
       (message, response, refusal) => {
@@ -202,7 +208,7 @@
     this.leadership?.usage.start();
     this.leadership?.leaderElector.start();
     this.feeder?.start();
-    const control = this.gossip?.start();
+    const control = this.gossip?.start().then(() => this.registry?.start());
     const serving = this.ports.open().then(canServe => {
       if (canServe && this.isStarting) this.handleListening();
     });
@@ -275,6 +281,7 @@
       this.leadership?.usage.seal(),
       this.versions.stop(),
       this.leadership?.leaderElector.leave(),
+      this.registry?.leave(),
     ]);
   }
 
@@ -308,45 +315,6 @@
     });
   }
 
-  private createGossip(): GossipNode | undefined {
-    const {settings, clock, logger, metrics} = this.context;
-    if (settings.hosts === undefined) return undefined;
-    return new GossipNode({
-      self: this.context.address,
-      seeds: settings.seeds,
-      clock,
-      logger,
-      metrics,
-      state: period => this.pulses.state(period),
-      sheets: () => this.leadership?.usage.unstoredSheets() ?? [],
-      records: (topic, position) =>
-        this.platformView.recordsFrom(topic, position),
-      onRecords: (topic, page) => this.platformView.applyRecords(topic, page),
-      onFeedReport: feed => this.feeder?.handleReport(feed),
-      onPulse: pulse => this.pulses.receive(pulse),
-      onCrashReport: report => this.quarantine.handleCrashReport(report),
-      onBegunSuspects: begun => this.quarantine.handleBegun(begun),
-      onLimits: limits => this.selector.setLimitReports(limits),
-      onBegunStreams: groups => this.versions.appendFor(groups),
-      onSheets: ({name}, delivery) =>
-        this.leadership?.usage.relay.handleDelivery(name, delivery),
-      ...rolloutMessages(this.rollouts),
-      onSheetsStored: number =>
-        this.leadership?.usage.relay.handleConfirmation(number),
-      onHostFound: found => this.informNewHost(found),
-      descriptors: this.descriptors.budget,
-      onHostLost: lost =>
-        void this.leadership?.usage.appendReplicaOf(incarnationOf(lost)),
-    });
-  }
-
-  /** Tells a host that has turned up of the crashes that it has missed. */
-  private informNewHost({name}: HostAddress): void {
-    const from = this.context.address;
-    for (const report of this.quarantine.reportsForNewHost(name))
-      this.gossip?.send(name, {kind: 'crash', from, report});
-  }
-
   private createFeeder(gossip: GossipNode): Feeder {
     const {platformView} = this;
     return new Feeder({
--- a/source/edge/leadership.ts
+++ b/source/edge/leadership.ts
@@ -99,7 +99,7 @@
     isCandidate: () =>
       isLeaderCandidate(
         settings.name,
-        context.gossip()?.hostsSharingLimits ?? [settings.name],
+        context.gossip()?.sharing.hosts ?? [settings.name],
       ),
     lease: settings.leaseMilliseconds,
     store: platform.store,
--- a/source/edge/pulses.ts
+++ b/source/edge/pulses.ts
@@ -80,7 +80,7 @@
     const gossip = this.context.gossip();
     if (!gossip) return;
     const pulses = gossip.reachableMembers.flatMap(({pulse}) => pulse ?? []);
-    selector.setHosts(gossip.hostsSharingLimits);
+    selector.setSharing(gossip.sharing);
     selector.setUnreachableReports(
       pulses.flatMap(({unreachable}) => unreachable),
     );
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -450,7 +450,7 @@
 
   /** Whether the limit on retries allows one more for the request's service. */
   private hasRetryBudget({service}: RequestContext): boolean {
-    return this.retries.allowsRetry(service, this.parts.book.hostCount);
+    return this.retries.allowsRetry(service, this.parts.book.assumedHosts);
   }
 
   private recordResult(
--- a/source/gossip/feeder.ts
+++ b/source/gossip/feeder.ts
@@ -100,6 +100,15 @@
     return isFeedFresh(this.reports, now, this.isFeeding);
   }
 
+  /**
+   * Monotonic milliseconds of the store's last answer, to this host or to a feeder;
+   * -Infinity for none.
+   */
+  get storeAnsweredAt(): number {
+    const now = this.options.clock.monotonic();
+    return Math.max(this.options.answeredAt(), this.latestReportedAnswer(now));
+  }
+
   /** Number of feeders whose last report is kept. */
   get reportCount(): number {
     return this.reports.size;
@@ -156,9 +165,7 @@
       kind: 'feed',
       from: self,
       positions: [...positions()],
-      age:
-        now -
-        Math.max(this.options.answeredAt(), this.latestReportedAnswer(now)),
+      age: now - this.storeAnsweredAt,
       lostAgo: Number.isFinite(lostAgo) ? lostAgo : undefined,
     };
     if (!Number.isFinite(report.age)) return;
--- a/source/gossip/index.ts
+++ b/source/gossip/index.ts
@@ -8,8 +8,10 @@
   type FeedReports,
 } from './feed.js';
 export {Feeder, type FeederOptions} from './feeder.js';
+export {type HostToContact} from './contacts.js';
 export {OutboundConnection} from './outbound.js';
-export {GossipNode, type GossipOptions} from './node.js';
+export {GossipNode} from './node.js';
+export type {GossipOptions} from './options.js';
 export {
   createPulse,
   rateReportBytes,
@@ -33,6 +35,7 @@
   incarnationOf,
   type Feed,
   type GossipMessage,
+  hostAddressSchema,
   type HostAddress,
   type Pulse,
   type SheetDelivery,
--- a/source/gossip/members.ts
+++ b/source/gossip/members.ts
@@ -77,20 +77,24 @@
 
 /**
  * Returns the members without those that have been silent for too long; `period`
- * is the milliseconds between two pulses in a fleet of this size.
+ * is the milliseconds between two pulses in a fleet of this size. While the store
+ * is out of touch, silent hosts may as well be cut off, so they are kept.
  */
 export function removeSilent(
   before: Members,
   now: number,
   period: number,
+  isStoreInTouch = true,
 ): Members {
   const listedRetention = Math.max(
     LISTED_HOST_RETENTION_MILLISECONDS,
     LISTED_HOST_RETENTION_PERIODS * period,
   );
-  const silent = [...before.values()].filter(({pulse, heardAt}) => {
-    const retention = pulse ? SHARE_RETENTION_MILLISECONDS : listedRetention;
-    return now - heardAt > retention;
+  const silent = [...before.values()].filter(member => {
+    const {pulse, heardAt} = member;
+    if (!pulse) return now - heardAt > listedRetention;
+    const mayBeCutOff = !isStoreInTouch && !pulse.leaving;
+    return isSilent(member, now) && !mayBeCutOff;
   });
   if (silent.length === 0) return before;
   const after = new Map(before);
@@ -108,20 +112,43 @@
   return now - heardAt < UNREACHABLE_AFTER_PERIODS * pulse.period;
 }
 
+/** Whether a host has sent no pulse for so long that it is forgotten. */
+function isSilent({heardAt}: Member, now: number): boolean {
+  return now - heardAt > SHARE_RETENTION_MILLISECONDS;
+}
+
 /**
  * The names of the hosts that share the limits, this one among them, in order.
+ * `named` are hosts that the store names and that may be up, though this one does
+ * not know them.
  *
  * ```ts
  * const share = bound / hostsSharingLimits(members, 'host-1').length;
  * ```
  */
-export function hostsSharingLimits(members: Members, self: string): string[] {
-  return [self, ...activeHosts(members).map(({name}) => name)].sort();
+export function hostsSharingLimits(
+  members: Members,
+  self: string,
+  named: readonly string[] = [],
+): string[] {
+  const unknown = named.filter(name => !members.get(name)?.pulse);
+  const known = stayingMembers(members).map(({host}) => host.name);
+  return [...new Set([self, ...known, ...unknown])].sort();
 }
 
-/** The hosts that have sent a pulse and have not reported that they leave. */
-export function activeHosts(members: Members): HostAddress[] {
-  return [...members.values()]
-    .filter(({pulse}) => pulse !== undefined && !pulse.leaving)
+/** The hosts that have lately sent a pulse and have not reported that they leave. */
+export function activeHosts(members: Members, now: number): HostAddress[] {
+  return stayingMembers(members)
+    .filter(member => !isSilent(member, now))
     .map(({host}) => host);
 }
+
+/** Whether there are hosts that are kept only because the store is out of touch. */
+export function hasSilentHosts(members: Members, now: number): boolean {
+  return stayingMembers(members).some(member => isSilent(member, now));
+}
+
+/** The members that have sent a pulse and have not reported that they leave. */
+function stayingMembers(members: Members): Member[] {
+  return [...members.values()].filter(({pulse}) => pulse && !pulse.leaving);
+}
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -89,6 +89,11 @@
   /** Unix milliseconds as the sender has it; older hosts send none. */
   time: z.number().optional(),
   leaving: z.boolean(),
+  /**
+   * False while nobody has told the sender who the other hosts are; older hosts
+   * never say so.
+   */
+  confirmed: z.literal(false).optional(),
   /** Whether the sender reads compressed values; older hosts do not. */
   inflates: z.boolean().optional(),
   positions: z.array(topicPositionSchema),
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -7,27 +7,18 @@
  */
 import {createServer} from 'node:net';
 
-import {rendezvousOrder, type LimitStatement} from '../balance/index.js';
-import type {Cancel, Clock} from '../clock/index.js';
-import type {DescriptorBudget} from '../descriptors/index.js';
-import type {Logger} from '../logging/index.js';
-import type {Metrics} from '../metrics/index.js';
-import type {Sheet} from '../platform/index.js';
+import {rendezvousOrder} from '../balance/index.js';
+import type {Cancel} from '../clock/index.js';
+import type {SharingHosts} from '../membership/index.js';
 import {Port} from '../ports/index.js';
-import type {BegunSuspect, CrashReport} from '../quarantine/index.js';
-import {
-  isBefore,
-  type PeerRecordPage,
-  type StorePosition,
-} from '../store/index.js';
-import type {BegunGroup} from '../versions/index.js';
+import {isBefore} from '../store/index.js';
+import type {HostToContact} from './contacts.js';
 import {InboundConnections} from './inbound.js';
 import {
   applyHostList,
   applyPulse,
   removeSilent,
   reachableMembers,
-  hostsSharingLimits,
   activeHosts,
   type Member,
   type Members,
@@ -35,17 +26,16 @@
 import {
   gossipSchema,
   incarnationOf,
-  type Feed,
   type GossipMessage,
   type HostAddress,
   type Pulse,
-  type SheetDelivery,
 } from './message.js';
+import {MembershipView} from './membershipview.js';
 import {MissingRecords} from './missingrecords.js';
+import type {GossipOptions} from './options.js';
 import {OutboundConnection} from './outbound.js';
 import {Peer} from './peer.js';
 import {createPulse, type OwnState} from './pulse.js';
-import type {RolloutHandlers} from './rollouthandlers.js';
 import {
   compressRecords,
   createRecordsMessage,
@@ -63,50 +53,6 @@
 const ACKNOWLEDGEMENT_TIMEOUT_PERIODS = 5;
 /** Periods for which recent events are repeated, since pulses may be lost. */
 const EVENT_REPEAT_PERIODS = 1.25;
-const SEED_CONTACT_INTERVAL_MILLISECONDS = 1_000;
-
-/** What the gossip of a host is created from. */
-export interface GossipOptions extends RolloutHandlers {
-  readonly self: HostAddress;
-  /** Addresses of hosts through which this one finds the others. */
-  readonly seeds: readonly string[];
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  /**
-   * Returns what to report; of recent events, those of the last `period`
-   * milliseconds.
-   */
-  readonly state: (period: number) => OwnState;
-  /** Without it, other hosts may have any number of connections here. */
-  readonly descriptors?: DescriptorBudget | undefined;
-  /** Usage sheets of this host that may not be in the store yet. */
-  readonly sheets: () => readonly Sheet[];
-  /** The records of a topic from a position. */
-  readonly records: (topic: string, position: StorePosition) => PeerRecordPage;
-  /** Called with records that another host has sent. */
-  readonly onRecords: (topic: string, page: PeerRecordPage) => void;
-  /** Called with each report of a host that follows the store for others. */
-  readonly onFeedReport: (feed: Feed) => void;
-  /** Called with each pulse that has arrived. */
-  readonly onPulse: (pulse: Pulse) => void;
-  /** Called with what another host has seen of the crash of an endpoint. */
-  readonly onCrashReport: (report: CrashReport) => void;
-  /** Called with suspects with which answers have begun at another host. */
-  readonly onBegunSuspects: (begun: readonly BegunSuspect[]) => void;
-  /** Called with limits of endpoints that another host has been told. */
-  readonly onLimits: (limits: readonly LimitStatement[]) => void;
-  /** Called with streams that another host leaves to this one to append. */
-  readonly onBegunStreams: (groups: readonly BegunGroup[]) => void;
-  /** Called with usage sheets that another host leaves to this one to append. */
-  readonly onSheets: (host: HostAddress, delivery: SheetDelivery) => void;
-  /** Called when the sheets that this host has sent to another are stored. */
-  readonly onSheetsStored: (number: number) => void;
-  /** Called when a host has turned up, started anew or become reachable again. */
-  readonly onHostFound: (host: HostAddress) => void;
-  /** Called when a host has become unreachable or has started anew. */
-  readonly onHostLost: (host: HostAddress) => void;
-}
 
 /** Exchanges gossip with the other hosts. */
 export class GossipNode {
@@ -116,17 +62,14 @@
   readonly port: Port;
   private readonly inbound: InboundConnections;
   private readonly missing = new MissingRecords();
-  private readonly seeds: readonly OutboundConnection[];
-  private seedsContactedAt = -Infinity;
+  private readonly view: MembershipView;
   /** The hosts that were reachable at the last tick. */
   private lastReachable: readonly Member[] = [];
   private stopTimer: Cancel = () => {};
 
   constructor(private readonly options: GossipOptions) {
-    const {clock, logger, metrics, seeds, self} = options;
-    this.seeds = seeds
-      .filter(address => address !== self.address)
-      .map(address => new OutboundConnection(address, clock));
+    const {clock, logger, metrics, self} = options;
+    this.view = new MembershipView(options, () => this.members);
     this.inbound = new InboundConnections(logger, value =>
       this.handleMessage(value),
     );
@@ -151,7 +94,19 @@
    * waiting does not open the port.
    */
   async start(): Promise<void> {
-    if (await this.port.open()) this.tick();
+    if (!(await this.port.open())) return;
+    this.view.start();
+    this.tick();
+  }
+
+  /** Replaces the addresses of the hosts through which this one finds others. */
+  setSeeds(addresses: readonly string[]): void {
+    this.view.contacts.setSeeds(addresses);
+  }
+
+  /** Contacts hosts that the store names; with them it has told of all others. */
+  contactListed(hosts: readonly HostToContact[]): void {
+    this.view.handleList(hosts);
   }
 
   stop(): void {
@@ -159,7 +114,7 @@
     this.port.close();
     this.inbound.destroy();
     for (const {outbound} of this.peers.values()) outbound.reset();
-    for (const outbound of this.seeds) outbound.reset();
+    this.view.contacts.reset();
   }
 
   /** The other hosts that are reachable. */
@@ -167,20 +122,17 @@
     return reachableMembers(this.members, this.options.clock.monotonic());
   }
 
-  /**
-   * The names of the hosts that share the limits, this one among them, in
-   * order.
-   */
-  get hostsSharingLimits(): string[] {
-    return hostsSharingLimits(this.members, this.options.self.name);
+  /** The hosts that share the limits, this one among them. */
+  get sharing(): SharingHosts {
+    return this.view.sharing;
   }
 
   /**
-   * The other hosts that have sent a pulse, have not been removed as silent and
+   * The other hosts that have sent a pulse, have not been silent for long and
    * are not leaving.
    */
   get activeHosts(): HostAddress[] {
-    return activeHosts(this.members);
+    return activeHosts(this.members, this.options.clock.monotonic());
   }
 
   /** Sends a message to a host; does nothing if the host is unknown. */
@@ -214,13 +166,18 @@
     const {clock} = this.options;
     const now = clock.monotonic();
     this.reportLostHosts(now);
-    this.members = removeSilent(this.members, now, this.period);
+    const {isStoreInTouch} = this.view;
+    this.members = removeSilent(this.members, now, this.period, isStoreInTouch);
     for (const name of this.peers.keys()) {
       if (!this.members.has(name)) this.disconnect(name);
     }
     this.sendPulses();
-    this.contactSeeds(now);
+    this.view.contacts.contact(
+      this.reachableMembers.map(({host}) => host),
+      () => this.createPulse(this.ownState(), 1, 0),
+    );
     this.requestMissingRecords(now);
+    this.view.update();
     this.stopTimer = clock.after(this.period, () => this.tick());
   }
 
@@ -298,26 +255,11 @@
       heard,
       period: this.period,
       time: clock.now().getTime(),
+      isConfirmed: this.view.wasTold,
       reachableHosts: () => this.reachableMembers.map(({host}) => host),
     });
   }
 
-  /**
-   * Sends a pulse to each seed that is not among the reachable hosts, so also
-   * when no other host is reachable; drops the connection to the others.
-   */
-  private contactSeeds(now: number): void {
-    if (now - this.seedsContactedAt < SEED_CONTACT_INTERVAL_MILLISECONDS)
-      return;
-    this.seedsContactedAt = now;
-    const known = new Set(this.reachableMembers.map(({host}) => host.address));
-    for (const outbound of this.seeds) {
-      if (!known.has(outbound.address))
-        outbound.send(this.createPulse(this.ownState(), 1, 0));
-      else outbound.reset();
-    }
-  }
-
   private handleMessage(value: unknown): void {
     const parsed = gossipSchema.safeParse(value);
     if (!parsed.success) {
@@ -365,9 +307,12 @@
     this.members = applyPulse(this.members, pulse, now);
     this.members = applyHostList(this.members, pulse.hosts, self.name, now);
     if (before?.host.started !== started || !before.pulse) {
-      logger.info('host-found', {name, zone, hosts: this.members.size + 1});
+      const source = this.view.sourceOf(pulse.from, before);
+      const hosts = this.members.size + 1;
+      logger.info('host-found', {name, zone, hosts, source});
       this.sendPulse(name, this.ownState(), this.usageReplicaHost());
       this.options.onHostFound(pulse.from);
+      this.view.update();
     }
     this.peers.get(name)?.acknowledge(pulse.heard, now);
     onPulse(pulse);
--- a/source/gossip/pulse.ts
+++ b/source/gossip/pulse.ts
@@ -60,6 +60,8 @@
   readonly period: number;
   /** The time of day, in milliseconds. */
   readonly time: number;
+  /** Whether this host has been told of the others. */
+  readonly isConfirmed: boolean;
   /** The other hosts that this one can reach. */
   readonly reachableHosts: () => readonly HostAddress[];
 }
@@ -68,7 +70,7 @@
 export function createPulse(own: OwnState, head: PulseHead): Pulse {
   const {leaving, positions, uses, work, kept, unreachable, blocked} = own;
   const {limits, certainUsage, rates = []} = own;
-  const {self, sequence, heard, period, time, reachableHosts} = head;
+  const {self, sequence, heard, period, time, isConfirmed} = head;
   const listsHosts = sequence % HOST_LIST_INTERVAL_PULSES === 1;
   return {
     kind: 'pulse',
@@ -78,6 +80,7 @@
     period,
     time,
     leaving,
+    ...(!isConfirmed && {confirmed: false}),
     inflates: true,
     positions: [...positions],
     uses: [...uses],
@@ -90,7 +93,7 @@
     // A field without a value would take as many bytes as a short report.
     ...(rates.length > 0 && {rates: [...rates]}),
     sheets: [],
-    hosts: listsHosts ? hostSample(reachableHosts(), sequence) : [],
+    hosts: listsHosts ? hostSample(head.reachableHosts(), sequence) : [],
   };
 }
 
--- a/standins/site.ts
+++ b/standins/site.ts
@@ -18,6 +18,8 @@
   away: boolean;
   /** Calls are turned away with 503. */
   busy: boolean;
+  /** Topics of which calls are turned away with 503. */
+  busyTopics: ReadonlySet<string>;
   /** Appends that are carried out and not answered. */
   loseAppends: number;
   /** Milliseconds by which each call is carried out late. */
@@ -60,6 +62,7 @@
   readonly faults: SiteFaults = {
     away: false,
     busy: false,
+    busyTopics: new Set(),
     loseAppends: 0,
     delay: 0,
   };
@@ -174,7 +177,9 @@
     const {response} = received;
     if (this.faults.away) return void response.destroy();
     response.setHeader('store-era', String(this.era));
-    if (this.faults.busy) return reply(response, 503, {});
+    const topic = received.query.get('topic') ?? '';
+    const isBusy = this.faults.busy || this.faults.busyTopics.has(topic);
+    if (isBusy) return reply(response, 503, {});
     const {delay} = this.faults;
     if (delay === 0) return this.carryOut(received);
     setTimeout(() => this.carryOut(received), delay);
--- a/test/gossip.test.ts
+++ b/test/gossip.test.ts
@@ -169,6 +169,8 @@
     onRolloutShare: () => {},
     onRolloutReport: () => {},
     onHostLost: host => lostHosts.push(host.name),
+    onSharingChanged: () => {},
+    storeAnsweredAt: () => Infinity,
   });
   await node.start();
   t.teardown(() => node.stop());
--- a/test/outofstep.test.ts
+++ b/test/outofstep.test.ts
@@ -6,6 +6,7 @@
 import test, {type ExecutionContext} from 'ava';
 
 import {FaultyProxy} from '../soak/proxy.js';
+import {HOSTS_TOPIC} from '../source/hostregistry/index.js';
 import {EdgeFleet, type HostProcess} from './support/edgeprocess.js';
 import {BROKEN_AFTER, EVENTS, readStream, streamOf} from './support/streams.js';
 
@@ -34,6 +35,8 @@
   await proxy.start();
   t.teardown(() => proxy.stop());
   fleet.knowsOthers = false;
+  // Else they would find each other in the store.
+  fleet.site.faults.busyTopics = new Set([HOSTS_TOPIC]);
   const host = await fleet.host('host-0');
   const late = await fleet.host('host-1', undefined, proxy.address);
   await Promise.all([fleet.ready(host), fleet.ready(late)]);
--- a/test/ratereports.test.ts
+++ b/test/ratereports.test.ts
@@ -128,6 +128,7 @@
         heard: sequence,
         period: 2_440,
         time: 1_800_000_100_000,
+        isConfirmed: true,
         reachableHosts: () => [],
       };
       const rates = scene.rates.takeReports(rateReportBytes(state), scene.now);
@@ -151,6 +152,7 @@
     heard: 1,
     period: 200,
     time: 1,
+    isConfirmed: true,
     reachableHosts: () => [],
   };
   const pulse = createPulse(stateOf(1), head);
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -385,6 +385,18 @@
   }
 }
 
+/** Whether something comes to hold within a time in milliseconds. */
+export async function holdsWithin(
+  milliseconds: number,
+  holds: () => boolean,
+): Promise<boolean> {
+  const end = performance.now() + milliseconds;
+  while (!holds() && performance.now() < end) {
+    await new Promise(resolve => setTimeout(resolve, POLL_MILLISECONDS));
+  }
+  return holds();
+}
+
 /** Status of a GET; 0 where the connection ends without an answer. */
 export function statusOf(address: string, path: string): Promise<number> {
   return new Promise(resolve => {
