Take seeds and the grace period from settings that are read again

Cause: EdgeHost.reload took the limit on retries and dropped all else without a word.

Change: planReload lists for each setting whether it takes effect at a reload (seeds, grace period, limit on retries) or at a restart; those of the second kind that have changed are named in a line reload-needs-restart.

--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -30,6 +30,7 @@
 import {PulseExchange} from './pulses.js';
 import {RatesNotices} from './ratesnotices.js';
 import {Redispatcher} from './redispatcher.js';
+import {planReload, type ReloadPlan} from './reload.js';
 import {createRollouts, handleRolloutOrder} from './rollingout.js';
 import {createOperatorServer, createReadinessServer} from './servers.js';
 import type {EdgeSettings} from './settings.js';
@@ -59,11 +60,14 @@
   private readonly registry: HostRegistry | undefined;
   private readonly callers: CallerServer;
   private readonly ports: EdgePorts;
+  /** The settings in force. */
+  private settings: EdgeSettings;
   private state = hostChart.initial;
   private draining: Promise<void> = Promise.resolve();
 
   constructor(parts: EdgeHostParts) {
     const {settings, platform, logger, metrics, random} = parts;
+    this.settings = settings;
     const {name: host, zone} = settings;
     const clock = new CorrectedClock(parts.clock, correction =>
       logger.warn('clock-corrected', {...correction}),
@@ -228,9 +232,16 @@
     };
   }
 
-  /** Applies the settings that can change at run time: the retry budget. */
-  reload({repeats}: EdgeSettings): void {
-    this.forwarder.retryBudget = repeats;
+  /**
+   * Applies the settings that can change at run time. Returns which have, and
+   * which others have changed in vain.
+   */
+  reload(read: EdgeSettings): ReloadPlan {
+    const plan = planReload(this.settings, read);
+    this.settings = plan.settings;
+    this.forwarder.retryBudget = plan.settings.repeats;
+    this.gossip?.setSeeds(plan.settings.seeds);
+    return plan;
   }
 
   /**
@@ -256,12 +267,12 @@
     this.callers.announceClose();
     this.gossip?.sendPulses();
     const {forwarder, callers} = this;
-    const {clock, settings} = this.context;
+    const {clock} = this.context;
     await endRequests({
       clock,
       forwarder,
       callers,
-      graceMilliseconds: settings.graceMilliseconds,
+      graceMilliseconds: this.settings.graceMilliseconds,
       isBalanced: !wasStarting,
       storeLastRecords: () => this.storeLastRecords(),
     });
--- a/source/edge/run.ts
+++ b/source/edge/run.ts
@@ -22,6 +22,7 @@
 import {CountedStore} from '../store/index.js';
 import {EdgeHost} from './host.js';
 import type {PlatformParts} from './platform.js';
+import type {ReloadPlan} from './reload.js';
 import type {EdgeSettings} from './settings.js';
 import type {ProcessSignals} from './signals.js';
 
@@ -57,9 +58,8 @@
  */
 export async function runEdge(options: EdgeOptions): Promise<void> {
   const {logLevel, statsd, ends} = options;
-  const {maxDescriptors: told} = options.settings;
-  const maxDescriptors = applicableLimit(told, processDescriptorLimit());
-  const settings = {...options.settings, maxDescriptors};
+  const settings = withApplicableLimit(options.settings);
+  const {maxDescriptors} = settings;
   const clock = new SystemClock();
   const sink = new BoundedSink(STDOUT_FILE_DESCRIPTOR, clock);
   const logger = createLogger(logLevel, 'json', clock, (level, line) =>
@@ -97,8 +97,8 @@
   };
   const reload = () => {
     try {
-      host.reload(options.readSettings());
-      logger.info('reload', {outcome: 'taken'});
+      const read = withApplicableLimit(options.readSettings());
+      logReload(logger, host.reload(read));
     } catch (error) {
       if (!(error instanceof SettingsError)) throw error;
       logger.error('reload', {outcome: 'refused', detail: error.message});
@@ -129,6 +129,20 @@
   }
 }
 
+/** The settings with the limit on descriptors that this process has. */
+function withApplicableLimit(settings: EdgeSettings): EdgeSettings {
+  const limit = processDescriptorLimit();
+  const maxDescriptors = applicableLimit(settings.maxDescriptors, limit);
+  return {...settings, maxDescriptors};
+}
+
+/** Logs which settings a reload has changed, and which need a restart. */
+function logReload(logger: Logger, {applied, deferred}: ReloadPlan): void {
+  logger.info('reload', {outcome: 'taken', applied: applied.join(',')});
+  if (deferred.length > 0)
+    logger.warn('reload-needs-restart', {settings: deferred.join(',')});
+}
+
 /** Logs the defaults that the settings rest on, if there are any. */
 function logDefaults(logger: Logger, defaults: readonly TakenDefault[]): void {
   if (defaults.length === 0) return;
--- a/source/edge/settings.ts
+++ b/source/edge/settings.ts
@@ -22,6 +22,11 @@
   seeds: z
     .array(z.string())
     .describe('Addresses of hosts to ask first about the other hosts.'),
+  store: z.string().optional().describe('Address of the platform’s store.'),
+  leader: z
+    .string()
+    .optional()
+    .describe('Address of the platform’s interface for the leader.'),
   graceMilliseconds: z
     .number()
     .describe('Time between a signal to stop and the kill of the process.'),
--- a/test/deadseeds.test.ts
+++ b/test/deadseeds.test.ts
@@ -1,7 +1,10 @@
 /**
  * Host processes none of whose seeds is alive any more: they find each other
- * through the store. Guards against hosts that each take a whole limit.
+ * through the store, or through the seeds of settings that were read again, each
+ * without the other. Guards against hosts that each take a whole limit.
  */
+import {readFileSync, writeFileSync} from 'node:fs';
+
 import test, {type ExecutionContext} from 'ava';
 
 import {HOSTS_TOPIC} from '../source/hostregistry/index.js';
@@ -12,6 +15,8 @@
 } from './support/edgeprocess.js';
 
 const KEY = 'key';
+/** Time after which hosts that cannot find each other have tried to. */
+const TRIED_MILLISECONDS = 3_000;
 
 /** Time in which hosts that can find each other have done so. */
 const FOUND_MILLISECONDS = 20_000;
@@ -56,6 +61,14 @@
   return [...restarted];
 }
 
+/** Lets the settings of a host name a seed, and tells the host so. */
+function changeSeed(host: HostProcess, seed: string): void {
+  const settings = JSON.parse(readFileSync(host.settings, 'utf8')) as object;
+  const changed = {...settings, seedNodes: [seed]};
+  writeFileSync(host.settings, JSON.stringify(changed));
+  host.child.kill('SIGHUP');
+}
+
 test('hosts that start again without a live seed find each other through the store', async t => {
   const fleet = await startFleet(t);
   const [one, other] = await restartWithoutSeeds(fleet);
@@ -67,6 +80,18 @@
   t.is(membershipOf(one)['digest'], membershipOf(other)['digest']);
 });
 
+test('hosts without a live seed find each other once their settings name one, without the store', async t => {
+  const fleet = await startFleet(t);
+  fleet.site.faults.busyTopics = new Set([HOSTS_TOPIC]);
+  const [one, other] = await restartWithoutSeeds(fleet);
+  await new Promise(resolve => setTimeout(resolve, TRIED_MILLISECONDS));
+  t.deepEqual([...foundBy(one), ...foundBy(other)], []);
+  t.is(membershipOf(one)['confidence'], 'unconfirmed');
+  changeSeed(one, other.control);
+  t.true(await comesTo(() => foundBy(one).includes(other.name)));
+  t.true(await comesTo(() => foundBy(other).includes(one.name)));
+});
+
 test('two groups of hosts that were started apart find each other once the store lets them', async t => {
   const fleet = await startFleet(t);
   fleet.site.faults.busyTopics = new Set([HOSTS_TOPIC]);
