Leave a restarted host what its last incarnation left of the retry allowance

Cause: the allowance over all hosts is divided by their number, and a host that starts again has its part anew, though the window still holds what its last incarnation sent. With all hosts killed at once that is 1.5 times the allowance.

Change: in its first window a host uses the quarter of its part that is left when the last incarnation has used its three quarters; the ratio goes by its own requests as before.

Result: the property of test/limits now lets each host start again once, apart or together; it fails with the old rule and passes with the new. A host that starts again more than once in a window is not covered.

--- a/source/balance/budget.ts
+++ b/source/balance/budget.ts
@@ -60,17 +60,26 @@
   return [...(isOpen ? current.slice(0, -1) : current), next];
 }
 
+/** The host that wants to retry. */
+export interface RetryingHost {
+  /** The number of hosts among which the allowance is divided. */
+  readonly hosts: number;
+  /** Monotonic milliseconds of its start. */
+  readonly startedAt: number;
+}
+
 /**
- * Whether one more retry is within the budget.
+ * Whether one more retry is within the budget. In its first window a host uses
+ * what its last incarnation has left: that may have used its part just before.
  *
  * ```ts
- * if (mayRetry(history, budget, hosts, now)) send();
+ * if (mayRetry(history, budget, {hosts, startedAt}, now)) send();
  * ```
  */
 export function mayRetry(
   history: RetryHistory,
   {ratio, allowance, window}: RetryBudget,
-  hosts: number,
+  {hosts, startedAt}: RetryingHost,
   now: number,
 ): boolean {
   let requests = 0;
@@ -80,6 +89,10 @@
     requests += slice.requests;
     retries += slice.retries;
   }
-  const limit = ratio * requests + allowance / Math.max(hosts, 1);
-  return retries + 1 <= limit * USED_BUDGET_FRACTION;
+  const isInFirstWindow = now - startedAt < window;
+  const allowanceFraction = isInFirstWindow
+    ? 1 - USED_BUDGET_FRACTION
+    : USED_BUDGET_FRACTION;
+  const ownAllowance = (allowance * allowanceFraction) / Math.max(hosts, 1);
+  return retries + 1 <= ratio * requests * USED_BUDGET_FRACTION + ownAllowance;
 }
--- a/source/balance/index.ts
+++ b/source/balance/index.ts
@@ -7,6 +7,7 @@
 export {
   addToHistory,
   mayRetry,
+  type RetryingHost,
   EMPTY_RETRY_HISTORY,
   type RetryBudget,
   type RetryHistory,
--- a/source/forward/retries.ts
+++ b/source/forward/retries.ts
@@ -15,12 +15,16 @@
 export class RetryCounter {
   /** Recent requests and retries by service. */
   private readonly histories = new Map<string, RetryHistory>();
+  /** Monotonic milliseconds of the start of this host. */
+  private readonly startedAt: number;
 
   constructor(
     /** The current budget. */
     public budget: RetryBudget,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.startedAt = clock.monotonic();
+  }
 
   /** Counts a request or a retry towards the budget of its service. */
   count(service: string, kind: 'request' | 'repeat'): void {
@@ -32,6 +36,7 @@
   /** Whether the budget, shared by so many hosts, allows one more retry. */
   allowsRetry(service: string, hosts: number): boolean {
     const history = this.histories.get(service) ?? EMPTY_RETRY_HISTORY;
-    return mayRetry(history, this.budget, hosts, this.clock.monotonic());
+    const {budget, startedAt, clock} = this;
+    return mayRetry(history, budget, {hosts, startedAt}, clock.monotonic());
   }
 }
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -100,7 +100,13 @@
 
 const BUDGET = {ratio: 0.2, allowance: 52, window: 10_000};
 
-test('retries of all hosts stay within the budget in any window', t => {
+/** Arrivals among so many after which each host may start again once. */
+const RESTARTS = {min: 0, max: 600};
+
+test('retries of all hosts stay within the budget in any window, though each of them starts again', t => {
+  const apart = fc.array(fc.integer(RESTARTS), {minLength: 6, maxLength: 6});
+  const together = fc.integer(RESTARTS).map(at => Array<number>(6).fill(at));
+  const restarts = fc.oneof(apart, together);
   const arrivals = fc.array(
     fc.record({
       host: fc.integer({min: 0, max: 5}),
@@ -109,18 +115,28 @@
     }),
     {minLength: 200, maxLength: 600, size: 'max'},
   );
-  const property = fc.property(arrivals, list => {
+  const property = fc.property(arrivals, restarts, (list, restartsAt) => {
     const histories = new Map<number, RetryHistory>();
+    const startedAt = new Map<number, number>();
     const requests: number[] = [];
     const retries: number[] = [];
     let now = 0;
-    for (const {host, wait, retries: wanted} of list) {
+    for (const [index, {host, wait, retries: wanted}] of list.entries()) {
       now += wait;
+      for (const [restarted, at] of restartsAt.entries()) {
+        if (at !== index) continue;
+        histories.delete(restarted);
+        startedAt.set(restarted, now);
+      }
       const before = histories.get(host) ?? EMPTY_RETRY_HISTORY;
       let history = addToHistory(before, 'request', BUDGET, now);
       requests.push(now);
       for (let retry = 0; retry < wanted; retry++) {
-        if (!mayRetry(history, BUDGET, 6, now)) continue;
+        const retrying = {
+          hosts: 6,
+          startedAt: startedAt.get(host) ?? -Infinity,
+        };
+        if (!mayRetry(history, BUDGET, retrying, now)) continue;
         history = addToHistory(history, 'repeat', BUDGET, now);
         retries.push(now);
       }
