Judge in one place whether an answer is whole and its status one

Cause: Node calls a message complete whose connection ends in an error, if its head does not say where the body ends, and takes any number for a status. The platform's path had a check of its own; calls to the store, duties, discarded answers and the own interface trusted complete and status < 300. A usage report that was answered 000 or cut counted as done.

Change: wire/answer.ts says both, and all paths use it.

--- a/source/edge/prober.ts
+++ b/source/edge/prober.ts
@@ -84,9 +84,10 @@
     };
     const isOpen = () => true;
     try {
-      const {message} = await connections.send({...request, isOpen}, timeout);
+      const response = await connections.send({...request, isOpen}, timeout);
+      const {message} = response;
       timeout.onAbort(() => message.destroy());
-      const isComplete = (await discardBody(message, clock)) === 'complete';
+      const isComplete = (await discardBody(response, clock)) === 'complete';
       const head = protocol.parseResponseHead(message);
       const isOther = (head.endpoint ?? id) !== id;
       if (head.leaving && !isOther) book.markLeaving(endpoint);
--- a/source/engine/adapter.ts
+++ b/source/engine/adapter.ts
@@ -9,6 +9,7 @@
 
 import type {CancellationSignal} from '../cancellation/index.js';
 import type {Endpoint} from '../configuration/index.js';
+import type {WholenessCheck} from '../wire/index.js';
 
 /** One attempt at an endpoint. */
 export interface Order {
@@ -36,6 +37,8 @@
   /** Whether the connection had carried other requests before. */
   readonly reused: boolean;
   readonly body: IncomingMessage;
+  /** Tells, once the body has ended, whether all of it has come. */
+  readonly isWhole: WholenessCheck;
 }
 
 /** An endpoint's own, late word on its load. */
--- a/source/engine/http.ts
+++ b/source/engine/http.ts
@@ -17,8 +17,10 @@
   abandonRequest,
   callJson,
   GuardedKeepAliveAgent,
+  isFinalStatus,
   partsOf,
   readPacer,
+  watchWholeness,
 } from '../wire/index.js';
 import {
   EndpointAdapter,
@@ -222,10 +224,12 @@
         clearTimeout(timer);
         stopWatching();
         const {reusedSocket} = outgoing;
-        if (isForAttempt(message, attempt, reusedSocket))
-          return resolve(answerOf(message, reusedSocket));
+        const isAnswer =
+          isFinalStatus(message.statusCode ?? 0) &&
+          isForAttempt(message, attempt, reusedSocket);
+        if (isAnswer) return resolve(answerOf(message, reusedSocket));
         abandonRequest(outgoing);
-        const detail = `${address} answers another request`;
+        const detail = `${address} sends no answer to the request`;
         reject(new WireError('malformed', detail));
       });
       const timer = setTimeout(() => {
@@ -282,6 +286,7 @@
     notRun: statesNotRun(message.headers),
     reused,
     body: message,
+    isWhole: watchWholeness(message),
   };
 }
 
--- a/source/exchange/response.ts
+++ b/source/exchange/response.ts
@@ -75,6 +75,7 @@
       limit: MAX_RESPONSE_BYTES,
       silence,
       signal,
+      isWhole: response.isWhole,
     });
   } catch (error) {
     throw toAttemptFailure(error);
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -5,7 +5,7 @@
 import type {Reservation} from '../balance/index.js';
 import {Cancellation, type CancellationSignal} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
-import {discardBody} from '../wire/index.js';
+import {discardBody, isFinalStatus, isSuccessStatus} from '../wire/index.js';
 import type {Logger} from '../logging/index.js';
 import {SMALL_BODY_BYTES} from '../memory/index.js';
 import type {Metrics} from '../metrics/index.js';
@@ -24,9 +24,6 @@
 import type {ResponseHead, Protocol} from './protocol.js';
 
 /** The statuses of a final response. */
-const MIN_FINAL_STATUS = 200;
-const MAX_FINAL_STATUS = 599;
-const MIN_REDIRECT_STATUS = 300;
 const MAX_LOGGED_TEXT_LENGTH = 80;
 
 /** What all attempts of a host share. */
@@ -170,17 +167,19 @@
     if (head.notRun && this.isForThisRequest(head, response)) {
       if (head.misdirected) reservation.unreachable();
       else this.recordLimit(head);
-      const end = await discardBody(message, parts.clock);
+      const end = await discardBody(response, parts.clock);
       this.isRefusalCut = end === 'cut';
       throw new AttemptFailure('status', `status ${head.status}`, true);
     }
-    const isFinal =
-      head.status >= MIN_FINAL_STATUS && head.status <= MAX_FINAL_STATUS;
-    if (!isFinal || !head.sealed || head.id !== context.request.id) {
+    if (
+      !isFinalStatus(head.status) ||
+      !head.sealed ||
+      head.id !== context.request.id
+    ) {
       message.destroy();
       throw new AttemptFailure('malformed', 'not an answer to this', false);
     }
-    const isSuccess = head.status < MIN_REDIRECT_STATUS;
+    const isSuccess = isSuccessStatus(head.status);
     reservation.answered(head.load, isSuccess);
     if (head.invalidLoad !== undefined)
       reservation.loadMalformed(head.invalidLoad);
--- a/source/forward/bufferedrelay.ts
+++ b/source/forward/bufferedrelay.ts
@@ -82,10 +82,8 @@
     silence: context.timeLeft,
     signal: cancellation,
     onMemory: bytes => share.add(bytes),
+    isWhole: response.isComplete,
   });
-  if (!(await response.isComplete())) {
-    throw new AttemptFailure('cut', 'the answer is cut short', false);
-  }
   onComplete();
   if (head.status >= MIN_SERVER_ERROR_STATUS) {
     const detail = `status ${head.status}`;
--- a/source/forward/endpointresponse.ts
+++ b/source/forward/endpointresponse.ts
@@ -4,6 +4,12 @@
  */
 import type {IncomingMessage} from 'node:http';
 
+import {
+  hasDelimitedBody,
+  watchWholeness,
+  type WholenessCheck,
+} from '../wire/index.js';
+
 /** An endpoint's response, whose body is still to be read. */
 export interface EndpointResponse {
   readonly message: IncomingMessage;
@@ -19,24 +25,9 @@
   readonly isReused: boolean;
   /** Bytes that have come on the connection since the request was sent. */
   readonly receivedBytes: () => number;
-  /**
-   * Resolves with whether a message that has ended is complete. A connection
-   * reset that arrives together with the last bytes looks like a normal end. So
-   * where only the end of the connection delimits the message, writes to the
-   * connection to see whether it was reset.
-   */
-  readonly isComplete: () => Promise<boolean>;
+  readonly isComplete: WholenessCheck;
 }
 
-/** Written to a connection that its peer has ended, to detect a reset. */
-const PROBE = '\r\n';
-
-/** The encodings of a body that tells its own end: chunks come last. */
-const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
-
-/** Statuses of responses that have no body. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** What is known of the connection of a response. */
 export interface ResponseConnection {
   readonly isReused: boolean;
@@ -55,34 +46,7 @@
     message,
     isDelimited,
     isReused,
-    isComplete: completenessCheck(message, isDelimited),
+    isComplete: watchWholeness(message),
     receivedBytes: () => socket.bytesRead - bytesReadBefore,
   };
 }
-
-/** Whether a head tells where the body ends. */
-function hasDelimitedBody({headers, statusCode = 0}: IncomingMessage): boolean {
-  return (
-    BODILESS_STATUSES.has(statusCode) ||
-    headers['content-length'] !== undefined ||
-    CHUNKED_LAST.test(headers['transfer-encoding'] ?? '')
-  );
-}
-
-/** Returns the `isComplete` of a response; call it when its head has come. */
-function completenessCheck(
-  message: IncomingMessage,
-  isDelimited: boolean,
-): EndpointResponse['isComplete'] {
-  const {socket} = message;
-  if (isDelimited) return () => Promise.resolve(message.complete);
-  const endedWithoutReset = new Promise<boolean>(resolve => {
-    // Runs before Node's own `end` listener, which prevents further writes.
-    socket.prependListener('end', () => {
-      socket.write(PROBE, error => resolve(!error));
-    });
-    socket.once('error', () => resolve(false));
-    socket.once('close', () => resolve(false));
-  });
-  return () => endedWithoutReset;
-}
--- a/source/relay/stream.ts
+++ b/source/relay/stream.ts
@@ -67,7 +67,8 @@
       stopClock();
       stopWatching();
       body.removeAllListeners('data');
-      if (end === 'whole') void discardBody(body, clock);
+      if (end === 'whole')
+        void discardBody({message: body, isComplete: answer.isWhole}, clock);
       else body.destroy();
       resolve(end);
     };
--- a/source/relay/whole.ts
+++ b/source/relay/whole.ts
@@ -3,7 +3,7 @@
 
 import type {CancellationSignal} from '../cancellation/index.js';
 import {WireError} from '../errors/index.js';
-import {ByteCollector} from '../wire/index.js';
+import {ByteCollector, type WholenessCheck} from '../wire/index.js';
 
 /** Within what bounds an answer is read. */
 export interface WholeAnswerOptions {
@@ -12,6 +12,8 @@
   /** Milliseconds. */
   readonly silence: number;
   readonly signal: CancellationSignal;
+  /** Tells, once the answer has ended, whether all of it has come. */
+  readonly isWhole: WholenessCheck;
   /** Called with the further bytes of memory that the answer takes. */
   readonly onMemory?: (bytes: number) => void;
 }
@@ -21,13 +23,13 @@
  * large or silent for too long.
  *
  * ```ts
- * const options = {limit: 8_388_608, silence: 5_000, signal};
+ * const options = {limit: 8_388_608, silence: 5_000, signal, isWhole};
  * const body = await readWhole(answer.body, options);
  * ```
  */
 export function readWhole(
   body: IncomingMessage,
-  {limit, silence, signal, onMemory}: WholeAnswerOptions,
+  {limit, silence, signal, isWhole, onMemory}: WholeAnswerOptions,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const collector = new ByteCollector();
@@ -53,15 +55,24 @@
       if (collector.length > limit)
         fail('malformed', `answer is over ${limit} bytes`);
     });
-    body.on('end', () => {
-      if (!body.complete) return fail('cut', 'answer is cut short');
+    const finish = (whole: boolean) => {
+      if (!whole) return fail('cut', 'answer is cut short');
+      if (ended) return;
       ended = true;
       clearTimeout(timer);
       stopWatching();
       resolve(collector.take());
+    };
+    let hasAllBytes = false;
+    body.on('end', () => {
+      hasAllBytes = true;
+      if (body.complete) void isWhole().then(finish);
+      else finish(false);
     });
     body.on('error', error => fail('cut', error.message));
-    body.on('close', () => fail('cut', 'connection is closed'));
+    body.on('close', () => {
+      if (!hasAllBytes) fail('cut', 'connection is closed');
+    });
     const stopWatching = signal.onAbort(() => fail('cut', 'aborted'));
     // It may have failed together with its head, before the listeners were set.
     if (body.destroyed && !body.complete) {
--- a/source/wire/call.ts
+++ b/source/wire/call.ts
@@ -7,6 +7,7 @@
 import type {z} from 'zod';
 
 import {WireError} from '../errors/index.js';
+import {isSuccessStatus} from './answer.js';
 import {exchangeBytes} from './exchange.js';
 
 /** A JSON call. */
@@ -42,7 +43,8 @@
   });
   const {status} = reply;
   const text = reply.body.toString();
-  if (status >= 300) throw new WireError('status', text.slice(0, 500), status);
+  if (!isSuccessStatus(status))
+    throw new WireError('status', text.slice(0, 500), status);
   let value: unknown;
   try {
     value = JSON.parse(text || 'null');
--- a/source/wire/exchange.ts
+++ b/source/wire/exchange.ts
@@ -9,6 +9,7 @@
 import {WireError} from '../errors/index.js';
 import {ByteCollector} from './collector.js';
 import {partsOf} from './address.js';
+import {isFinalStatus, watchWholeness} from './answer.js';
 import {abandonRequest, createRequest} from './request.js';
 
 /** Largest body of a reply, several times the largest page of the store. */
@@ -75,6 +76,7 @@
     });
     sent.once('response', message => {
       responded = true;
+      const isWhole = watchWholeness(message);
       const collector = new ByteCollector();
       message.on('data', (bytes: Buffer) => {
         collector.push(bytes);
@@ -84,10 +86,14 @@
       });
       message.on('error', fail);
       message.on('end', () => {
-        clearTimeout(timer);
-        if (!message.complete) return fail(new Error('answer is cut short'));
         const {statusCode: status = 0, headers} = message;
-        resolve({status, headers, body: collector.take()});
+        void isWhole().then(whole => {
+          if (!whole) return fail(new Error('answer is cut short'));
+          if (!isFinalStatus(status))
+            return fail(new Error(`${status} is no status of an answer`));
+          clearTimeout(timer);
+          resolve({status, headers, body: collector.take()});
+        });
       });
     });
     sent.end(body);
--- a/source/wire/guarded.ts
+++ b/source/wire/guarded.ts
@@ -10,6 +10,7 @@
 import {WireError} from '../errors/index.js';
 import type {Call} from './call.js';
 import {partsOf} from './address.js';
+import {isFinalStatus, isSuccessStatus, watchWholeness} from './answer.js';
 
 /**
  * Makes the call if `mayAct` holds when the connection is ready. Answers
@@ -40,10 +41,20 @@
       if (!outgoing) return;
       outgoing.once('error', fail);
       outgoing.once('response', answer => {
+        const {statusCode: status = 0} = answer;
+        const isWhole = watchWholeness(answer);
         answer.resume();
-        const status = answer.statusCode ?? 0;
-        if (status < 300) answer.once('end', () => resolve(true));
-        else reject(new WireError('status', call.path, status));
+        answer.once('error', fail);
+        if (!isFinalStatus(status))
+          return fail(new Error(`${status} is no status of an answer`));
+        if (!isSuccessStatus(status))
+          return reject(new WireError('status', call.path, status));
+        answer.once('end', () => {
+          void isWhole().then(whole => {
+            if (whole) resolve(true);
+            else fail(new Error('answer is cut short'));
+          });
+        });
       });
       outgoing.once('socket', () => {
         if (mayAct()) {
--- a/source/wire/index.ts
+++ b/source/wire/index.ts
@@ -6,10 +6,17 @@
   partsOf,
   type AddressParts,
 } from './address.js';
+export {
+  hasDelimitedBody,
+  isFinalStatus,
+  isSuccessStatus,
+  watchWholeness,
+  type WholenessCheck,
+} from './answer.js';
 export {callJson, type Call} from './call.js';
 export {readBytes, tooLargeBody, type BodyReadingOptions} from './body.js';
 export {ByteCollector} from './collector.js';
-export {discardBody, type DiscardEnd} from './discard.js';
+export {discardBody, type DiscardEnd, type UnreadResponse} from './discard.js';
 export {exchangeBytes, type ByteCall, type ByteReply} from './exchange.js';
 export {callGuarded} from './guarded.js';
 export {GuardedKeepAliveAgent, PacedAgent} from './keepalive.js';
--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -66,6 +66,7 @@
     limit: 1_000,
     silence: 5_000,
     signal,
+    isWhole: response.isComplete,
   });
   return [body.toString(), await response.isComplete()];
 }
@@ -121,11 +122,12 @@
   const pool = createPool();
   const signal = new Cancellation();
   for (let round = 0; round < 3; round++) {
-    const {message} = await pool.send(requestTo(address, false), signal);
-    const body = await readWhole(message, {
+    const response = await pool.send(requestTo(address, false), signal);
+    const body = await readWhole(response.message, {
       limit: 1_000,
       silence: 5_000,
       signal,
+      isWhole: response.isComplete,
     });
     t.is(body.toString(), 'ok');
     await new Promise(resolve => setTimeout(resolve, 20));
@@ -160,8 +162,11 @@
   const pool = createPool();
   const signal = new Cancellation();
   for (let round = 0; round < 3; round++) {
-    const {message} = await pool.send(requestTo(address, false), signal);
-    await readWhole(message, {limit: 1_000, silence: 5_000, signal});
+    const {message, isComplete: isWhole} = await pool.send(
+      requestTo(address, false),
+      signal,
+    );
+    await readWhole(message, {limit: 1_000, silence: 5_000, signal, isWhole});
     await new Promise(resolve => setImmediate(resolve));
   }
   t.is(seen.size, 1);
@@ -236,6 +241,7 @@
       limit: 1_000,
       silence: 5_000,
       signal,
+      isWhole: response.isComplete,
     });
     t.is(answer.toString(), 'ok');
     t.true(await response.isComplete());
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -41,6 +41,7 @@
     notRun: false,
     reused: false,
     body: body as unknown as IncomingMessage,
+    isWhole: () => Promise.resolve(true),
   };
 }
 
