Show that uploads that are cut are refused as such

wire/body trusts end and error of a message; with a length or chunks, which each upload has, Node tells a cut itself.

--- a/test/cutanswers.test.ts
+++ b/test/cutanswers.test.ts
@@ -4,8 +4,12 @@
  * against a part that passes as the whole, and against a call that counts as
  * carried out because of an answer that is none.
  */
-import {request, type IncomingMessage} from 'node:http';
-import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {
+  createServer as createHttpServer,
+  request,
+  type IncomingMessage,
+} from 'node:http';
+import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 
 import test, {type ExecutionContext} from 'ava';
 import * as z from 'zod';
@@ -14,14 +18,17 @@
 import {SystemClock} from '../source/clock/index.js';
 import type {Endpoint} from '../source/configuration/index.js';
 import {HttpEndpointAdapter} from '../source/engine/index.js';
+import {Refusal} from '../source/errors/index.js';
 import {readWhole} from '../source/relay/index.js';
 import {
   callGuarded,
   callJson,
   discardBody,
   exchangeBytes,
+  readBytes,
   watchWholeness,
 } from '../source/wire/index.js';
+import {holdsWithin} from './support/edgeprocess.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n';
 const PART = '12';
@@ -199,3 +206,38 @@
     });
   }
 }
+
+const UPLOAD_HEADS = {
+  'a length': 'Content-Length: 9\r\n\r\n12',
+  chunks: 'Transfer-Encoding: chunked\r\n\r\n2\r\n12\r\n',
+};
+
+for (const [framing, text] of Object.entries(UPLOAD_HEADS)) {
+  for (const ending of ['ends', 'is reset'] as const) {
+    test(`an upload with ${framing} whose connection ${ending} in the middle is refused as cut short`, async t => {
+      const outcomes: unknown[] = [];
+      const server = createHttpServer(message => {
+        readBytes(message, UPLOAD_BYTES).then(
+          body => outcomes.push(body),
+          (error: unknown) => outcomes.push(error),
+        );
+      });
+      await new Promise<void>(resolve =>
+        server.listen(0, '127.0.0.1', resolve),
+      );
+      t.teardown(() => server.close());
+      const {port} = server.address() as AddressInfo;
+      for (let round = 1; round <= ROUNDS; round++) {
+        const socket = connect(port, '127.0.0.1');
+        const cut = () =>
+          ending === 'ends' ? socket.end() : socket.resetAndDestroy();
+        socket.write(`POST / HTTP/1.1\r\nHost: x\r\n${text}`, () =>
+          setTimeout(cut, LATE_MILLISECONDS),
+        );
+        socket.resume();
+        t.true(await holdsWithin(2_000, () => outcomes.length === round));
+        t.true(outcomes[round - 1] instanceof Refusal);
+      }
+    });
+  }
+}
