Look at endpoints that close idle connections, as one may have restarted

An engine crashed while it ran nothing and was back 2 s later under its id with newer software: 4 to 7 of 64 streams held events of two versions, where two are allowed.

Cause: a crash was noticed by the requests that it cut, and an endpoint's start was asked for only while it was unreachable. That all its pooled connections were closed was not looked at.

Change: an endpoint that closes an idle connection, or that cut requests and accepts connections, is asked for its start, once a second at most. If it refuses or names another start, its incarnation has ended for all hosts until its new entry has come. Reports of starts are read in one place (edge/startreports).

--- a/source/balance/selector.ts
+++ b/source/balance/selector.ts
@@ -267,6 +267,17 @@
     });
   }
 
+  /** The endpoints at an address that can be reached and do not leave, as far as is known. */
+  reachableAt(address: string): KnownEndpoint[] {
+    const {unreachableIds} = this.loads;
+    return [...this.endpoints.directory.values()].filter(
+      ({entry}) =>
+        entry.address === address &&
+        !entry.leaving &&
+        !unreachableIds.has(entry.id),
+    );
+  }
+
   /** Records that an endpoint has answered a health check. */
   markReachable(id: string): void {
     this.slotReserver.recordEvent(id, {kind: 'reached'});
--- a/source/edge/blocking.ts
+++ b/source/edge/blocking.ts
@@ -3,6 +3,7 @@
  * quarantine, which decides, and the records by which it outlives the hosts.
  */
 import type {EndpointSelector} from '../balance/index.js';
+import type {KnownEndpoint} from '../directory/index.js';
 import {BlockedRecords, Quarantine, type Suspect} from '../quarantine/index.js';
 import type {HostContext} from './context.js';
 
@@ -17,12 +18,14 @@
   readonly selector: EndpointSelector;
   /** Ends the requests of this host that a block concerns. */
   readonly endRequestsWith: (suspect: Suspect) => void;
+  /** Called with an endpoint that has cut requests and accepts connections. */
+  readonly onCutAlive: (endpoint: KnownEndpoint) => void;
 }
 
 /** Creates the quarantine and its records, which are not started. */
 export function createBlocking(
   context: HostContext,
-  {selector, endRequestsWith}: BlockingParts,
+  {selector, endRequestsWith, onCutAlive}: BlockingParts,
 ): Blocking {
   const {settings, platform, clock, logger, metrics, random} = context;
   const from = context.address;
@@ -41,6 +44,7 @@
     onChange: suspect => blockedRecords.noteChange(suspect),
     onBlocked: endRequestsWith,
     onEndpointCrashed: incarnation => selector.markCrashed(incarnation),
+    onCutAlive,
   });
   const blockedRecords = new BlockedRecords({
     store: platform.store,
--- a/source/edge/gossiping.ts
+++ b/source/edge/gossiping.ts
@@ -5,9 +5,9 @@
 import type {EndpointSelector} from '../balance/index.js';
 import type {DescriptorBudget} from '../descriptors/index.js';
 import {
+  Feeder,
   GossipNode,
   incarnationOf,
-  type Feeder,
   type HostAddress,
 } from '../gossip/index.js';
 import {HostRegistry} from '../hostregistry/index.js';
@@ -75,6 +75,28 @@
   return gossip;
 }
 
+/** Creates the feeder, which is not started. */
+export function createFeeder(
+  {address: self, clock}: HostContext,
+  gossip: GossipNode,
+  platformView: PlatformView,
+): Feeder {
+  return new Feeder({
+    self,
+    clock,
+    hosts: () =>
+      gossip.reachableMembers
+        .filter(({pulse}) => !pulse?.leaving)
+        .map(({host}) => host),
+    send: (name, message) => gossip.send(name, message),
+    positions: () => platformView.positions,
+    records: (topic, position) => platformView.recordsFrom(topic, position),
+    answeredAt: () => platformView.storeAnsweredAt,
+    storeLostAt: () => platformView.storeLostAt,
+    onStoreLost: at => platformView.recordStoreLoss(at),
+  });
+}
+
 /** Creates the registry, which is not started. */
 export function createRegistry(
   {address: self, platform, clock, logger, metrics, random}: HostContext,
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -10,7 +10,7 @@
 import {CorrectedClock} from '../clock/index.js';
 import {HostDescriptors} from '../descriptors/index.js';
 import {ConnectionPool, Forwarder} from '../forward/index.js';
-import {Feeder, type GossipNode} from '../gossip/index.js';
+import type {Feeder, GossipNode} from '../gossip/index.js';
 import type {HostRegistry} from '../hostregistry/index.js';
 import {MemoryAccount, memoryBudgetOf} from '../memory/index.js';
 import type {Load} from '../process/index.js';
@@ -22,7 +22,8 @@
 import type {EdgeHostParts, HostContext} from './context.js';
 import {endRequests} from './drain.js';
 import {handleLimitChange, logWithholding} from './endpointnotices.js';
-import {createGossip, createRegistry} from './gossiping.js';
+import {createFeeder, createGossip, createRegistry} from './gossiping.js';
+import {IncarnationWatch} from './incarnationwatch.js';
 import {createLeadership, type Leadership} from './leadership.js';
 import {PlatformView} from './platformview.js';
 import {EdgePorts} from './ports.js';
@@ -34,6 +35,7 @@
 import {createRollouts, handleRolloutOrder} from './rollingout.js';
 import {createOperatorServer, createReadinessServer} from './servers.js';
 import type {EdgeSettings} from './settings.js';
+import {StartReports} from './startreports.js';
 import {ZoneRecorder} from './zonerecorder.js';
 
 /** Requests that may wait in the admission queue of this host. */
@@ -53,6 +55,7 @@
   private readonly rollouts: Rollouts;
   private readonly forwarder: Forwarder;
   private readonly prober: Prober;
+  private readonly incarnations: IncarnationWatch;
   private readonly leadership: Leadership | undefined;
   private readonly pulses: PulseExchange;
   private readonly gossip: GossipNode | undefined;
@@ -108,9 +111,15 @@
     const limit = settings.maxDescriptors;
     this.descriptors = new HostDescriptors({limit, clock, logger, metrics});
     const {descriptors} = this;
-    const connections = new ConnectionPool(clock, descriptors.endpoints);
+    const connections = new ConnectionPool(
+      clock,
+      descriptors.endpoints,
+      address => this.incarnations.noteIdleClosed(address),
+    );
     const {selector} = this;
+    const reports = new StartReports({protocol, logger});
     this.prober = new Prober({
+      reports,
       selector,
       connections,
       protocol,
@@ -120,8 +129,16 @@
     const {quarantine, blockedRecords} = createBlocking(context, {
       selector,
       endRequestsWith: suspect => this.forwarder.endRequestsWith(suspect),
+      // It may be another incarnation that was back at once.
+      onCutAlive: endpoint => void this.incarnations.look(endpoint),
     });
     this.quarantine = quarantine;
+    this.incarnations = new IncarnationWatch({
+      clock,
+      reports,
+      quarantine,
+      endpointsAt: address => selector.reachableAt(address),
+    });
     this.blockedRecords = blockedRecords;
     this.versions = this.createStreamVersions();
     const memory = new MemoryAccount({
@@ -187,7 +204,8 @@
       feeder: () => this.feeder,
       registry: () => this.registry,
     });
-    this.feeder = this.gossip && this.createFeeder(this.gossip);
+    this.feeder =
+      this.gossip && createFeeder(context, this.gossip, platformView);
     this.registry = this.gossip && createRegistry(context, this.gossip);
     this.callers = new CallerServer(
       {address: settings.callers, clock, logger, metrics, descriptors},
@@ -326,24 +344,6 @@
     });
   }
 
-  private createFeeder(gossip: GossipNode): Feeder {
-    const {platformView} = this;
-    return new Feeder({
-      self: this.context.address,
-      clock: this.context.clock,
-      hosts: () =>
-        gossip.reachableMembers
-          .filter(({pulse}) => !pulse?.leaving)
-          .map(({host}) => host),
-      send: (name, message) => gossip.send(name, message),
-      positions: () => platformView.positions,
-      records: (topic, position) => platformView.recordsFrom(topic, position),
-      answeredAt: () => platformView.storeAnsweredAt,
-      storeLostAt: () => platformView.storeLostAt,
-      onStoreLost: at => platformView.recordStoreLoss(at),
-    });
-  }
-
   /** Closes the connection of a request that could not even be refused. */
   private abandon(response: ServerResponse, error: unknown): void {
     const detail = error instanceof Error ? (error.stack ?? '') : 'unknown';
--- a/source/edge/prober.ts
+++ b/source/edge/prober.ts
@@ -9,7 +9,8 @@
 import {WireError} from '../errors/index.js';
 import type {ConnectionPool, Protocol, ResponseHead} from '../forward/index.js';
 import type {Logger} from '../logging/index.js';
-import {discardBody, exchangeBytes, PacedAgent} from '../wire/index.js';
+import {discardBody} from '../wire/index.js';
+import type {StartReports} from './startreports.js';
 
 const PROBE_INTERVAL_MILLISECONDS = 500;
 const PROBE_TIMEOUT_MILLISECONDS = 400;
@@ -22,6 +23,7 @@
   readonly protocol: Protocol;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly reports: Pick<StartReports, 'stateOf'>;
 }
 
 /**
@@ -30,7 +32,6 @@
  */
 export class Prober {
   private readonly inProgress = new Set<string>();
-  private readonly reportAgent = new PacedAgent({keepAlive: false}, 'probes');
   private stopTimer: Cancel = () => {};
 
   constructor(private readonly options: ProberOptions) {}
@@ -54,7 +55,8 @@
     this.inProgress.add(id);
     try {
       if (!(await this.isHealthy(endpoint))) return;
-      if (await this.isAnotherIncarnation(endpoint)) return;
+      // Its entry says nothing of another incarnation, its version least of all.
+      if (await this.isReplaced(endpoint)) return;
       this.options.selector.markReachable(id);
       this.options.logger.info('endpoint-reached', {id});
     } finally {
@@ -103,6 +105,11 @@
     }
   }
 
+  private async isReplaced({entry}: KnownEndpoint): Promise<boolean> {
+    if (entry.born === undefined) return false;
+    return (await this.options.reports.stateOf(entry)) === 'replaced';
+  }
+
   /** Records what an endpoint states of its load. */
   private recordLoad(id: string, {load, invalidLoad}: ResponseHead): void {
     const {selector, clock} = this.options;
@@ -110,33 +117,4 @@
     if (invalidLoad !== undefined)
       selector.rates.recordMalformed(id, invalidLoad);
   }
-
-  /**
-   * Whether an endpoint has started again under its id, so that its entry says
-   * nothing of it, its software version least of all. Its new entry comes within a
-   * heartbeat.
-   */
-  private async isAnotherIncarnation({entry}: KnownEndpoint): Promise<boolean> {
-    const {protocol, logger} = this.options;
-    const {id, address, born} = entry;
-    if (born === undefined) return false;
-    try {
-      const {status, body} = await exchangeBytes({
-        address,
-        method: 'GET',
-        path: protocol.reportPath,
-        bound: PROBE_TIMEOUT_MILLISECONDS,
-        agent: this.reportAgent,
-        headers: {},
-      });
-      if (status !== HEALTHY_STATUS) return false;
-      const reported = protocol.parseReportedStart(body) ?? born;
-      if (reported !== born) logger.info('endpoint-restarted', {id, reported});
-      return reported !== born;
-    } catch (error) {
-      // Endpoints need not report: the health check decides then.
-      if (error instanceof WireError) return false;
-      throw error;
-    }
-  }
 }
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -68,10 +68,14 @@
     'probes',
   );
 
-  /** Without `room`, the number of connections has no bound. */
+  /**
+   * Without `room`, the number of connections has no bound. Calls `onIdleClosed`
+   * with the address of an endpoint that has closed an idle connection.
+   */
   constructor(
     private readonly clock: Clock,
     private readonly room?: EndpointRoom,
+    private readonly onIdleClosed: (address: string) => void = () => {},
   ) {}
 
   /**
@@ -210,7 +214,7 @@
   private agent(address: string): GuardedKeepAliveAgent {
     const present = this.agents.get(address);
     if (present) return present;
-    const agent = new GuardedKeepAliveAgent();
+    const agent = new GuardedKeepAliveAgent(() => this.onIdleClosed(address));
     this.agents.set(address, agent);
     return agent;
   }
--- a/source/quarantine/detector.ts
+++ b/source/quarantine/detector.ts
@@ -52,6 +52,8 @@
    * to have been cut by it.
    */
   readonly onCrash: (crash: EndpointCrash) => void;
+  /** Called with an endpoint that has cut requests and accepts connections. */
+  readonly onAlive?: (endpoint: KnownEndpoint) => void;
 }
 
 /** A check whether an endpoint has crashed. */
@@ -107,16 +109,28 @@
     return this.recordCut(spoiled);
   }
 
+  /** Records that an endpoint was found to have ended, though it cut nothing. */
+  recordEnd({entry}: KnownEndpoint): void {
+    const {clock, onCrash} = this.options;
+    const endpoint = endpointIncarnation(entry);
+    const at = clock.monotonic();
+    if (this.crashes.has(endpoint)) return;
+    this.remember(endpoint, at);
+    onCrash({endpoint, at, requests: []});
+  }
+
   private async check(
     endpoint: string,
     requests: readonly CutRequest[],
     at: number,
   ): Promise<void> {
-    const {accepts, onCrash} = this.options;
-    const address = requests[0]?.endpoint.entry.address ?? '';
+    const {accepts, onCrash, onAlive} = this.options;
+    const [first] = requests;
+    if (!first) return;
+    const {address} = first.endpoint.entry;
     const isUp = await accepts(address, ACCEPT_TIMEOUT_MILLISECONDS);
     this.checks.delete(endpoint);
-    if (isUp) return;
+    if (isUp) return onAlive?.(first.endpoint);
     this.remember(endpoint, at);
     onCrash({endpoint, at, requests});
   }
--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -7,6 +7,7 @@
  */
 import {rendezvousRank} from '../balance/index.js';
 import type {Clock} from '../clock/index.js';
+import type {KnownEndpoint} from '../directory/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {RandomSource} from '../random/index.js';
@@ -93,6 +94,8 @@
   readonly onChange: (suspect: Suspect) => void;
   /** Called with a suspect from which on no request with it may be sent. */
   readonly onBlocked: (suspect: Suspect) => void;
+  /** Called with an endpoint that has cut requests and accepts connections. */
+  readonly onCutAlive?: (endpoint: KnownEndpoint) => void;
   /** Called with the incarnation of an endpoint that has just crashed. */
   readonly onEndpointCrashed: (incarnation: string) => void;
 }
@@ -119,6 +122,7 @@
       accepts: (address, timeout) =>
         acceptsConnections(address, timeout, clock),
       onCrash: crash => this.handleCrash(crash),
+      onAlive: endpoint => options.onCutAlive?.(endpoint),
     });
     const hostCount = () => hosts().length;
     this.begun = new BegunReports({clock, random, hostCount, send});
@@ -166,14 +170,16 @@
     return this.detector.recordCut(cut);
   }
 
-  /**
-   * Records a request whose answer an endpoint has spoiled, as it may do when it
-   * crashes. Resolves when it is known whether it has.
-   */
+  /** Like `recordCut`, for one whose answer an endpoint has spoiled. */
   recordSpoiled(spoiled: CutRequest): Promise<void> {
     return this.detector.recordSpoiled(spoiled);
   }
 
+  /** Records that an endpoint has ended while it ran nothing of this host. */
+  recordEnd(endpoint: KnownEndpoint): void {
+    this.detector.recordEnd(endpoint);
+  }
+
   /** Records that an endpoint has begun the answer to a request. */
   recordBegun(traits: RequestTraits): void {
     const now = this.options.clock.monotonic();
@@ -204,10 +210,7 @@
     }
   }
 
-  /**
-   * What a host that has just turned up must be told of earlier crashes; nothing
-   * unless it is this host that tells it.
-   */
+  /** What this host must tell one that has just turned up of earlier crashes. */
   reportsForNewHost(name: string): CrashReport[] {
     const {clock, host, hosts} = this.options;
     const others = hosts().filter(other => other !== name);
@@ -243,10 +246,7 @@
     }
   }
 
-  /**
-   * Lifts the block of a suspect on all hosts, as when the software of the
-   * endpoints has been mended. Returns whether it was blocked.
-   */
+  /** Lifts the block of a suspect on all hosts; returns whether it was blocked. */
   lift(suspect: Suspect): boolean {
     return this.liftKey(keyOf(suspect), 'operator');
   }
--- a/source/wire/keepalive.ts
+++ b/source/wire/keepalive.ts
@@ -33,11 +33,18 @@
   }
 }
 
+/** What is listened for on an idle connection. */
+interface IdleListeners {
+  readonly onData: () => void;
+  readonly onPeerClose: () => void;
+}
+
 /** Keeps idle connections, and closes one that receives data while idle. */
 export class GuardedKeepAliveAgent extends PacedAgent {
-  private readonly idleDataListeners = new WeakMap<Duplex, () => void>();
+  private readonly idleListeners = new WeakMap<Duplex, IdleListeners>();
 
-  constructor() {
+  /** Calls `onIdleClosed` when a peer has closed or reset an idle connection. */
+  constructor(private readonly onIdleClosed: () => void = () => {}) {
     super(
       {
         keepAlive: true,
@@ -70,15 +77,28 @@
     // The declared type of the base method lacks its return value.
     const kept = super.keepSocketAlive(socket) as unknown as boolean;
     if (!kept || hasUnreadBytes(socket)) return false;
-    const onIdleData = () => socket.destroy();
-    this.idleDataListeners.set(socket, onIdleData);
-    socket.on('data', onIdleData);
+    let isClosed = false;
+    const listeners = {
+      onData: () => socket.destroy(),
+      onPeerClose: () => {
+        if (!isClosed) this.onIdleClosed();
+        isClosed = true;
+      },
+    };
+    this.idleListeners.set(socket, listeners);
+    socket.on('data', listeners.onData);
+    socket.on('end', listeners.onPeerClose);
+    socket.on('error', listeners.onPeerClose);
     return kept;
   }
 
   override reuseSocket(socket: Duplex, message: never): void {
-    const onIdleData = this.idleDataListeners.get(socket);
-    if (onIdleData) socket.removeListener('data', onIdleData);
+    const listeners = this.idleListeners.get(socket);
+    if (listeners) {
+      socket.removeListener('data', listeners.onData);
+      socket.removeListener('end', listeners.onPeerClose);
+      socket.removeListener('error', listeners.onPeerClose);
+    }
     super.reuseSocket(socket, message);
   }
 }
--- a/test/endlesshealthcheck.test.ts
+++ b/test/endlesshealthcheck.test.ts
@@ -11,6 +11,7 @@
 import {EndpointSelector} from '../source/balance/index.js';
 import {SystemClock} from '../source/clock/index.js';
 import {Prober} from '../source/edge/prober.js';
+import {StartReports} from '../source/edge/startreports.js';
 import {ConnectionPool} from '../source/forward/index.js';
 import {
   CHUNK,
@@ -20,6 +21,7 @@
   type SentBytes,
 } from './support/endless.js';
 import {createEndpoint} from './support/forwarding.js';
+import {SILENT} from './support/silent.js';
 
 /** Probes one endpoint that its host could not reach. */
 async function startProber(
@@ -47,10 +49,14 @@
   unreachable?.release();
   const prober = new Prober({
     selector,
+    reports: new StartReports({
+      protocol: new PlatformProtocol(),
+      logger: SILENT,
+    }),
     connections: new ConnectionPool(clock),
     protocol: new PlatformProtocol(),
     clock,
-    logger: {debug() {}, info() {}, warn() {}, error() {}},
+    logger: SILENT,
   });
   prober.start();
   t.teardown(() => prober.stop());
--- a/test/probedload.test.ts
+++ b/test/probedload.test.ts
@@ -8,9 +8,11 @@
 import {EndpointSelector} from '../source/balance/index.js';
 import {SystemClock} from '../source/clock/index.js';
 import {Prober} from '../source/edge/prober.js';
+import {StartReports} from '../source/edge/startreports.js';
 import {ConnectionPool} from '../source/forward/index.js';
 import type {RatesChange} from '../source/servicerates/index.js';
 import {createEndpoint} from './support/forwarding.js';
+import {SILENT} from './support/silent.js';
 
 const SERVICE = 'drafting';
 const LOADS = ['1,0,8,250', '1,0,8,0', '1,0,8,-1'];
@@ -53,10 +55,14 @@
   unreachable?.release();
   const prober = new Prober({
     selector,
+    reports: new StartReports({
+      protocol: new PlatformProtocol(),
+      logger: SILENT,
+    }),
     connections: new ConnectionPool(clock),
     protocol: new PlatformProtocol(),
     clock,
-    logger: {debug() {}, info() {}, warn() {}, error() {}},
+    logger: SILENT,
   });
   prober.start();
   t.teardown(() => prober.stop());
--- a/test/restartedendpoint.test.ts
+++ b/test/restartedendpoint.test.ts
@@ -5,13 +5,14 @@
  */
 import {createServer, type Server} from 'node:http';
 
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 
 import {partsOf} from '../source/wire/index.js';
 import {freeAddress} from '../tools/ports.js';
 import {ask} from './support/ask.js';
 import {
   EdgeFleet,
+  holdsWithin,
   sealed,
   until,
   type HostProcess,
@@ -26,6 +27,10 @@
  * endpoint that has cut all streams of its last incarnation.
  */
 const UNKNOWN_MILLISECONDS = 3_500;
+const IDLE_DOWN_MILLISECONDS = 1_500;
+const IDLE_MILLISECONDS = 300;
+/** Time in which a host has asked an endpoint and told the others. */
+const NOTICED_MILLISECONDS = 200;
 /** As many at once as one endpoint has slots. */
 const STREAM_INTERVAL_MILLISECONDS = 35;
 
@@ -90,7 +95,10 @@
 const wait = (duration: number) =>
   new Promise<void>(resolve => setTimeout(resolve, duration));
 
-test('no stream joins the text of two versions after an endpoint has started again under its id', async t => {
+async function playRestarts(
+  t: ExecutionContext,
+  downtime: number,
+): Promise<void> {
   const fleet = await EdgeFleet.start(t);
   fleet.configure([KEY]);
   const address = await freeAddress();
@@ -117,12 +125,12 @@
   t.teardown(() => clearInterval(timer));
   await until(() => first.streams > 3 && other.streams > 3);
   first.stop();
-  await wait(DOWN_MILLISECONDS);
+  await wait(downtime);
   await second.listen(address);
   await wait(UNKNOWN_MILLISECONDS);
   t.is(second.streams, 0, 'streams began at a version that is not known');
   second.stop();
-  await wait(DOWN_MILLISECONDS);
+  await wait(downtime);
   await third.listen(address);
   fleet.born = 3_000;
   fleet.enter('engine-0', address, 'ready', 'v2');
@@ -130,4 +138,63 @@
   clearInterval(timer);
   for (const text of await Promise.all(texts))
     t.false(text.includes('v1') && text.includes('v2'), text);
-});
+}
+
+test('no stream joins the text of two versions after an endpoint has started again under its id', t =>
+  playRestarts(t, DOWN_MILLISECONDS));
+
+// It is back before the host that it has cut can see that it was gone.
+test('no stream joins the text of two versions after an endpoint has started again at once', t =>
+  playRestarts(t, 0));
+
+for (const downtime of [DOWN_MILLISECONDS, IDLE_DOWN_MILLISECONDS]) {
+  // Guards against streams that begin at another incarnation because the last one
+  // ended while it ran nothing, so that no request was cut by it.
+  test(`no stream begins at an endpoint that ran nothing when it ended, and is back under its id after ${downtime} ms`, async t => {
+    const fleet = await EdgeFleet.start(t);
+    fleet.configure([KEY]);
+    const address = await freeAddress();
+    const otherAddress = await freeAddress();
+    const first = new Incarnation('engine-0', 'v1', 1_000);
+    const other = new Incarnation('engine-1', 'v1', 1_000);
+    const second = new Incarnation('engine-0', 'v2', 2_000);
+    const incarnations = [first, other, second];
+    t.teardown(() => {
+      for (const incarnation of incarnations) incarnation.stop();
+    });
+    await first.listen(address);
+    await other.listen(otherAddress);
+    fleet.enter('engine-0', address, 'ready');
+    fleet.enter('engine-1', otherAddress, 'ready');
+    const hosts = [await fleet.host('host-1'), await fleet.host('host-2')];
+    await Promise.all(hosts.map(host => fleet.ready(host)));
+    const [host] = hosts;
+    if (!host) throw new Error('no host');
+
+    let sent = 0;
+    const streamTo = (to: HostProcess) => stream(to, sent++);
+    while (first.streams === 0) await streamTo(host);
+    await wait(IDLE_MILLISECONDS);
+    first.stop();
+    await wait(downtime);
+    await second.listen(address);
+    await wait(NOTICED_MILLISECONDS);
+    // The other host had no connection there: it was told.
+    const texts = await Promise.all(
+      Array.from({length: 24}, (_, index) => {
+        const to = hosts[index % hosts.length] ?? host;
+        return wait(index * STREAM_INTERVAL_MILLISECONDS).then(() =>
+          streamTo(to),
+        );
+      }),
+    );
+    t.is(second.streams, 0, 'streams began at a version that is not known');
+    t.true(texts.every(text => text.includes('v1')));
+    fleet.born = 2_000;
+    fleet.enter('engine-0', address, 'ready', 'v2');
+    const ask = () => void streamTo(host);
+    const timer = setInterval(ask, STREAM_INTERVAL_MILLISECONDS);
+    t.teardown(() => clearInterval(timer));
+    t.true(await holdsWithin(UNKNOWN_MILLISECONDS, () => second.streams > 0));
+  });
+}
