Look again at endpoints that accept a connection after they cut requests

Cause: a cut is a crash if no connection is accepted then. An endpoint that crashes may close its port a moment after its connections, and the connection that is made in between is accepted. So the evidence of the request was lost, and it was blocked two crashes later.

Change: an endpoint that accepted is asked for its start 100 ms later, while retries go on; if it has ended, the cut requests are evidence of a crash.

--- a/source/edge/blocking.ts
+++ b/source/edge/blocking.ts
@@ -3,9 +3,9 @@
  * quarantine, which decides, and the records by which it outlives the hosts.
  */
 import type {EndpointSelector} from '../balance/index.js';
-import type {KnownEndpoint} from '../directory/index.js';
 import {BlockedRecords, Quarantine, type Suspect} from '../quarantine/index.js';
 import type {HostContext} from './context.js';
+import {hasEnded, type StartReports} from './startreports.js';
 
 /** The quarantine and the records of what it has blocked. */
 export interface Blocking {
@@ -18,14 +18,13 @@
   readonly selector: EndpointSelector;
   /** Ends the requests of this host that a block concerns. */
   readonly endRequestsWith: (suspect: Suspect) => void;
-  /** Called with an endpoint that has cut requests and accepts connections. */
-  readonly onCutAlive: (endpoint: KnownEndpoint) => void;
+  readonly reports: Pick<StartReports, 'stateOf'>;
 }
 
 /** Creates the quarantine and its records, which are not started. */
 export function createBlocking(
   context: HostContext,
-  {selector, endRequestsWith, onCutAlive}: BlockingParts,
+  {selector, endRequestsWith, reports}: BlockingParts,
 ): Blocking {
   const {settings, platform, clock, logger, metrics, random} = context;
   const from = context.address;
@@ -44,7 +43,7 @@
     onChange: suspect => blockedRecords.noteChange(suspect),
     onBlocked: endRequestsWith,
     onEndpointCrashed: incarnation => selector.markCrashed(incarnation),
-    onCutAlive,
+    hasEnded: async ({entry}) => hasEnded(await reports.stateOf(entry)),
   });
   const blockedRecords = new BlockedRecords({
     store: platform.store,
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -129,8 +129,7 @@
     const {quarantine, blockedRecords} = createBlocking(context, {
       selector,
       endRequestsWith: suspect => this.forwarder.endRequestsWith(suspect),
-      // It may be another incarnation that was back at once.
-      onCutAlive: endpoint => void this.incarnations.look(endpoint),
+      reports,
     });
     this.quarantine = quarantine;
     this.incarnations = new IncarnationWatch({
--- a/source/edge/incarnationwatch.ts
+++ b/source/edge/incarnationwatch.ts
@@ -1,16 +1,18 @@
 /**
- * Looks at endpoints that close idle connections, or cut requests and live: one
- * that crashes while it runs nothing cuts no request, and one may be back under its
- * id before anybody has tried to reach it. An endpoint may also close a connection
- * because it was idle for long, so it is asked.
+ * Looks at endpoints that close idle connections: one that crashes while it runs
+ * nothing cuts no request, and may be back under its id before anybody has tried
+ * to reach it. An endpoint may also close a connection because it was idle for
+ * long, so it is asked.
  */
 import type {Clock} from '../clock/index.js';
 import {endpointIncarnation, type KnownEndpoint} from '../directory/index.js';
 import type {Quarantine} from '../quarantine/index.js';
-import type {StartReports} from './startreports.js';
+import {hasEnded, type StartReports} from './startreports.js';
 
 /** Least milliseconds between two looks at one incarnation. */
 const LOOK_INTERVAL_MILLISECONDS = 1_000;
+/** Milliseconds after a look that told nothing until the second one. */
+const SECOND_LOOK_DELAY_MILLISECONDS = 100;
 /** Incarnations whose last look is remembered. */
 const MAX_REMEMBERED_LOOKS = 1_000;
 
@@ -36,17 +38,22 @@
       void this.look(endpoint);
   }
 
-  /** Asks an endpoint, unless it was asked just before. */
-  async look(endpoint: KnownEndpoint): Promise<void> {
+  private async look(endpoint: KnownEndpoint): Promise<void> {
     const {clock, reports, quarantine} = this.options;
     const incarnation = endpointIncarnation(endpoint.entry);
     const now = clock.monotonic();
     const last = this.looks.get(incarnation) ?? -Infinity;
     if (now - last < LOOK_INTERVAL_MILLISECONDS) return;
     this.remember(incarnation, now);
-    const state = await reports.stateOf(endpoint.entry);
-    if (state === 'refuses' || state === 'replaced')
-      quarantine.recordEnd(endpoint);
+    let state = await reports.stateOf(endpoint.entry);
+    if (state === 'unknown') {
+      // Its port may be closed a little later than its connections.
+      await new Promise<void>(resolve => {
+        clock.after(SECOND_LOOK_DELAY_MILLISECONDS, resolve);
+      });
+      state = await reports.stateOf(endpoint.entry);
+    }
+    if (hasEnded(state)) quarantine.recordEnd(endpoint);
   }
 
   private remember(incarnation: string, now: number): void {
--- a/source/edge/startreports.ts
+++ b/source/edge/startreports.ts
@@ -17,6 +17,11 @@
  */
 export type IncarnationState = 'runs' | 'replaced' | 'refuses' | 'unknown';
 
+/** Whether an incarnation has ended, as far as is known. */
+export function hasEnded(state: IncarnationState): boolean {
+  return state === 'refuses' || state === 'replaced';
+}
+
 /** Dependencies of the reports. */
 export interface StartReportsOptions {
   readonly protocol: Protocol;
--- a/source/quarantine/detector.ts
+++ b/source/quarantine/detector.ts
@@ -15,6 +15,11 @@
  * that crashes does so as it writes.
  */
 const SPOILED_CHECK_DELAY_MILLISECONDS = 100;
+/**
+ * Milliseconds after which one that accepted a connection is looked at again: its
+ * connections may be closed before its port is, and it may be back at once.
+ */
+const SECOND_CHECK_DELAY_MILLISECONDS = 100;
 /** Milliseconds after a crash within which its requests are noticed. */
 const LATE_NOTICE_MILLISECONDS = 2_000;
 /** Crashes that are remembered for that. */
@@ -52,8 +57,11 @@
    * to have been cut by it.
    */
   readonly onCrash: (crash: EndpointCrash) => void;
-  /** Called with an endpoint that has cut requests and accepts connections. */
-  readonly onAlive?: (endpoint: KnownEndpoint) => void;
+  /**
+   * Resolves with whether an endpoint that has just accepted a connection has
+   * ended after all, or is another incarnation.
+   */
+  readonly hasEnded?: (endpoint: KnownEndpoint) => Promise<boolean>;
 }
 
 /** A check whether an endpoint has crashed. */
@@ -124,13 +132,34 @@
     requests: readonly CutRequest[],
     at: number,
   ): Promise<void> {
-    const {accepts, onCrash, onAlive} = this.options;
+    const {accepts, onCrash} = this.options;
     const [first] = requests;
     if (!first) return;
     const {address} = first.endpoint.entry;
     const isUp = await accepts(address, ACCEPT_TIMEOUT_MILLISECONDS);
     this.checks.delete(endpoint);
-    if (isUp) return onAlive?.(first.endpoint);
+    if (isUp) {
+      // Nobody waits for this: retries go on meanwhile.
+      void this.checkAgain(first.endpoint, requests, at);
+      return;
+    }
+    this.remember(endpoint, at);
+    onCrash({endpoint, at, requests});
+  }
+
+  /** Reports the crash of an endpoint that had ended though it accepted. */
+  private async checkAgain(
+    known: KnownEndpoint,
+    requests: readonly CutRequest[],
+    at: number,
+  ): Promise<void> {
+    const {clock, hasEnded, onCrash} = this.options;
+    if (!hasEnded) return;
+    await new Promise<void>(resolve => {
+      clock.after(SECOND_CHECK_DELAY_MILLISECONDS, resolve);
+    });
+    if (!(await hasEnded(known))) return;
+    const endpoint = endpointIncarnation(known.entry);
     this.remember(endpoint, at);
     onCrash({endpoint, at, requests});
   }
--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -94,8 +94,8 @@
   readonly onChange: (suspect: Suspect) => void;
   /** Called with a suspect from which on no request with it may be sent. */
   readonly onBlocked: (suspect: Suspect) => void;
-  /** Called with an endpoint that has cut requests and accepts connections. */
-  readonly onCutAlive?: (endpoint: KnownEndpoint) => void;
+  /** Whether an endpoint that has cut requests and accepts connections has ended. */
+  readonly hasEnded?: (endpoint: KnownEndpoint) => Promise<boolean>;
   /** Called with the incarnation of an endpoint that has just crashed. */
   readonly onEndpointCrashed: (incarnation: string) => void;
 }
@@ -122,7 +122,7 @@
       accepts: (address, timeout) =>
         acceptsConnections(address, timeout, clock),
       onCrash: crash => this.handleCrash(crash),
-      onAlive: endpoint => options.onCutAlive?.(endpoint),
+      ...(options.hasEnded && {hasEnded: options.hasEnded}),
     });
     const hostCount = () => hosts().length;
     this.begun = new BegunReports({clock, random, hostCount, send});
--- a/test/incarnationwatch.test.ts
+++ b/test/incarnationwatch.test.ts
@@ -8,23 +8,23 @@
 import type {KnownEndpoint} from '../source/directory/index.js';
 import {IncarnationWatch} from '../source/edge/incarnationwatch.js';
 import type {IncarnationState} from '../source/edge/startreports.js';
-import {CrashDetector} from '../source/quarantine/index.js';
+import {CrashDetector, type EndpointCrash} from '../source/quarantine/index.js';
 
 const ENDPOINT = {
   entry: {id: 'engine-1', address: '10.0.0.1:1', born: 1_000},
 } as KnownEndpoint;
 
-function watchOf(state: IncarnationState) {
+function watchOf(states: readonly IncarnationState[]) {
   const clock = new ManualClock();
   const ended: KnownEndpoint[] = [];
   let asked = 0;
   const watch = new IncarnationWatch({
     clock,
     reports: {
-      stateOf: () => {
-        asked++;
-        return Promise.resolve(state);
-      },
+      stateOf: () =>
+        Promise.resolve(
+          states[Math.min(asked++, states.length - 1)] ?? 'unknown',
+        ),
     },
     endpointsAt: address =>
       address === ENDPOINT.entry.address ? [ENDPOINT] : [],
@@ -35,23 +35,27 @@
 
 const settled = () => new Promise(resolve => setImmediate(resolve));
 
-for (const [state, ends] of [
-  ['runs', 0],
-  ['unknown', 0],
-  ['refuses', 1],
-  ['replaced', 1],
+for (const [states, ends] of [
+  [['runs'], 0],
+  [['refuses'], 1],
+  [['replaced'], 1],
+  [['unknown', 'unknown'], 0],
+  [['unknown', 'refuses'], 1],
 ] as const) {
-  test(`an endpoint that closes idle connections and is then ${state} has ended ${ends} times`, async t => {
-    const {watch, ended} = watchOf(state);
+  test(`an endpoint that closes idle connections and is ${states.join(', then ')} has ended ${ends} times`, async t => {
+    const {clock, watch, ended, asked} = watchOf(states);
     watch.noteIdleClosed('10.0.0.1:1');
     watch.noteIdleClosed('10.0.0.9:1');
     await settled();
+    clock.advance(100);
+    await settled();
     t.is(ended.length, ends);
+    t.is(asked(), states.length);
   });
 }
 
 test('an endpoint that closes many idle connections at once is asked once, and later again', async t => {
-  const {clock, watch, asked} = watchOf('runs');
+  const {clock, watch, asked} = watchOf(['runs']);
   for (let connection = 0; connection < 20; connection++)
     watch.noteIdleClosed('10.0.0.1:1');
   await settled();
@@ -62,19 +66,28 @@
   t.is(asked(), 2);
 });
 
-test('an endpoint that cut a request and accepts connections is looked at', async t => {
-  const alive: KnownEndpoint[] = [];
-  const detector = new CrashDetector({
-    clock: new ManualClock(),
-    accepts: () => Promise.resolve(true),
-    onCrash: () => t.fail('it has not crashed'),
-    onAlive: endpoint => alive.push(endpoint),
+for (const hasEnded of [false, true]) {
+  test(`an endpoint that cut a request, accepts a connection and then has ${hasEnded ? '' : 'not '}ended is looked at again`, async t => {
+    const clock = new ManualClock();
+    const crashes: EndpointCrash[] = [];
+    const detector = new CrashDetector({
+      clock,
+      accepts: () => Promise.resolve(true),
+      onCrash: crash => crashes.push(crash),
+      hasEnded: () => Promise.resolve(hasEnded),
+    });
+    const traits = {keys: []} as never;
+    const request = {request: 'r', traits, sentAt: 0, events: 0};
+    await detector.recordCut({endpoint: ENDPOINT, ...request});
+    t.is(crashes.length, 0);
+    clock.advance(100);
+    await settled();
+    t.deepEqual(
+      crashes.map(({requests}) => requests.length),
+      hasEnded ? [1] : [],
+    );
   });
-  const traits = {keys: []} as never;
-  const cut = {endpoint: ENDPOINT, request: 'r', traits, sentAt: 0, events: 0};
-  await detector.recordCut(cut);
-  t.deepEqual(alive, [ENDPOINT]);
-});
+}
 
 test('an endpoint that was found to have ended is reported once', t => {
   const ends: string[] = [];
