--- a/source/gossip/contacts.ts
+++ b/source/gossip/contacts.ts
@@ -133,13 +133,11 @@
 
   /** The hosts whose turn it is; each host contacts them in its own order. */
   private nextListed(): ListedHost[] {
-    const order = rendezvousOrder(this.self.name, [...this.listed.keys()]);
-    const start = this.rounds++ * MAX_LISTED_CONTACTS;
-    const turns =
-      order.length > MAX_LISTED_CONTACTS ? [...order, ...order] : order;
-    const first = order.length > MAX_LISTED_CONTACTS ? start % order.length : 0;
-    return turns
-      .slice(first, first + MAX_LISTED_CONTACTS)
+    const names = rendezvousOrder(this.self.name, [...this.listed.keys()]);
+    const turn = this.rounds++ * MAX_LISTED_CONTACTS;
+    const start = turn % Math.max(names.length, 1);
+    return [...names.slice(start), ...names.slice(0, start)]
+      .slice(0, MAX_LISTED_CONTACTS)
       .flatMap(name => this.listed.get(name) ?? []);
   }
 }
