Ask an endpoint that cuts many requests once, and read no more than a report

An endpoint that sends without end spoils one answer after the other; each was followed by a look, and the endpoint's report has no end either, so that up to 8 MB of each were read.

Change: cuts of one incarnation share one second look, and a report is read up to 64 KiB.

--- a/source/edge/startreports.ts
+++ b/source/edge/startreports.ts
@@ -10,6 +10,8 @@
 
 const REPORT_TIMEOUT_MILLISECONDS = 400;
 const REPORTED_STATUS = 200;
+/** Largest report: some hundred bytes, and a line for each request that runs. */
+const MAX_REPORT_BYTES = 65_536;
 
 /**
  * What a report says of an incarnation: it runs, another one does, nothing accepts
@@ -49,6 +51,7 @@
         method: 'GET',
         path: protocol.reportPath,
         bound: REPORT_TIMEOUT_MILLISECONDS,
+        maxReplyBytes: MAX_REPORT_BYTES,
         agent: this.agent,
         headers: {},
       });
--- a/source/quarantine/detector.ts
+++ b/source/quarantine/detector.ts
@@ -75,6 +75,8 @@
 export class CrashDetector {
   /** The checks in progress, by incarnation. */
   private readonly checks = new Map<string, Check>();
+  /** Requests of which it is still open whether a crash cut them, by incarnation. */
+  private readonly doubtful = new Map<string, CutRequest[]>();
   /** Monotonic milliseconds of the crashes, by incarnation. */
   private readonly crashes = new Map<string, number>();
 
@@ -155,13 +157,19 @@
   ): Promise<void> {
     const {clock, hasEnded, onCrash} = this.options;
     if (!hasEnded) return;
+    const endpoint = endpointIncarnation(known.entry);
+    const others = this.doubtful.get(endpoint);
+    if (others) return void others.push(...requests);
+    const all = [...requests];
+    this.doubtful.set(endpoint, all);
     await new Promise<void>(resolve => {
       clock.after(SECOND_CHECK_DELAY_MILLISECONDS, resolve);
     });
-    if (!(await hasEnded(known))) return;
-    const endpoint = endpointIncarnation(known.entry);
+    const isOver = await hasEnded(known);
+    this.doubtful.delete(endpoint);
+    if (!isOver) return;
     this.remember(endpoint, at);
-    onCrash({endpoint, at, requests});
+    onCrash({endpoint, at, requests: all});
   }
 
   private remember(endpoint: string, at: number): void {
--- a/source/wire/exchange.ts
+++ b/source/wire/exchange.ts
@@ -23,6 +23,8 @@
   readonly body?: Buffer | undefined;
   /** Milliseconds for the whole call. */
   readonly bound: number;
+  /** Largest body of the reply; several times the largest page of the store if absent. */
+  readonly maxReplyBytes?: number;
   readonly agent?: Agent | undefined;
   readonly headers: Readonly<Record<string, string | number>>;
 }
@@ -44,6 +46,7 @@
  */
 export function exchangeBytes(call: ByteCall): Promise<ByteReply> {
   const {address, method, path, body, bound, agent} = call;
+  const {maxReplyBytes = MAX_REPLY_BYTES} = call;
   const length = body ? {'content-length': body.length} : {};
   return new Promise((resolve, reject) => {
     let connected = false;
@@ -80,7 +83,7 @@
       const collector = new ByteCollector();
       message.on('data', (bytes: Buffer) => {
         collector.push(bytes);
-        if (collector.length > MAX_REPLY_BYTES) {
+        if (collector.length > maxReplyBytes) {
           message.destroy(new Error('the reply is too large'));
         }
       });
--- a/test/incarnationwatch.test.ts
+++ b/test/incarnationwatch.test.ts
@@ -89,6 +89,27 @@
   });
 }
 
+test('an endpoint that cuts many requests, one after the other, and lives is asked once for all of them', async t => {
+  const clock = new ManualClock();
+  let asked = 0;
+  const detector = new CrashDetector({
+    clock,
+    accepts: () => Promise.resolve(true),
+    onCrash: () => t.fail('it lives'),
+    hasEnded: () => {
+      asked++;
+      return Promise.resolve(false);
+    },
+  });
+  const traits = {keys: []} as never;
+  const request = {request: 'r', traits, sentAt: 0, events: 0};
+  for (let count = 0; count < 30; count++)
+    await detector.recordCut({endpoint: ENDPOINT, ...request});
+  clock.advance(100);
+  await settled();
+  t.is(asked, 1);
+});
+
 test('an endpoint that was found to have ended is reported once', t => {
   const ends: string[] = [];
   const detector = new CrashDetector({
