Take no known endpoint for an unknown version, not for none

Cause: decideVersion answered `unversioned` whenever it knew no version, and the version of the stream then stayed open while it waited, for whichever endpoint came.

Change: `unversioned` says that endpoints are known and none states a version, which binds the stream to such endpoints. Without an endpoint the decision is `no-endpoint`: the stream waits for one as a new request does, and is decided then by what served when its caller came. Endpoints without a version are a version of their own, so a change from stating one to none is a mix.

This works since no decision leaves the version open any more: nothing that comes while a stream waits can be chosen for it unless it was decided so.

--- a/source/admission/request.ts
+++ b/source/admission/request.ts
@@ -37,7 +37,10 @@
 
 /** Where a stream that has begun may go on. */
 export interface StreamContinuation {
-  /** Software version that began it; undefined where endpoints state none. */
+  /**
+   * Software version that began it, `UNSTATED_VERSION` of endpoints that state
+   * none; undefined for any.
+   */
   readonly softwareVersion: string | undefined;
 }
 
@@ -68,7 +71,7 @@
   const regions = homes ? ` ${homes.join(' ')}` : '';
   const late = isLate ? ' late' : '';
   const stream = continuation
-    ? ` stream ${continuation.softwareVersion ?? ''}`
+    ? ` stream ${JSON.stringify(continuation.softwareVersion)}`
     : '';
   return `${pool} ${className} ${repeatable ? 'any' : 'firm'}${regions}${late}${stream}`;
 }
--- a/source/balance/eligible.ts
+++ b/source/balance/eligible.ts
@@ -5,7 +5,11 @@
  * this host’s part of that limit.
  */
 import type {StreamContinuation} from '../admission/index.js';
-import type {Directory, KnownEndpoint} from '../directory/index.js';
+import {
+  versionOf,
+  type Directory,
+  type KnownEndpoint,
+} from '../directory/index.js';
 import {
   isRegionAllowed,
   type AllowedRegions,
@@ -220,8 +224,7 @@
     return endpoints.some(
       ({entry}) =>
         !entry.leaving &&
-        (softwareVersion === undefined ||
-          entry.softwareVersion === softwareVersion),
+        (softwareVersion === undefined || versionOf(entry) === softwareVersion),
     );
   }
 
--- a/source/balance/eligibleset.ts
+++ b/source/balance/eligibleset.ts
@@ -2,7 +2,7 @@
  * The endpoints that may get a request, as a value that stays the same object
  * while they stay the same endpoints, with what is derived from them alone.
  */
-import type {KnownEndpoint} from '../directory/index.js';
+import {versionOf, type KnownEndpoint} from '../directory/index.js';
 import {LARGE_PROMPT_RANKING_KEY} from './partition.js';
 import {RendezvousRanking} from './rendezvous.js';
 
@@ -32,11 +32,14 @@
     return this.lazyIds.has(id);
   }
 
-  /** Those that have a software version; all if it is undefined. */
+  /**
+   * Those that have a software version, or state none for `UNSTATED_VERSION`; all
+   * if it is undefined.
+   */
   ofVersion(version: string | undefined): EligibleSet {
     if (version === undefined) return this;
     return this.derived(`of ${version}`, ({entry}) => {
-      return entry.softwareVersion === version;
+      return versionOf(entry) === version;
     });
   }
 
@@ -44,10 +47,7 @@
   withoutVersions(versions: ReadonlySet<string> | undefined): EligibleSet {
     if (!versions || versions.size === 0) return this;
     const key = `without ${[...versions].sort().join('\n')}`;
-    return this.derived(
-      key,
-      ({entry}) => !versions.has(entry.softwareVersion ?? ''),
-    );
+    return this.derived(key, ({entry}) => !versions.has(versionOf(entry)));
   }
 
   /** Those among the given ones; all if it is undefined. */
--- a/source/directory/entry.ts
+++ b/source/directory/entry.ts
@@ -44,6 +44,25 @@
 });
 export type EndpointEntry = z.infer<typeof endpointEntrySchema>;
 
+/**
+ * Stands for the software version of endpoints that state none, where `undefined`
+ * would mean that the version is not known.
+ */
+export const UNSTATED_VERSION = '';
+
+/**
+ * The software version of an endpoint, `UNSTATED_VERSION` if its entry states none.
+ *
+ * ```ts
+ * const isSuitable = versionOf(known.entry) === context.streamVersion;
+ * ```
+ */
+export function versionOf({
+  softwareVersion,
+}: Pick<EndpointEntry, 'softwareVersion'>): string {
+  return softwareVersion ?? UNSTATED_VERSION;
+}
+
 /** Returns a text that identifies one incarnation of an endpoint. */
 export function endpointIncarnation({id, born}: EndpointEntry): string {
   return `${id} ${born ?? ''}`;
--- a/source/directory/index.ts
+++ b/source/directory/index.ts
@@ -2,6 +2,8 @@
 export {
   endpointEntrySchema,
   endpointIncarnation,
+  UNSTATED_VERSION,
+  versionOf,
   type EndpointEntry,
 } from './entry.js';
 export {
--- a/source/forward/admission.ts
+++ b/source/forward/admission.ts
@@ -6,7 +6,7 @@
 import type {Prompt} from '../balance/index.js';
 import type {AllowedRegions, Route} from '../routing/index.js';
 
-/** Share of the remaining time that a request may wait in the queue. */
+/** Share of the remaining time that a request may wait for an endpoint. */
 const MAX_QUEUE_TIME_SHARE = 0.6;
 /**
  * Share of its target that a request may be queued and still meet it: the rest is
@@ -18,6 +18,17 @@
 /** Cost of a request without a prompt in the fair sharing between teams. */
 const PROMPTLESS_REQUEST_TOKENS = 100;
 
+/**
+ * Milliseconds that a request may wait for an endpoint, of those that it has left.
+ *
+ * ```ts
+ * const patience = maxQueueTime(context.timeLeft);
+ * ```
+ */
+export function maxQueueTime(timeLeft: number): number {
+  return timeLeft * MAX_QUEUE_TIME_SHARE;
+}
+
 /** A request that is about to wait for an endpoint. */
 export interface WaitingRequest {
   readonly route: Route;
@@ -70,7 +81,7 @@
       ? prompt.tokens + prompt.output
       : PROMPTLESS_REQUEST_TOKENS,
     arrived,
-    bound: elapsed + timeLeft * MAX_QUEUE_TIME_SHARE,
+    bound: elapsed + maxQueueTime(timeLeft),
     // The caller of a stream that has begun has had its first event.
     ...(waiting.isRetry || continuation
       ? {}
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -5,6 +5,7 @@
 import type {Reservation} from '../balance/index.js';
 import {Cancellation, type CancellationSignal} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
+import {UNSTATED_VERSION, versionOf} from '../directory/index.js';
 import {discardBody, isFinalStatus, isSuccessStatus} from '../wire/index.js';
 import type {Logger} from '../logging/index.js';
 import {SMALL_BODY_BYTES} from '../memory/index.js';
@@ -306,7 +307,7 @@
     this.hasBegun = true;
     const {context, reservation} = this.spec;
     if (context.streamVersion === undefined)
-      this.recordVersion(reservation.endpoint.entry.softwareVersion);
+      this.recordVersion(versionOf(reservation.endpoint.entry));
     this.parts.onAnswerBegun(context);
     this.dropLargeBody();
   }
@@ -323,11 +324,12 @@
   }
 
   /** Records which version has begun the stream that the caller gets. */
-  private recordVersion(version: string | undefined): void {
+  private recordVersion(version: string): void {
     const {context} = this.spec;
     const {route, request, service} = context;
     context.streamVersion = version;
-    if (version === undefined || !route.streaming || !route.resumable) return;
+    if (version === UNSTATED_VERSION) return;
+    if (!route.streaming || !route.resumable) return;
     this.parts.onStreamBegun({attempt: request.id, service, version});
   }
 
--- a/source/forward/context.ts
+++ b/source/forward/context.ts
@@ -68,8 +68,8 @@
   /** Whether an attempt that may have reached an endpoint is in progress. */
   underWay = false;
   /**
-   * Software version of the endpoint that began the stream; undefined before its
-   * first event, and where the endpoint states none.
+   * Software version of the endpoint that began the stream, `UNSTATED_VERSION` if
+   * that states none; undefined before its first event.
    */
   streamVersion: string | undefined;
   /** The head of the stream that the caller gets; undefined before it is sent. */
--- a/source/versions/history.ts
+++ b/source/versions/history.ts
@@ -2,7 +2,11 @@
  * The software versions that this host has seen of each service, with the time
  * at which each was last seen, and since when it has missed none.
  */
-import type {Directory, EntryChange} from '../directory/index.js';
+import {
+  versionOf,
+  type Directory,
+  type EntryChange,
+} from '../directory/index.js';
 
 /** Endpoints that are remembered; beyond that the oldest are forgotten. */
 const MAX_KNOWN_ENDPOINTS = 4_096;
@@ -48,7 +52,10 @@
     if (this.followedSince !== Infinity) this.followedSince = now;
   }
 
-  /** The versions of a service that were there at some time since `since`. */
+  /**
+   * The versions of a service that were there at some time since `since`, among
+   * them `UNSTATED_VERSION` if an endpoint stated none.
+   */
   versionsSince(
     service: string,
     since: number,
@@ -67,6 +74,13 @@
     return this.followedSince <= since;
   }
 
+  /** Whether an endpoint of a service is there. */
+  hasEndpoint(service: string): boolean {
+    return [...this.directory.values()].some(
+      ({entry}) => entry.service === service,
+    );
+  }
+
   /** Whether an endpoint of a service was started before a Unix time. */
   hasEndpointBornBefore(service: string, unixMilliseconds: number): boolean {
     return [...this.directory.values()].some(
@@ -80,10 +94,10 @@
     for (const {entry} of this.directory.values()) this.recordSeen(entry, now);
   }
 
-  private recordSeen({service, softwareVersion}: SeenEntry, now: number): void {
-    if (softwareVersion === undefined) return;
+  private recordSeen(entry: SeenEntry, now: number): void {
+    const {service} = entry;
     const versions = this.lastSeen.get(service) ?? new Map<string, number>();
-    this.lastSeen.set(service, versions.set(softwareVersion, now));
+    this.lastSeen.set(service, versions.set(versionOf(entry), now));
   }
 
   private remember(id: string): void {
--- a/source/versions/streamversions.ts
+++ b/source/versions/streamversions.ts
@@ -10,6 +10,7 @@
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import {StoreError, TopicReader, type RecordStore} from '../store/index.js';
+import {EndpointArrivals} from './arrivals.js';
 import {BegunStreams, type BegunStream} from './begun.js';
 import {
   decideVersion,
@@ -81,6 +82,7 @@
   private reading: Promise<number> | undefined;
   private stopTimer: Cancel | undefined;
   private isStopped = false;
+  private readonly arrivals = new EndpointArrivals();
   /** What this host has appended and may still matter, the oldest first. */
   private appended: BegunStreamsRecord[] = [];
 
@@ -120,6 +122,7 @@
         this.enqueue(stream);
     }
     this.mixedServices = mixed;
+    this.arrivals.update(service => this.history.hasEndpoint(service));
   }
 
   /** Records entries of endpoints that were written or removed. */
@@ -144,10 +147,20 @@
     this.flushSoon(APPEND_INTERVAL_MILLISECONDS);
   }
 
+  /**
+   * Resolves with true once an endpoint of a service is known, and with false if
+   * none is within `patience` milliseconds.
+   */
+  whenEndpointKnown(service: string, patience: number): Promise<boolean> {
+    if (this.history.hasEndpoint(service)) return Promise.resolve(true);
+    return this.arrivals.wait(service, patience, this.options.clock);
+  }
+
   /**
    * Returns at which version a caller's stream may go on; `attempt` is the
-   * attempt that brought its first event, where the caller names it. Reads the
-   * records of other hosts if this one does not know.
+   * attempt that brought its first event, where the caller names it, and `cameAt`
+   * the monotonic milliseconds at which the caller came. Reads the records of
+   * other hosts if this one does not know.
    *
    * ```ts
    * const decision = await versions.versionOf('drafting', request.resumes);
@@ -156,13 +169,16 @@
   async versionOf(
     service: string,
     attempt: string | undefined,
+    cameAt = this.options.clock.monotonic(),
   ): Promise<VersionDecision> {
     const own = this.known(attempt);
     if (own) return this.logged(own, 'begun', service, attempt);
     const isUpToDate = await this.options.catchUpWithEndpoints();
-    const isOnlyVersion = this.versionsOf(service).size <= 1;
-    if (isUpToDate && this.hasFollowed && isOnlyVersion) {
-      const decision = this.decide(service, isUpToDate);
+    const begunSince = cameAt - STREAM_LIFETIME_MILLISECONDS;
+    const isOnlyVersion = this.versionsSince(service, begunSince).size <= 1;
+    const hasFollowed = this.history.hasFollowedSince(begunSince);
+    if (isUpToDate && hasFollowed && isOnlyVersion) {
+      const decision = this.decide(service, isUpToDate, begunSince);
       return this.logged(decision, 'only-version', service, attempt);
     }
     const {clock, logger} = this.options;
@@ -174,10 +190,11 @@
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
         logger.warn('streams-not-read', {detail: error.message});
-        const decision = this.decide(service, isUpToDate);
+        const decision = this.decide(service, isUpToDate, begunSince);
         return this.logged(decision, 'unread', service, attempt);
       }
-      const decision = this.known(attempt) ?? this.decide(service, isUpToDate);
+      const decision =
+        this.known(attempt) ?? this.decide(service, isUpToDate, begunSince);
       wait = Math.floor(deadline - clock.monotonic());
       if (decision.kind !== 'unknown' || wait <= 0)
         return this.logged(decision, 'records', service, attempt);
@@ -207,44 +224,62 @@
     return version === undefined ? undefined : {kind: 'known', version};
   }
 
-  private decide(service: string, isUpToDate: boolean): VersionDecision {
-    const unixNow = this.options.clock.now().getTime();
+  /** Decides about a stream that has begun since a monotonic time. */
+  private decide(
+    service: string,
+    isUpToDate: boolean,
+    begunSince: number,
+  ): VersionDecision {
+    const unixCameAt =
+      this.unixTimeOf(begunSince) + STREAM_LIFETIME_MILLISECONDS;
     return decideVersion({
-      seen: this.versionsOf(service),
-      hasFollowed: this.hasFollowed,
+      seen: this.versionsSince(service, begunSince),
+      hasFollowed: this.history.hasFollowedSince(begunSince),
       isUpToDate,
-      isMixed: this.recorded.isMixed(service, unixNow),
-      recorded: this.recorded.versions(service, unixNow),
-      hasLongRunning: this.hasLongRunning(service),
+      isMixed: this.recorded.isMixed(service, unixCameAt),
+      recorded: this.recorded.versions(service, unixCameAt),
+      hasLongRunning: this.hasLongRunning(service, begunSince),
     });
   }
 
-  /** The versions of a service in the time in which a stream can have begun. */
-  private versionsOf(service: string): ReadonlySet<string> {
+  /** Monotonic milliseconds since which a stream that is taken up now has begun. */
+  private get earliestBegin(): number {
+    return this.options.clock.monotonic() - STREAM_LIFETIME_MILLISECONDS;
+  }
+
+  /** The versions of a service since a monotonic time. */
+  private versionsSince(service: string, since: number): ReadonlySet<string> {
     const now = this.options.clock.monotonic();
-    const since = now - STREAM_LIFETIME_MILLISECONDS;
     return this.history.versionsSince(service, since, now);
   }
 
-  private get hasFollowed(): boolean {
-    const now = this.options.clock.monotonic();
-    return this.history.hasFollowedSince(now - STREAM_LIFETIME_MILLISECONDS);
+  /** The versions of a service in the time in which a stream can have begun. */
+  private versionsOf(service: string): ReadonlySet<string> {
+    return this.versionsSince(service, this.earliestBegin);
   }
 
-  private hasLongRunning(service: string): boolean {
-    const unixNow = this.options.clock.now().getTime();
-    const latest =
-      unixNow - STREAM_LIFETIME_MILLISECONDS - CLOCK_TOLERANCE_MILLISECONDS;
+  /** Whether an endpoint of a service has run since before a monotonic time. */
+  private hasLongRunning(service: string, since: number): boolean {
+    const latest = this.unixTimeOf(since) - CLOCK_TOLERANCE_MILLISECONDS;
     return this.history.hasEndpointBornBefore(service, latest);
   }
 
+  private unixTimeOf(monotonic: number): number {
+    const {clock} = this.options;
+    return clock.now().getTime() - (clock.monotonic() - monotonic);
+  }
+
   private isMixed(service: string): boolean {
     return this.versionsOf(service).size > 1;
   }
 
   private mustAppend(service: string): boolean {
     if (this.isMixed(service)) return true;
-    return !this.hasFollowed && !this.hasLongRunning(service);
+    const since = this.earliestBegin;
+    return (
+      !this.history.hasFollowedSince(since) &&
+      !this.hasLongRunning(service, since)
+    );
   }
 
   private enqueue({service, version, attempt}: BegunStream): void {
--- a/test/support/edgeprocess.ts
+++ b/test/support/edgeprocess.ts
@@ -99,6 +99,8 @@
   born = 1_000;
   /** Files and sockets that a host may have open; undefined for no limit. */
   openFilesLimit: number | undefined;
+  /** Whether the entries of endpoints that are entered next state a version. */
+  statesVersions = true;
   /** Whether hosts that are started next know of the others. */
   knowsOthers = true;
   /** Seconds between SIGTERM and the kill, for hosts that are started next. */
@@ -156,7 +158,7 @@
       service: 'register',
       address,
       zone: 'palermo',
-      version,
+      version: this.statesVersions ? version : undefined,
       slots: 6,
       state,
       coldLeftMs: 0,
