Reset calls of the leader that are given up, also when the process ends

Cause: callGuarded ended a call that took too long with socket.destroy(). A closed connection still delivers what was written.

Change: wire/abandon.ts is the one place that gives calls up, by a reset. It knows the calls that have no answer yet and resets them when the process exits. A head of a response that is too large is given up there too. A lint rule forbids destroy() of sockets and requests where connections are opened; each place that closes says why that is enough.

This works since a reset makes the kernel drop what it has not delivered, and no peer takes data behind a reset.

The stand-in of test/guarded.test.ts had no listener for errors of its sockets and fails on a reset; it has one now. What it asserts is unchanged.

Tests: three of test/abandoned.test.ts failed on ('end' in place of 'read ECONNRESET').

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -58,6 +58,24 @@
       ],
     },
   },
+  {
+    files: ['source/{wire,gossip,engine,forward,peers}/**'],
+    ignores: ['source/wire/abandon.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector:
+            'CallExpression[callee.property.name="destroy"]:matches(' +
+            '[callee.object.name=/^(socket|sent|outgoing|longestIdle)$/],' +
+            '[callee.object.property.name="socket"])',
+          message:
+            'A closed connection still delivers what was written. ' +
+            'Give it up with wire/abandon.ts, or say why closing is enough.',
+        },
+      ],
+    },
+  },
   {
     files: ['test/**', 'tools/**', 'standins/**', 'soak/**'],
     rules: {'no-restricted-imports': 'off'},
--- a/source/daemon/run.ts
+++ b/source/daemon/run.ts
@@ -17,6 +17,7 @@
   settingsSchema,
   type Settings,
 } from '../settings/index.js';
+import {abandonOpenCalls} from '../wire/index.js';
 import {Host} from './host.js';
 import type {DaemonSignals} from './signals.js';
 
@@ -76,6 +77,7 @@
   const platform = new HttpPlatform(settings.platform);
   const host = new Host({settings, clock, logger, metrics, platform});
   const load = () => host.load;
+  process.once('exit', abandonOpenCalls);
   const exit = (code: number) => {
     clock.after(MAX_FLUSH_MILLISECONDS, () => process.exit(code));
     void sink.flush().then(() => process.exit(code));
--- a/source/edge/run.ts
+++ b/source/edge/run.ts
@@ -20,6 +20,7 @@
 import {seededRandom} from '../random/index.js';
 import type {TakenDefault} from '../settings/index.js';
 import {CountedStore} from '../store/index.js';
+import {abandonOpenCalls} from '../wire/index.js';
 import {EdgeHost} from './host.js';
 import type {PlatformParts} from './platform.js';
 import type {ReloadPlan} from './reload.js';
@@ -71,6 +72,7 @@
   const platform = {...options.platform, store};
   const parts = {settings, platform, clock, logger, metrics, random};
   const host = new EdgeHost(parts);
+  process.once('exit', abandonOpenCalls);
   const exit = (code: number) => {
     clock.after(MAX_FLUSH_MILLISECONDS, () => process.exit(code));
     void sink.flush().then(() => process.exit(code));
--- a/source/engine/http.ts
+++ b/source/engine/http.ts
@@ -146,6 +146,7 @@
     const agent = this.agents.get(endpoint.address);
     this.agents.delete(endpoint.address);
     for (const sockets of Object.values(agent?.freeSockets ?? {})) {
+      // eslint-disable-next-line no-restricted-syntax -- idle
       for (const socket of sockets ?? []) socket.destroy();
     }
   }
@@ -183,6 +184,7 @@
       const fail = (detail: string) => {
         clearTimeout(timer);
         stopWatching();
+        // eslint-disable-next-line no-restricted-syntax -- nothing was written
         socket.destroy();
         reject(new WireError('connect', `${address} ${detail}`));
       };
@@ -203,6 +205,7 @@
 
   private boundConnect(socket: Socket, connected: () => void): void {
     const bound = setTimeout(
+      // eslint-disable-next-line no-restricted-syntax -- nothing was written
       () => socket.destroy(new Error('timed out')),
       this.bounds.connect,
     );
--- a/source/forward/connections.ts
+++ b/source/forward/connections.ts
@@ -155,6 +155,7 @@
       const stopWatching = signal.onAbort(() => abandonRequest(sent));
       const write = () => {
         if (!isOpen()) {
+          // eslint-disable-next-line no-restricted-syntax -- nothing was written
           sent.destroy(new Error('has left meanwhile'));
           return;
         }
@@ -167,12 +168,16 @@
       sent.once('socket', (socket: Socket) => {
         bytesReadBefore = socket.bytesRead;
         stopCounting = limitBytes(socket, MAX_HEAD_BYTES, () =>
-          sent.destroy(new Error('the head of the response is too large')),
+          abandonRequest(
+            sent,
+            new Error('the head of the response is too large'),
+          ),
         );
         if (!socket.connecting) return write();
         stopTimer = this.clock.after(CONNECT_TIMEOUT_MILLISECONDS, () =>
           afterPendingEvents(() => {
             if (!connected)
+              // eslint-disable-next-line no-restricted-syntax -- nothing was written
               sent.destroy(new Error('does not accept connections'));
           }),
         );
@@ -195,6 +200,7 @@
         resolve(responseOf(message, {isReused, bytesReadBefore}));
       });
       sent.once('upgrade', (_, socket) => {
+        // eslint-disable-next-line no-restricted-syntax -- it was answered
         socket.destroy();
         fail(new Error('the response switches protocols'));
       });
--- a/source/peers/link.ts
+++ b/source/peers/link.ts
@@ -84,6 +84,7 @@
     this.open = false;
     this.stopCheck();
     this.stopBeat();
+    // eslint-disable-next-line no-restricted-syntax -- the other side drops a link that is replaced
     this.socket.destroy();
     this.handlers.down(this);
   }
--- a/source/peers/mesh.ts
+++ b/source/peers/mesh.ts
@@ -144,6 +144,7 @@
     });
     const done = () => this.connecting.delete(incarnation);
     const cancel = this.options.clock.after(CONNECT_BOUND_MILLISECONDS, () =>
+      // eslint-disable-next-line no-restricted-syntax -- nothing was written
       socket.destroy(),
     );
     socket.once('error', error => {
--- a/source/wire/accepting.ts
+++ b/source/wire/accepting.ts
@@ -23,6 +23,7 @@
     openDescriptors.addSocket('probes', socket);
     const finish = (isAccepted: boolean) => {
       stopTimer();
+      // eslint-disable-next-line no-restricted-syntax -- nothing was written
       socket.destroy();
       resolve(isAccepted);
     };
--- a/source/wire/exchange.ts
+++ b/source/wire/exchange.ts
@@ -7,10 +7,11 @@
 
 import {connectShortage} from '../descriptors/index.js';
 import {WireError} from '../errors/index.js';
+import {abandonRequest, trackOpenCall} from './abandon.js';
 import {ByteCollector} from './collector.js';
 import {partsOf} from './address.js';
 import {isFinalStatus, watchWholeness} from './answer.js';
-import {abandonRequest, createRequest} from './request.js';
+import {createRequest} from './request.js';
 
 /** Largest body of a reply, several times the largest page of the store. */
 const MAX_REPLY_BYTES = 8_388_608;
@@ -69,6 +70,9 @@
       reject(connectShortage(error) ?? failure);
     };
     sent.once('socket', socket => {
+      const stopTracking = trackOpenCall(socket);
+      sent.once('response', stopTracking);
+      sent.once('close', stopTracking);
       if (!socket.connecting) connected = true;
       else socket.once('connect', () => (connected = true));
     });
--- a/source/wire/guarded.ts
+++ b/source/wire/guarded.ts
@@ -8,6 +8,7 @@
 
 import {connectShortage, openDescriptors} from '../descriptors/index.js';
 import {WireError} from '../errors/index.js';
+import {abandonRequest, abandonSocket, trackOpenCall} from './abandon.js';
 import type {Call} from './call.js';
 import {partsOf} from './address.js';
 import {isFinalStatus, isSuccessStatus, watchWholeness} from './answer.js';
@@ -27,9 +28,11 @@
   return new Promise((resolve, reject) => {
     const socket = connect({...partsOf(call.address), noDelay: true});
     openDescriptors.addSocket('store', socket);
+    const stopTracking = trackOpenCall(socket);
+    socket.once('close', stopTracking);
     const signal = AbortSignal.timeout(call.bound);
     const fail = (error: Error) => {
-      socket.destroy();
+      abandonSocket(socket);
       reject(connectShortage(error) ?? new WireError('cut', error.message));
     };
     signal.addEventListener('abort', () => fail(new Error('timed out')), {
@@ -41,6 +44,7 @@
       if (!outgoing) return;
       outgoing.once('error', fail);
       outgoing.once('response', answer => {
+        stopTracking();
         const {statusCode: status = 0} = answer;
         const isWhole = watchWholeness(answer);
         answer.resume();
@@ -61,7 +65,7 @@
           outgoing.end(JSON.stringify(call.body));
           return;
         }
-        outgoing.destroy();
+        abandonRequest(outgoing);
         resolve(false);
       });
     });
--- a/source/wire/index.ts
+++ b/source/wire/index.ts
@@ -1,4 +1,10 @@
 /** HTTP calls and connections, for all parts of the program that make them. */
+export {
+  abandonOpenCalls,
+  abandonRequest,
+  abandonSocket,
+  trackOpenCall,
+} from './abandon.js';
 export {acceptsConnections} from './accepting.js';
 export {
   addressSchema,
@@ -27,4 +33,4 @@
 export {callGuarded} from './guarded.js';
 export {GuardedKeepAliveAgent, PacedAgent} from './keepalive.js';
 export {readInTurn, readPacer} from './pacing.js';
-export {abandonRequest, createRequest} from './request.js';
+export {createRequest} from './request.js';
--- a/source/wire/keepalive.ts
+++ b/source/wire/keepalive.ts
@@ -64,6 +64,7 @@
   /** Closes the connection that has been idle for longest, if there is one. */
   closeIdle(): boolean {
     const [longestIdle] = this.idleSockets;
+    // eslint-disable-next-line no-restricted-syntax -- idle
     longestIdle?.destroy();
     return longestIdle !== undefined;
   }
@@ -79,6 +80,7 @@
     if (!kept || hasUnreadBytes(socket)) return false;
     let isClosed = false;
     const listeners = {
+      // eslint-disable-next-line no-restricted-syntax -- idle
       onData: () => socket.destroy(),
       onPeerClose: () => {
         if (!isClosed) this.onIdleClosed();
--- a/source/wire/request.ts
+++ b/source/wire/request.ts
@@ -19,17 +19,3 @@
     throw new WireError('connect', detail);
   }
 }
-
-/**
- * Gives up a request. Resets its connection, since a closed connection would
- * still deliver what is held up on the way, and the peer would carry it out. The
- * request emits `error` where that is given.
- *
- * ```ts
- * const stopWatching = signal.onAbort(() => abandonRequest(sent));
- * ```
- */
-export function abandonRequest(sent: ClientRequest, error?: Error): void {
-  sent.socket?.resetAndDestroy();
-  sent.destroy(error);
-}
--- a/test/abandoned.test.ts
+++ b/test/abandoned.test.ts
@@ -5,13 +5,19 @@
  */
 import {createServer, type AddressInfo} from 'node:net';
 
+import {spawn} from 'node:child_process';
+
 import test, {type ExecutionContext} from 'ava';
 
 import {Cancellation} from '../source/cancellation/index.js';
 import {endpointSchema} from '../source/configuration/index.js';
 import {HttpEndpointAdapter} from '../source/engine/index.js';
 import {WireError} from '../source/errors/index.js';
-import {exchangeBytes} from '../source/wire/index.js';
+import {
+  abandonOpenCalls,
+  callGuarded,
+  exchangeBytes,
+} from '../source/wire/index.js';
 
 interface SilentServer {
   readonly address: string;
@@ -49,6 +55,37 @@
   t.is(await ended, 'read ECONNRESET');
 });
 
+test('a call of the leader that is given up at its time limit is reset', async t => {
+  const {address, ended} = await startSilentServer(t);
+  const call = {address, method: 'POST', path: '/usage', bound: 500, body: {}};
+  const error = await t.throwsAsync(
+    callGuarded(call, () => true),
+    {instanceOf: WireError},
+  );
+  t.is(error?.stage, 'cut');
+  t.is(await ended, 'read ECONNRESET');
+});
+
+test('calls that are on their way when a host ends are reset', async t => {
+  const {address, received, ended} = await startSilentServer(t);
+  const call = {address, method: 'POST', path: '/usage', bound: 5_000};
+  const sending = callGuarded({...call, body: {}}, () => true);
+  const failed = t.throwsAsync(sending, {instanceOf: WireError});
+  await received;
+  abandonOpenCalls();
+  await failed;
+  t.is(await ended, 'read ECONNRESET');
+});
+
+test('a process that exits with calls on their way resets them', async t => {
+  const {address, received, ended} = await startSilentServer(t);
+  const flags = ['--import=tsx', 'test/support/exitduringcall.ts', address];
+  const child = spawn(process.execPath, flags, {stdio: 'inherit'});
+  t.teardown(() => child.kill('SIGKILL'));
+  await received;
+  t.is(await ended, 'read ECONNRESET');
+});
+
 for (const newConnection of [true, false]) {
   const kind = newConnection ? 'a new' : 'a kept';
   test(`a request of the own interface that is given up on ${kind} connection is reset`, async t => {
--- a/test/guarded.test.ts
+++ b/test/guarded.test.ts
@@ -8,7 +8,10 @@
 import {callGuarded} from '../source/wire/index.js';
 
 test('a guarded call with a header that Node refuses fails with a WireError', async t => {
-  const server = createServer();
+  const server = createServer(socket => {
+    // The call resets its connection.
+    socket.on('error', () => {});
+  });
   await new Promise<void>(resolve => {
     server.listen(0, '127.0.0.1', resolve);
   });
