Reset replaced connections between hosts, and drop pulses that come late

Change: OutboundConnection.reset resets. A pulse says how long its sender has run (uptime); one that was sent before the latest that was applied from the same incarnation is dropped and counted (gossip-outdated). Older programs do not say it, and their pulses are taken as before.

Tests: one of test/outbound.test.ts failed on ('end' in place of 'read ECONNRESET'); test/gossip.test.ts for what counts as outdated.

--- a/source/gossip/inbound.ts
+++ b/source/gossip/inbound.ts
@@ -20,6 +20,7 @@
     const reader = new FrameReader();
     this.sockets.add(socket);
     openDescriptors.addSocket('hosts', socket);
+    // eslint-disable-next-line no-restricted-syntax -- it is only read
     socket.on('error', () => socket.destroy());
     socket.on('close', () => this.sockets.delete(socket));
     socket.on('data', bytes => {
@@ -28,6 +29,7 @@
       } catch (error) {
         const detail = error instanceof Error ? error.message : '';
         this.logger.warn('gossip-malformed', {detail});
+        // eslint-disable-next-line no-restricted-syntax -- it is only read
         socket.destroy();
       }
     });
@@ -35,6 +37,7 @@
 
   /** Ends all connections at once. */
   destroy(): void {
+    // eslint-disable-next-line no-restricted-syntax -- it is only read
     for (const socket of this.sockets) socket.destroy();
   }
 }
--- a/source/gossip/index.ts
+++ b/source/gossip/index.ts
@@ -22,6 +22,7 @@
 export {
   applyHostList,
   applyPulse,
+  isOutdated,
   removeSilent,
   reachableMembers,
   hostsSharingLimits,
--- a/source/gossip/members.ts
+++ b/source/gossip/members.ts
@@ -35,6 +35,19 @@
 const LISTED_HOST_RETENTION_MILLISECONDS = 5_000;
 const LISTED_HOST_RETENTION_PERIODS = 2;
 
+/**
+ * Whether a pulse was sent before the last one of the same incarnation that was
+ * received, as on a connection that has been replaced since.
+ */
+export function isOutdated(
+  {from, uptime}: Pulse,
+  known: Member | undefined,
+): boolean {
+  if (known?.host.started !== from.started) return false;
+  const latest = known.pulse?.uptime;
+  return uptime !== undefined && latest !== undefined && uptime < latest;
+}
+
 /**
  * Returns the members after a pulse; the same value if the pulse is of an
  * earlier incarnation. Where the later incarnation has fallen silent, it is the
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -88,6 +88,11 @@
   period: z.number(),
   /** Unix milliseconds as the sender has it; older hosts send none. */
   time: z.number().optional(),
+  /**
+   * Monotonic milliseconds since the sender's start, by which a pulse that arrives
+   * late is told from a newer one; older hosts send none.
+   */
+  uptime: z.number().nonnegative().optional(),
   leaving: z.boolean(),
   /**
    * False while nobody has told the sender who the other hosts are; older hosts
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -17,6 +17,7 @@
 import {
   applyHostList,
   applyPulse,
+  isOutdated,
   removeSilent,
   reachableMembers,
   activeHosts,
@@ -63,12 +64,15 @@
   private readonly inbound: InboundConnections;
   private readonly missing = new MissingRecords();
   private readonly view: MembershipView;
+  /** Monotonic milliseconds. */
+  private readonly createdAt: number;
   /** The hosts that were reachable at the last tick. */
   private lastReachable: readonly Member[] = [];
   private stopTimer: Cancel = () => {};
 
   constructor(private readonly options: GossipOptions) {
     const {clock, logger, metrics, self} = options;
+    this.createdAt = clock.monotonic();
     this.view = new MembershipView(options, () => this.members);
     this.inbound = new InboundConnections(logger, value =>
       this.handleMessage(value),
@@ -255,6 +259,7 @@
       heard,
       period: this.period,
       time: clock.now().getTime(),
+      uptime: Math.floor(clock.monotonic() - this.createdAt),
       isConfirmed: this.view.wasTold,
       reachableHosts: () => this.reachableMembers.map(({host}) => host),
     });
@@ -300,10 +305,11 @@
   }
 
   private handlePulse(pulse: Pulse): void {
-    const {clock, self, onPulse, logger} = this.options;
+    const {clock, self, onPulse, logger, metrics} = this.options;
     const {name, started, zone} = pulse.from;
     const now = clock.monotonic();
     const before = this.members.get(name);
+    if (isOutdated(pulse, before)) return metrics.count('gossip-outdated');
     this.members = applyPulse(this.members, pulse, now);
     this.members = applyHostList(this.members, pulse.hosts, self.name, now);
     if (before?.host.started !== started || !before.pulse) {
--- a/source/gossip/outbound.ts
+++ b/source/gossip/outbound.ts
@@ -8,7 +8,7 @@
 import type {Cancel, Clock} from '../clock/index.js';
 import {connectShortage, openDescriptors} from '../descriptors/index.js';
 import {encodeFrame} from '../peers/index.js';
-import {partsOf} from '../wire/index.js';
+import {abandonSocket, partsOf} from '../wire/index.js';
 import type {GossipMessage} from './message.js';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
@@ -52,12 +52,12 @@
   }
 
   /**
-   * Drops the connection and the pending messages; the next message opens a new
-   * one.
+   * Drops the connection, what is held up on its way and the pending messages; the
+   * next message opens a new one.
    */
   reset(): void {
     this.stopTimer();
-    this.socket?.destroy();
+    if (this.socket) abandonSocket(this.socket);
     this.socket = undefined;
     this.connected = false;
     this.pending = [];
--- a/source/gossip/pulse.ts
+++ b/source/gossip/pulse.ts
@@ -60,6 +60,8 @@
   readonly period: number;
   /** The time of day, in milliseconds. */
   readonly time: number;
+  /** Monotonic milliseconds since the start. */
+  readonly uptime: number;
   /** Whether this host has been told of the others. */
   readonly isConfirmed: boolean;
   /** The other hosts that this one can reach. */
@@ -70,7 +72,7 @@
 export function createPulse(own: OwnState, head: PulseHead): Pulse {
   const {leaving, positions, uses, work, kept, unreachable, blocked} = own;
   const {limits, certainUsage, rates = []} = own;
-  const {self, sequence, heard, period, time, isConfirmed} = head;
+  const {self, sequence, heard, period, time, uptime, isConfirmed} = head;
   const listsHosts = sequence % HOST_LIST_INTERVAL_PULSES === 1;
   return {
     kind: 'pulse',
@@ -79,6 +81,7 @@
     heard,
     period,
     time,
+    uptime,
     leaving,
     ...(!isConfirmed && {confirmed: false}),
     inflates: true,
--- a/test/gossip.test.ts
+++ b/test/gossip.test.ts
@@ -9,6 +9,7 @@
 import {
   applyHostList,
   applyPulse,
+  isOutdated,
   removeSilent,
   GossipNode,
   reachableMembers,
@@ -91,6 +92,21 @@
   t.is(later.get('one')?.host.started, 6);
 });
 
+test('a pulse that arrives behind a later one of its incarnation is outdated', t => {
+  const sent = (uptime?: number, started = 1) => ({
+    ...pulseOf(addressOf('one', started)),
+    uptime,
+  });
+  const known = (pulse: Pulse) => applyPulse(new Map(), pulse, 0).get('one');
+  t.true(isOutdated(sent(4_000), known(sent(9_000))));
+  t.false(isOutdated(sent(9_000), known(sent(9_000))));
+  t.false(isOutdated(sent(100, 2), known(sent(9_000))));
+  t.false(isOutdated(sent(4_000), undefined));
+  // Older programs do not say when a pulse was sent.
+  t.false(isOutdated(sent(), known(sent(9_000))));
+  t.false(isOutdated(sent(4_000), known(sent())));
+});
+
 test('a host that was started anew while its time of day was set back is known by its pulses', t => {
   const before = applyPulse(new Map(), pulseOf(addressOf('one', 5_000)), 0);
   const restarted = pulseOf(addressOf('one', 4_000));
--- a/test/outbound.test.ts
+++ b/test/outbound.test.ts
@@ -1,6 +1,7 @@
 /**
  * Messages sent while a connection is being established are delivered
- * afterwards.
+ * afterwards. Those on a connection that has been replaced are not: they would
+ * arrive seconds late, when what held them up is over.
  */
 import {createServer} from 'node:net';
 
@@ -32,6 +33,7 @@
   const positions: number[] = [];
   const server = createServer(socket => {
     const reader = new FrameReader();
+    socket.on('error', () => {});
     socket.on('data', bytes => {
       for (const value of reader.push(bytes)) {
         const message = gossipSchema.parse(value);
@@ -52,3 +54,23 @@
     await new Promise(resolve => setTimeout(resolve, 10));
   t.deepEqual(positions, [13, 14, 15, 16, 17, 18, 19, 20]);
 });
+
+test('a connection that is replaced is reset, so that nothing held up on it arrives late', async t => {
+  const address = await freeAddress();
+  let accept = () => {};
+  let end: (how: string) => void = () => {};
+  const accepted = new Promise<void>(resolve => (accept = resolve));
+  const ended = new Promise<string>(resolve => (end = resolve));
+  const server = createServer(socket => {
+    socket.once('data', () => accept());
+    socket.on('end', () => end('end'));
+    socket.on('error', ({message}) => end(message));
+  });
+  await listen(server, address);
+  t.teardown(() => server.close());
+  const outbox = new OutboundConnection(address, new SystemClock());
+  outbox.send(recordsRequest(1));
+  await accepted;
+  outbox.reset();
+  t.is(await ended, 'read ECONNRESET');
+});
--- a/test/ratereports.test.ts
+++ b/test/ratereports.test.ts
@@ -128,6 +128,7 @@
         heard: sequence,
         period: 2_440,
         time: 1_800_000_100_000,
+        uptime: 100_000,
         isConfirmed: true,
         reachableHosts: () => [],
       };
@@ -152,6 +153,7 @@
     heard: 1,
     period: 200,
     time: 1,
+    uptime: 100_000,
     isConfirmed: true,
     reachableHosts: () => [],
   };
