Keep a key removed when a full page of before its removal comes late

Cause: addIfNewer took a record for newer if its offset was above that of a known removal of its key, though a later full page had shown that the key did not exist. A full page of another host that is older than the host's own, as an answer that comes late, so brought back an endpoint, a zone or a key that was written and removed again unseen, until the next full page. Shrunk case: removed at 0, written at 1, removed at 2, full page up to 3, page of up to 2.

Change: for a key that does not exist, a record counts as newer only if it is newer than the last full page too. This works since a full page lists every key that exists at its end.

--- a/source/store/keyedstate.ts
+++ b/source/store/keyedstate.ts
@@ -146,15 +146,18 @@
 /**
  * Adds a record if it is newer than what is known of its key, and returns
  * whether it was. A key that was missing from a full page has been removed
- * since any record before the end of that page.
+ * since any record before the end of that page, an earlier removal too.
  */
 function addIfNewer(
   records: Map<string, KeyedRecord>,
   record: KeyedRecord,
   fullPageEnd: number,
 ): boolean {
-  const known = records.get(record.key)?.offset ?? fullPageEnd - 1;
-  if (record.offset <= known) return false;
+  const known = records.get(record.key);
+  const offset = known?.offset ?? -1;
+  const isPresent = known?.value !== undefined;
+  const since = isPresent ? offset : Math.max(offset, fullPageEnd - 1);
+  if (record.offset <= since) return false;
   records.set(record.key, record);
   return true;
 }
--- a/test/keyedstate.test.ts
+++ b/test/keyedstate.test.ts
@@ -183,3 +183,16 @@
     4_000,
   );
 });
+
+test('a full page that comes late does not bring back a key that was removed twice', t => {
+  const removal = {key: 'engine', value: undefined, offset: 0};
+  const before = applyPage(applyFullPage(UNREAD, {records: [], end: 0}).state, {
+    records: [removal],
+    end: 1,
+  });
+  // Written at 1 and removed at 2, both unseen.
+  const {state} = applyFullPage(before.state, {records: [], end: 3});
+  const record = {key: 'engine', value: Buffer.from('1'), offset: 1};
+  const late = applyFullPage(state, {records: [record], end: 2});
+  t.deepEqual(late.changes, []);
+});
