Take a part of a topic's records for a part, not for all of them

Cause: a message with records said where it ends and not where it begins, and applyPage moved the host's position to that end whatever lay between. A host that had read nothing, or had lost a message, was then not behind, so it asked nobody, and fed, so it did not read the store.

Change: messages name their start. A page behind a gap moves no position; its records are taken one by one if the host has read the topic, none if not. A message without a start, from an older program, is never consecutive. Feeders and the hosts that they feed compare a digest of each topic in one of ten reports; one that differs reads all of it, once in 30 s at most. A host is ready only when both of its topics are loaded.

This works since the position moves only over what has been received, and every way on (ask, full page, the store) starts from the position.

--- a/source/edge/gossiping.ts
+++ b/source/edge/gossiping.ts
@@ -91,6 +91,8 @@
     send: (name, message) => gossip.send(name, message),
     positions: () => platformView.positions,
     records: (topic, position) => platformView.recordsFrom(topic, position),
+    digests: () => platformView.digests,
+    onDigests: (digests, host) => platformView.compareDigests(digests, host),
     answeredAt: () => platformView.storeAnsweredAt,
     storeLostAt: () => platformView.storeLostAt,
     onStoreLost: at => platformView.recordStoreLoss(at),
--- a/source/edge/platformview.ts
+++ b/source/edge/platformview.ts
@@ -22,6 +22,7 @@
   type KeyedRecord,
   type PeerRecordPage,
   type StorePosition,
+  type TopicDigest,
 } from '../store/index.js';
 import {DeferredRecords} from './deferred.js';
 import type {OperatorChange, PlatformParts} from './platform.js';
@@ -166,6 +167,17 @@
     );
   }
 
+  /** Of each topic that can be compared, a digest of what this host knows. */
+  get digests(): TopicDigest[] {
+    return this.followers.flatMap(({digest}) => digest ?? []);
+  }
+
+  /** Compares what another host knows of topics; reads those anew that differ. */
+  compareDigests(digests: readonly TopicDigest[], host: string): void {
+    for (const digest of digests)
+      this.follower(digest.topic)?.compare(digest, host);
+  }
+
   /** Applies records that another host has sent. */
   applyRecords(topic: string, page: PeerRecordPage): void {
     this.follower(topic)?.applyRecords(page);
@@ -205,10 +217,11 @@
 
   /**
    * Whether the host knows enough to serve: it has a configuration and has read
-   * the endpoints once.
+   * all that operators and endpoints have written once.
    */
   get isComplete(): boolean {
-    return this.routingTable !== undefined && this.endpointFollower.isLoaded;
+    const isLoaded = this.followers.every(follower => follower.isLoaded);
+    return this.routingTable !== undefined && isLoaded;
   }
 
   /** Records whether a call of this host to the store was answered. */
--- a/source/gossip/feeder.ts
+++ b/source/gossip/feeder.ts
@@ -9,6 +9,7 @@
   isBefore,
   type PeerRecordPage,
   type StorePosition,
+  type TopicDigest,
 } from '../store/index.js';
 import {
   latestAnsweredAt,
@@ -26,6 +27,8 @@
 import {positionOf, createRecordsMessage} from './records.js';
 
 const REPORT_INTERVAL_MILLISECONDS = 400;
+/** One in so many reports has digests of what is known. */
+const DIGEST_INTERVAL_REPORTS = 10;
 /** Milliseconds for which records are batched into one message. */
 const BATCH_DELAY_MILLISECONDS = 20;
 /** Least milliseconds between two requests for the records of a topic. */
@@ -47,6 +50,10 @@
   /** How far this host knows each topic. */
   readonly positions: () => readonly TopicPosition[];
   readonly records: (topic: string, position: StorePosition) => PeerRecordPage;
+  /** Of each topic, a digest of what this host knows; none if it is not given. */
+  readonly digests?: () => readonly TopicDigest[];
+  /** Called with what a feeder knows of topics, to be compared. */
+  readonly onDigests?: (digests: readonly TopicDigest[], host: string) => void;
   /** Monotonic milliseconds of the store's last response to this host. */
   readonly answeredAt: () => number;
   /**
@@ -76,6 +83,7 @@
   /** For each topic, up to where records have been forwarded. */
   private readonly forwardedUpTo = new Map<string, StorePosition>();
   private readonly requestedAt = new Map<string, number>();
+  private reportsSent = 0;
   private stopTimer: Cancel = () => {};
   private stopBatching: Cancel | undefined;
 
@@ -135,7 +143,7 @@
    * Handles a feeder's report, and requests the records that it has and this
    * host lacks.
    */
-  handleReport({from, positions, age, lostAgo}: Feed): void {
+  handleReport({from, positions, digests, age, lostAgo}: Feed): void {
     const {onStoreLost, clock} = this.options;
     const now = clock.monotonic();
     const report = {heardAt: now, answeredAt: now - age};
@@ -146,6 +154,7 @@
       if (isBefore(known, positionOf(positions, topic)))
         this.requestRecords(from.name, topic, known);
     }
+    if (digests) this.options.onDigests?.(digests, from.name);
   }
 
   private sendReports(): void {
@@ -161,10 +170,13 @@
     this.forwardRecords();
     const now = clock.monotonic();
     const lostAgo = now - this.options.storeLostAt();
+    const hasDigests = this.reportsSent++ % DIGEST_INTERVAL_REPORTS === 0;
+    const digests = hasDigests ? this.options.digests?.() : undefined;
     const report: Feed = {
       kind: 'feed',
       from: self,
       positions: [...positions()],
+      ...(digests && {digests: [...digests]}),
       age: now - this.storeAnsweredAt,
       lostAgo: Number.isFinite(lostAgo) ? lostAgo : undefined,
     };
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -158,6 +158,11 @@
       offset: offsetSchema,
     }),
   ),
+  /**
+   * Offset from which on no record before the end is missing; older hosts send
+   * none.
+   */
+  start: offsetSchema.optional(),
   end: offsetSchema,
   era: eraSchema,
   /**
@@ -166,11 +171,16 @@
   whole: z.boolean(),
 });
 
+/** A digest of what a host knows of a topic up to a position. */
+const topicDigestSchema = topicPositionSchema.extend({digest: z.string()});
+
 /** The report of a host that follows the store for others. */
 const feedSchema = z.object({
   kind: z.literal('feed'),
   from: hostAddressSchema,
   positions: z.array(topicPositionSchema),
+  /** Of each topic, what the receiver compares; absent from most reports. */
+  digests: z.array(topicDigestSchema).optional(),
   /** Milliseconds since the store's response on which it is based. */
   age: z.number(),
   /**
--- a/source/gossip/records.ts
+++ b/source/gossip/records.ts
@@ -26,9 +26,18 @@
 export function createRecordsMessage(
   from: HostAddress,
   topic: string,
-  {records, end, era, whole}: PeerRecordPage,
+  {records, start, end, era, whole}: PeerRecordPage,
 ): Records {
-  return {kind: 'records', from, topic, records: [...records], end, era, whole};
+  return {
+    kind: 'records',
+    from,
+    topic,
+    records: [...records],
+    start,
+    end,
+    era,
+    whole,
+  };
 }
 
 /**
@@ -77,6 +86,7 @@
  */
 export function toRecordPage({
   records,
+  start,
   end,
   era,
   whole,
@@ -87,6 +97,7 @@
       value: valueOf(record),
       offset: record.offset,
     })),
+    start,
     end,
     era,
     whole,
--- a/source/store/follower.ts
+++ b/source/store/follower.ts
@@ -8,9 +8,13 @@
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {RandomSource} from '../random/index.js';
+import {differs, digestOf, type TopicDigest} from './digest.js';
+import {GapWatch} from './gap.js';
 import {
   applyPage,
+  applyPeerPage,
   applyFullPage,
+  followsOn,
   recordsFrom,
   UNREAD,
   type KeyedState,
@@ -42,6 +46,8 @@
  */
 const BATCH_DELAY_MILLISECONDS = 50;
 const FEEDER_BATCH_DELAY_MILLISECONDS = 200;
+/** Least milliseconds between two reads that a difference to another host causes. */
+const MIN_REREAD_INTERVAL_MILLISECONDS = 30_000;
 const INITIAL_BACKOFF_MILLISECONDS = 100;
 const MAX_BACKOFF_MILLISECONDS = 600;
 
@@ -91,6 +97,11 @@
   private nextCatchUp: Promise<boolean> | undefined;
   private stopped = false;
   private endPause: Cancel = () => {};
+  private readonly gap = new GapWatch();
+  /** Whether all records are to be read, as what is known differs from others. */
+  private mustReread = false;
+  /** Monotonic milliseconds of the last difference that was read for. */
+  private rereadAt = -Infinity;
 
   constructor(private readonly options: KeyedFollowerOptions) {}
 
@@ -98,7 +109,7 @@
     return this.options.topic;
   }
 
-  /** Whether the topic has been read at least once. */
+  /** Whether all of the topic has been read at least once. */
   get isLoaded(): boolean {
     return this.hasRead;
   }
@@ -113,10 +124,35 @@
     return recordsFrom(this.state, position);
   }
 
+  /** The digest of what is known; undefined while it cannot be compared. */
+  get digest(): TopicDigest | undefined {
+    const digest = digestOf(this.state);
+    const {offset: position, era} = this.position;
+    if (digest === undefined) return undefined;
+    return {topic: this.topic, position, era, digest};
+  }
+
+  /**
+   * Compares what is known with what another host knows, and reads all records
+   * from the store if they differ.
+   */
+  compare(other: TopicDigest, host: string): void {
+    const {clock, logger, metrics, topic} = this.options;
+    if (!differs(this.state, other)) return;
+    metrics.count('records-differ', {topic});
+    const now = clock.monotonic();
+    if (now - this.rereadAt < MIN_REREAD_INTERVAL_MILLISECONDS) return;
+    this.rereadAt = now;
+    this.mustReread = true;
+    const {position} = other;
+    const records = this.state.records.size;
+    logger.warn('records-differ', {topic, position, host, records});
+  }
+
   /** Applies records that another host has sent. */
   applyRecords(page: PeerRecordPage): void {
-    const apply = page.whole ? applyFullPage : applyPage;
-    this.applyUpdate(apply(this.state, page));
+    if (!followsOn(this.state, page)) this.noteGap(page);
+    this.applyUpdate(applyPeerPage(this.state, page));
   }
 
   /**
@@ -193,16 +229,31 @@
   }
 
   private get isPaused(): boolean {
-    return this.state.next !== undefined && this.options.fed();
+    if (this.state.next === undefined || this.mustReread) return false;
+    if (this.gap.isOverdue(this.options.clock.monotonic())) return false;
+    return this.options.fed();
+  }
+
+  private noteGap({start, end, era}: PeerRecordPage): void {
+    const {clock, logger, metrics, topic} = this.options;
+    if (!isBefore(this.position, {offset: end, era})) return;
+    const isFirst = this.gap.open({offset: end, era}, clock.monotonic());
+    if (!isFirst) return;
+    metrics.count('records-gap', {topic});
+    const {offset: position} = this.position;
+    logger.info('records-gap', {topic, position, start: start ?? '', end});
   }
 
   private async readNext(): Promise<void> {
     const {store, topic} = this.options;
     const {next} = this.state;
     const responseTimeout = RESPONSE_TIMEOUT_MILLISECONDS;
-    if (next === undefined) {
+    if (next === undefined || this.mustReread) {
       const page = await store.readNewest(topic, responseTimeout);
-      this.applyUpdate(applyFullPage(this.state, page));
+      // Of a state that may be wrong, an earlier full page proves nothing.
+      const fullPageEnd = this.mustReread ? 0 : this.state.fullPageEnd;
+      this.mustReread = false;
+      this.applyUpdate(applyFullPage({...this.state, fullPageEnd}, page));
       return;
     }
     const isUnreachable = this.failures > 0;
@@ -233,7 +284,8 @@
       logger.warn('store-restored', {topic, era, before, position: next});
     }
     this.state = state;
-    this.hasRead = true;
+    this.gap.update(this.position);
+    this.hasRead ||= state.next !== undefined;
     store.restores.report(state.era);
     if ((changes.length > 0 || isRestored) && !this.stopped)
       this.options.onChanges(changes, isRestored);
--- a/source/store/index.ts
+++ b/source/store/index.ts
@@ -15,7 +15,9 @@
 } from './store.js';
 export {
   applyPage,
+  applyPeerPage,
   applyFullPage,
+  followsOn,
   recordsFrom,
   UNREAD,
   type KeyedState,
@@ -29,6 +31,7 @@
   StoreRestores,
   type StorePosition,
 } from './restores.js';
+export {type TopicDigest} from './digest.js';
 export {CountedStore} from './counted.js';
 export {KeyedFollower, type KeyedFollowerOptions} from './follower.js';
 export {TopicReader, type TopicReaderOptions} from './topicreader.js';
--- a/source/store/keyedstate.ts
+++ b/source/store/keyedstate.ts
@@ -28,6 +28,11 @@
    * Whether these are all records that exist, not only those from an offset.
    */
   readonly whole: boolean;
+  /**
+   * Offset from which on no record before the end is missing; undefined where the
+   * sender does not say, as older programs.
+   */
+  readonly start?: number | undefined;
 }
 
 /** A state after a page has been applied, with the records that changed it. */
@@ -69,6 +74,45 @@
   return {state: {...before, records, next, era}, changes, isRestored: false};
 }
 
+/**
+ * Whether a page of another host leaves no gap behind what is known. A host that
+ * has read nothing has a gap behind any page but one of all records.
+ *
+ * ```ts
+ * if (!followsOn(state, page)) askForTheRest();
+ * ```
+ */
+export function followsOn(
+  {next = 0, era}: KeyedState,
+  page: PeerRecordPage,
+): boolean {
+  if (page.whole) return true;
+  if (page.start === undefined || !isSameEra(era, page.era)) return false;
+  return page.start <= next;
+}
+
+/**
+ * Returns the state after a page of another host. One behind a gap moves no
+ * position, so that the records of the gap are still read; its own records are
+ * taken by their offsets, as they are newer. A host that has read nothing takes
+ * none, as it could not tell them from all that there are.
+ *
+ * ```ts
+ * const {state, changes} = applyPeerPage(before, toRecordPage(message));
+ * ```
+ */
+export function applyPeerPage(
+  before: KeyedState,
+  page: PeerRecordPage,
+): KeyedUpdate {
+  if (page.whole) return applyFullPage(before, page);
+  if (followsOn(before, page)) return applyPage(before, page);
+  const {next} = before;
+  if (next === undefined) return unchanged(before);
+  const update = applyPage(before, page);
+  return {...update, state: {...update.state, next}};
+}
+
 /**
  * Returns the state after a full page: the newest records of all keys. A key
  * that is missing from it has been removed, unless what is known of the key is
@@ -140,7 +184,8 @@
     whole ? value !== undefined : offset >= position.offset,
   );
   selected.sort((one, other) => one.offset - other.offset);
-  return {records: selected, end: next ?? 0, whole, era};
+  const start = whole ? 0 : position.offset;
+  return {records: selected, start, end: next ?? 0, whole, era};
 }
 
 /**
--- a/test/keyedstate.test.ts
+++ b/test/keyedstate.test.ts
@@ -8,6 +8,7 @@
 
 import {
   applyPage,
+  applyPeerPage,
   applyFullPage,
   recordsFrom,
   UNREAD,
@@ -21,6 +22,7 @@
 const KEYS = ['one', 'two', 'three', 'four'];
 
 type Follow = typeof applyPage;
+type FollowPeer = typeof applyPeerPage;
 
 /** The log of the topic, and two hosts that follow it. */
 class Simulation {
@@ -29,7 +31,10 @@
   private readonly delayedPages: KeyedRecord[][] = [];
   problem = '';
 
-  constructor(private readonly follow: Follow) {}
+  constructor(
+    private readonly follow: Follow,
+    private readonly followPeer: FollowPeer,
+  ) {}
 
   append(key: string, removed: boolean): void {
     const offset = this.log.length;
@@ -78,6 +83,19 @@
     this.setView(to, apply(view, page).state);
   }
 
+  /**
+   * A host receives what another one knows from an offset on, as after a message
+   * that was lost; an older program does not say from which.
+   */
+  sendPart(from: number, to: number, offset: number, saysStart: boolean): void {
+    const source = this.views[from] ?? UNREAD;
+    const page = recordsFrom(source, {offset});
+    if (page.end <= offset) return;
+    const start = saysStart ? page.start : undefined;
+    const view = this.views[to] ?? UNREAD;
+    this.setView(to, this.followPeer(view, {...page, start}).state);
+  }
+
   deliverLate(host: number): void {
     const records = this.delayedPages.shift();
     const view = this.views[host] ?? UNREAD;
@@ -153,14 +171,21 @@
   host.map(from =>
     step(`pass ${from}`, simulation => simulation.sendRecords(from, 1 - from)),
   ),
+  fc
+    .tuple(host, fc.nat({max: 12}), fc.boolean())
+    .map(([from, offset, saysStart]) =>
+      step(`part of ${from} from ${offset} ${saysStart}`, simulation =>
+        simulation.sendPart(from, 1 - from, offset, saysStart),
+      ),
+    ),
   host.map(reader =>
     step(`late ${reader}`, simulation => simulation.deliverLate(reader)),
   ),
 ];
 
-function property(follow: Follow) {
+function property(follow: Follow, followPeer = applyPeerPage) {
   return fc.property(steps(stepKinds, 40), commands => {
-    const simulation = new Simulation(follow);
+    const simulation = new Simulation(follow, followPeer);
     fc.modelRun(() => ({model: {}, real: simulation}), commands);
     return simulation.problem === '';
   });
@@ -184,6 +209,38 @@
   );
 });
 
+test('the property fails if a part of the records is taken for all up to its end', t => {
+  isSeenToFail(
+    t,
+    property(applyPage, (before, page) =>
+      page.whole ? applyFullPage(before, page) : applyPage(before, page),
+    ),
+    4_000,
+  );
+});
+
+test('a host that has read nothing takes no part of the records', t => {
+  const record = {key: 'config', value: Buffer.from('9'), offset: 9};
+  const part = {records: [record], start: 9, end: 10, whole: false};
+  t.deepEqual(applyPeerPage(UNREAD, part).state, UNREAD);
+  t.deepEqual(applyPeerPage(UNREAD, part).changes, []);
+  const {state} = applyPeerPage(UNREAD, {...part, start: 0});
+  t.is(state.next, 10);
+});
+
+test('a part behind a gap is taken, but what is missing stays to be read', t => {
+  const page = {records: [], end: 5};
+  const {state: read} = applyFullPage(UNREAD, page);
+  const record = {key: 'config', value: Buffer.from('9'), offset: 9};
+  const part = {records: [record], start: 9, end: 10, whole: false};
+  for (const start of [9, undefined]) {
+    const {state, changes} = applyPeerPage(read, {...part, start});
+    t.is(state.next, 5);
+    t.deepEqual(changes, [record]);
+  }
+  t.is(applyPeerPage(read, {...part, start: 5}).state.next, 10);
+});
+
 test('a full page that comes late does not bring back a key that was removed twice', t => {
   const removal = {key: 'engine', value: undefined, offset: 0};
   const before = applyPage(applyFullPage(UNREAD, {records: [], end: 0}).state, {
