Keep begun streams with their host until they are stored

Cause: a host gave the begins of its streams to the recorder of its zone and forgot them; nothing said whether they were stored, and a recorder that had died was chosen for 20 s.

Change: one relay for begun streams and usage sheets (recorder/relay.ts). Items stay with their host until the recorder confirms; after 0.5 s the host appends them itself, and if that works uses the next host of its zone for 10 s. Recorders are chosen among reachable hosts. A recorder that stops appends what it has gathered.

This works since every item has an owner that is up until the store has it, except in the first 0.2 s after the begin, while it is gathered.

--- a/source/edge/gossiping.ts
+++ b/source/edge/gossiping.ts
@@ -59,7 +59,11 @@
     onCrashReport: report => quarantine.handleCrashReport(report),
     onBegunSuspects: begun => quarantine.handleBegun(begun),
     onLimits: limits => selector.setLimitReports(limits),
-    onBegunStreams: groups => versions.appendFor(groups),
+    onBegunStreams: ({name}, items, number) => {
+      if (number === undefined) return versions.appendFor(items);
+      versions.relay.handleDelivery(name, {number, items});
+    },
+    onBegunStreamsStored: number => versions.relay.handleConfirmation(number),
     onSheets: ({name}, delivery) => usage?.relay.handleDelivery(name, delivery),
     ...rolloutMessages(rollouts),
     onSheetsStored: number => usage?.relay.handleConfirmation(number),
@@ -84,10 +88,7 @@
   return new Feeder({
     self,
     clock,
-    hosts: () =>
-      gossip.reachableMembers
-        .filter(({pulse}) => !pulse?.leaving)
-        .map(({host}) => host),
+    hosts: () => gossip.stayingHosts,
     send: (name, message) => gossip.send(name, message),
     positions: () => platformView.positions,
     records: (topic, position) => platformView.recordsFrom(topic, position),
--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -81,7 +81,9 @@
     this.context = context;
     this.recorder = new ZoneRecorder({
       self: address,
-      hosts: () => this.gossip?.activeHosts ?? [],
+      clock,
+      logger,
+      hosts: () => this.gossip?.stayingHosts ?? [],
       send: (name, message) => this.gossip?.send(name, message),
     });
     const {regions} = settings;
@@ -338,8 +340,12 @@
       logger,
       metrics,
       catchUpWithEndpoints: () => this.platformView.catchUpWithEndpoints(),
-      recorder: () => recorder.name,
-      sendToRecorder: (name, groups) => recorder.sendStreams(name, groups),
+      link: {
+        recorder: () => recorder.name,
+        deliver: (name, delivery) => recorder.sendStreams(name, delivery),
+        confirm: (name, number) => recorder.confirmStreams(name, number),
+        onMissed: name => recorder.noteMissed(name),
+      },
     });
   }
 
--- a/source/edge/leadership.ts
+++ b/source/edge/leadership.ts
@@ -54,6 +54,7 @@
       recorder: () => recorder.name,
       deliver: (name, delivery) => recorder.sendSheets(name, delivery),
       confirm: (name, number) => recorder.confirmSheets(name, number),
+      onMissed: name => recorder.noteMissed(name),
     },
     window: settings.usage.windowMilliseconds,
     reportDeadline: settings.usage.lateMilliseconds,
--- a/source/gossip/index.ts
+++ b/source/gossip/index.ts
@@ -39,7 +39,6 @@
   hostAddressSchema,
   type HostAddress,
   type Pulse,
-  type SheetDelivery,
   type TopicPosition,
 } from './message.js';
 export {
--- a/source/gossip/message.ts
+++ b/source/gossip/message.ts
@@ -4,7 +4,7 @@
  */
 import * as z from 'zod';
 
-import {sheetSchema, type Sheet} from '../platform/index.js';
+import {sheetSchema} from '../platform/index.js';
 import {
   begunSuspectSchema,
   blocklistEntrySchema,
@@ -216,9 +216,18 @@
 const streamsMessageSchema = z.object({
   kind: z.literal('streams'),
   from: hostAddressSchema,
+  /** Numbers these messages of the sender; older hosts wait for no confirmation. */
+  number: z.number().int().optional(),
   groups: z.array(begunGroupSchema),
 });
 
+/** Tells a host that its begun streams are in the store. */
+const streamsStoredSchema = z.object({
+  kind: z.literal('streams-stored'),
+  from: hostAddressSchema,
+  number: z.number().int(),
+});
+
 /** Usage sheets of the sender, for the receiver to append. */
 const sheetsMessageSchema = z.object({
   kind: z.literal('sheets'),
@@ -228,13 +237,6 @@
   sheets: z.array(sheetSchema),
 });
 
-/** Usage sheets that a host leaves to another one to append. */
-export interface SheetDelivery {
-  /** Numbers the deliveries of a host. */
-  readonly number: number;
-  readonly sheets: readonly Sheet[];
-}
-
 /** Tells a host that its sheets are in the store. */
 const sheetsStoredSchema = z.object({
   kind: z.literal('sheets-stored'),
@@ -265,6 +267,7 @@
   begunMessageSchema,
   limitsMessageSchema,
   streamsMessageSchema,
+  streamsStoredSchema,
   sheetsMessageSchema,
   sheetsStoredSchema,
   rolloutShareMessageSchema,
--- a/source/gossip/node.ts
+++ b/source/gossip/node.ts
@@ -126,6 +126,13 @@
     return reachableMembers(this.members, this.options.clock.monotonic());
   }
 
+  /** The other hosts that are reachable and not leaving. */
+  get stayingHosts(): HostAddress[] {
+    return this.reachableMembers
+      .filter(({pulse}) => !pulse?.leaving)
+      .map(({host}) => host);
+  }
+
   /** The hosts that share the limits, this one among them. */
   get sharing(): SharingHosts {
     return this.view.sharing;
@@ -292,9 +299,18 @@
       case 'limits':
         return this.options.onLimits(message.limits);
       case 'streams':
-        return this.options.onBegunStreams(message.groups);
+        return this.options.onBegunStreams(
+          message.from,
+          message.groups,
+          message.number,
+        );
+      case 'streams-stored':
+        return this.options.onBegunStreamsStored(message.number);
       case 'sheets':
-        return this.options.onSheets(message.from, message);
+        return this.options.onSheets(message.from, {
+          number: message.number,
+          items: message.sheets,
+        });
       case 'sheets-stored':
         return this.options.onSheetsStored(message.number);
       case 'rollout-share':
--- a/source/gossip/options.ts
+++ b/source/gossip/options.ts
@@ -7,9 +7,10 @@
 import type {Metrics} from '../metrics/index.js';
 import type {Sheet} from '../platform/index.js';
 import type {BegunSuspect, CrashReport} from '../quarantine/index.js';
+import type {Delivery} from '../recorder/index.js';
 import type {PeerRecordPage, StorePosition} from '../store/index.js';
 import type {BegunGroup} from '../versions/index.js';
-import type {Feed, HostAddress, Pulse, SheetDelivery} from './message.js';
+import type {Feed, HostAddress, Pulse} from './message.js';
 import type {OwnState} from './pulse.js';
 import type {RolloutHandlers} from './rollouthandlers.js';
 
@@ -45,9 +46,15 @@
   /** Called with limits of endpoints that another host has been told. */
   readonly onLimits: (limits: readonly LimitStatement[]) => void;
   /** Called with streams that another host leaves to this one to append. */
-  readonly onBegunStreams: (groups: readonly BegunGroup[]) => void;
+  readonly onBegunStreams: (
+    host: HostAddress,
+    groups: readonly BegunGroup[],
+    number: number | undefined,
+  ) => void;
+  /** Called when the begun streams that this host has sent to another are stored. */
+  readonly onBegunStreamsStored: (number: number) => void;
   /** Called with usage sheets that another host leaves to this one to append. */
-  readonly onSheets: (host: HostAddress, delivery: SheetDelivery) => void;
+  readonly onSheets: (host: HostAddress, delivery: Delivery<Sheet>) => void;
   /** Called when the sheets that this host has sent to another are stored. */
   readonly onSheetsStored: (number: number) => void;
   /** Called when a host has turned up, started anew or become reachable again. */
--- a/source/leader/index.ts
+++ b/source/leader/index.ts
@@ -25,5 +25,4 @@
   type AutoscalerOptions,
   type AutoscalerView,
 } from './autoscaler.js';
-export {UsageRelay, type UsageRelayOptions} from './usagerelay.js';
 export {UsageMeter, type UsageMeterOptions} from './usage.js';
--- a/source/leader/usage.ts
+++ b/source/leader/usage.ts
@@ -10,6 +10,7 @@
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {Sheet} from '../platform/index.js';
+import {RecorderRelay, type RecorderLink} from '../recorder/index.js';
 import type {RandomSource} from '../random/index.js';
 import {StoreError, type RecordStore} from '../store/index.js';
 import {
@@ -23,7 +24,6 @@
 } from '../usage/index.js';
 import type {FencedPlatformClient, Leader} from './client.js';
 import {FreezeHistory} from './freezehistory.js';
-import {UsageRelay, type UsageRelayOptions} from './usagerelay.js';
 import {UNSTORED_PAST_WINDOWS, UsageReplicas} from './usagereplicas.js';
 import {
   RETRY_DELAY_MILLISECONDS,
@@ -51,6 +51,11 @@
  */
 const REWRITTEN_MILLISECONDS = 30_000;
 
+/** Time for which the recorder of a zone gathers the sheets of its hosts. */
+const GATHERING_MILLISECONDS = 300;
+/** Time after which a host no longer waits for its recorder. */
+const CONFIRMATION_TIMEOUT_MILLISECONDS = 1_200;
+
 /** Dependencies and settings of a usage meter. */
 export interface UsageMeterOptions {
   /** Identifies this incarnation of the host among all hosts. */
@@ -58,7 +63,7 @@
   /** The other hosts, whose sheets a freeze waits for. */
   readonly hosts: () => readonly HostAddress[];
   /** How sheets are passed to the host that appends them for this one. */
-  readonly relay: Pick<UsageRelayOptions, 'recorder' | 'deliver' | 'confirm'>;
+  readonly relay: RecorderLink<Sheet>;
   /** Length of a window in milliseconds. */
   readonly window: number;
   /** Milliseconds after its end within which a window must be reported. */
@@ -78,7 +83,7 @@
   private ledger: UsageLedger = emptyLedger();
   private readonly topic: UsageTopic;
   /** Stores this host's sheets, and those that others send to it. */
-  readonly relay: UsageRelay;
+  readonly relay: RecorderRelay<Sheet>;
   private stopTimer: Cancel = () => {};
   /** The freezes that this host knows, and what a restored store may lack. */
   readonly freezes: FreezeHistory;
@@ -87,9 +92,11 @@
     this.sheets = new UsageSheets(REGION, options.incarnation);
     this.replicas = new UsageReplicas(options.logger);
     this.freezes = new FreezeHistory(options.store.restores);
-    this.relay = new UsageRelay({
+    this.relay = new RecorderRelay({
       ...options.relay,
       clock: options.clock,
+      gathering: GATHERING_MILLISECONDS,
+      patience: CONFIRMATION_TIMEOUT_MILLISECONDS,
       append: sheets => this.topic.appendSheets(sheets),
     });
     this.topic = new UsageTopic({
--- a/source/versions/streamversions.ts
+++ b/source/versions/streamversions.ts
@@ -9,6 +9,7 @@
 import type {Directory, EntryChange} from '../directory/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
+import {RecorderRelay, type RecorderLink} from '../recorder/index.js';
 import {StoreError, TopicReader, type RecordStore} from '../store/index.js';
 import {EndpointArrivals} from './arrivals.js';
 import {BegunStreams, type BegunStream} from './begun.js';
@@ -32,6 +33,13 @@
 /** Milliseconds for which streams are gathered into one append. */
 const APPEND_INTERVAL_MILLISECONDS = 200;
 const RETRY_DELAY_MILLISECONDS = 500;
+/** Time for which the recorder of a zone gathers the streams of its hosts. */
+const GATHERING_MILLISECONDS = 100;
+/**
+ * Time after which a host no longer waits for its recorder. A caller that comes
+ * back waits as long for the record.
+ */
+const CONFIRMATION_TIMEOUT_MILLISECONDS = 500;
 /**
  * Longest wait for the record of a stream. Its host may have gathered it for a
  * while when the caller comes back.
@@ -57,15 +65,8 @@
    * whether the directory then has all that was written until the call.
    */
   readonly catchUpWithEndpoints: () => Promise<boolean>;
-  /**
-   * The host that appends for this one, in a large fleet; undefined where this
-   * host appends itself.
-   */
-  readonly recorder: () => string | undefined;
-  readonly sendToRecorder: (
-    recorder: string,
-    groups: readonly BegunGroup[],
-  ) => void;
+  /** How begun streams reach the host that appends them for this one. */
+  readonly link: RecorderLink<BegunGroup>;
 }
 
 /** The versions at which streams began. */
@@ -77,6 +78,8 @@
   );
   private readonly pending = new PendingGroups();
   private readonly topic: TopicReader;
+  /** Stores the streams that have begun here, and those that others send. */
+  readonly relay: RecorderRelay<BegunGroup>;
   /** Services of which several versions serve or have just served. */
   private mixedServices: ReadonlySet<string> = new Set();
   private reading: Promise<number> | undefined;
@@ -93,14 +96,24 @@
       timeout: STORE_TIMEOUT_MILLISECONDS,
       onRecord: bytes => this.applyRecord(bytes),
     });
+    this.relay = new RecorderRelay({
+      ...options.link,
+      clock: options.clock,
+      gathering: GATHERING_MILLISECONDS,
+      patience: CONFIRMATION_TIMEOUT_MILLISECONDS,
+      append: groups => this.append(groups),
+    });
     options.store.restores.onRestore(() => this.appendAnew());
   }
 
-  /** Stops to append; what is gathered is appended at once. */
+  /**
+   * Stops to append; what is gathered, here and for other hosts, is appended at
+   * once.
+   */
   async stop(): Promise<void> {
     this.isStopped = true;
     this.stopTimer?.();
-    await this.flush();
+    await Promise.all([this.flush(), this.relay.appendGathered()]);
   }
 
   /**
@@ -141,7 +154,7 @@
     if (this.mustAppend(stream.service)) this.enqueue(stream);
   }
 
-  /** Takes over what another host has gathered, to append it. */
+  /** Takes over what a host of an older program has gathered, to append it. */
   appendFor(groups: readonly BegunGroup[]): void {
     for (const group of groups) this.pending.addGroup(group);
     this.flushSoon(APPEND_INTERVAL_MILLISECONDS);
@@ -296,24 +309,32 @@
     });
   }
 
-  /** Appends what is gathered, or hands it to the host that appends it. */
+  /** Stores what is gathered; gathers it again where that fails. */
   private async flush(): Promise<void> {
-    const {store, clock, logger, recorder, sendToRecorder} = this.options;
     const groups = this.pending.take();
-    if (groups.length === 0) return;
-    const other = recorder();
-    if (other !== undefined) return sendToRecorder(other, groups);
+    if (groups.length === 0 || (await this.relay.store(groups))) return;
+    for (const group of groups) this.pending.addGroup(group);
+    this.flushSoon(RETRY_DELAY_MILLISECONDS);
+  }
+
+  /** Appends groups; resolves to whether the store has confirmed them. */
+  private async append(groups: readonly BegunGroup[]): Promise<boolean> {
+    const {store, clock, logger} = this.options;
     const at = clock.now().getTime();
-    const record = {kind: 'streams-begun', at, groups} as const;
+    const record: BegunStreamsRecord = {
+      kind: 'streams-begun',
+      at,
+      groups: [...groups],
+    };
     const bytes = encodeBegunStreams(record);
     try {
       await store.append(TOPIC, [bytes], STORE_TIMEOUT_MILLISECONDS);
       this.keepAppended(record, at);
+      return true;
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
       logger.warn('streams-not-appended', {detail: error.message});
-      for (const group of groups) this.pending.addGroup(group);
-      this.flushSoon(RETRY_DELAY_MILLISECONDS);
+      return false;
     }
   }
 
--- a/test/correctedclock.test.ts
+++ b/test/correctedclock.test.ts
@@ -19,6 +19,7 @@
 } from '../source/leader/index.js';
 import {Metrics} from '../source/metrics/index.js';
 import {seededRandom} from '../source/random/index.js';
+import {NO_RECORDER} from './support/linkless.js';
 import {holds} from './support/fuzz.js';
 import {SILENT} from './support/silent.js';
 import {UnusedStore} from './support/unusedstore.js';
@@ -124,11 +125,7 @@
       const usage = new UsageMeter({
         incarnation: 'host-1 1',
         hosts: () => [],
-        relay: {
-          recorder: () => undefined,
-          deliver: () => {},
-          confirm: () => {},
-        },
+        relay: NO_RECORDER,
         window: WINDOW_MILLISECONDS,
         reportDeadline: 2 * WINDOW_MILLISECONDS,
         store: new UnusedStore(),
--- a/test/gossip.test.ts
+++ b/test/gossip.test.ts
@@ -180,6 +180,7 @@
     onHostFound: () => {},
     onLimits: () => {},
     onBegunStreams: () => {},
+    onBegunStreamsStored: () => {},
     onSheets: () => {},
     onSheetsStored: () => {},
     onRolloutShare: () => {},
--- a/test/replicas.test.ts
+++ b/test/replicas.test.ts
@@ -16,6 +16,7 @@
 import type {Sheet} from '../source/platform/index.js';
 import {seededRandom} from '../source/random/index.js';
 import {StoreError} from '../source/store/index.js';
+import {NO_RECORDER} from './support/linkless.js';
 import {SILENT} from './support/silent.js';
 import {UnusedStore} from './support/unusedstore.js';
 
@@ -59,11 +60,7 @@
   const usage = new UsageMeter({
     incarnation: 'host-1 1',
     hosts: () => [],
-    relay: {
-      recorder: () => undefined,
-      deliver: () => {},
-      confirm: () => {},
-    },
+    relay: NO_RECORDER,
     window: WINDOW,
     reportDeadline: 2 * WINDOW,
     store,
--- a/test/streamversions.test.ts
+++ b/test/streamversions.test.ts
@@ -127,6 +127,58 @@
   t.deepEqual(await world.host().versionOf(SERVICE, 'one'), KNOWN_V1);
 });
 
+test('what a recorder that is gone does not confirm is appended by its owner, and soon', async t => {
+  const world = new World();
+  world.serve({a: 'v1', b: 'v2'});
+  const host = world.host(() => undefined);
+  begin(host, 'one', 'v1');
+  for (let round = 0; round < 8; round++) await world.pass(100);
+  t.is(world.store.records.length, 1);
+  t.deepEqual(world.missed, ['host-0']);
+  t.deepEqual(await world.host().versionOf(SERVICE, 'one'), KNOWN_V1);
+});
+
+test('what a recorder that cannot reach the store has taken stays with its owner', async t => {
+  const world = new World();
+  world.serve({a: 'v1', b: 'v2'});
+  const recorder = world.host();
+  const host = world.host(() => recorder);
+  world.cutFromStore(0);
+  begin(host, 'one', 'v1');
+  for (let round = 0; round < 8; round++) await world.pass(100);
+  t.deepEqual(world.missed, ['host-1']);
+  t.deepEqual(await world.host().versionOf(SERVICE, 'one'), KNOWN_V1);
+});
+
+test('a recorder that is stopped appends what it has gathered', async t => {
+  const world = new World();
+  world.serve({a: 'v1', b: 'v2'});
+  const recorder = world.host();
+  const host = world.host(() => recorder);
+  begin(host, 'one', 'v1');
+  await world.pass(200);
+  t.is(world.store.records.length, 0);
+  await recorder.stop();
+  t.is(world.store.records.length, 1);
+  await world.pass(600);
+  t.is(world.store.records.length, 1);
+  t.deepEqual(world.missed, []);
+});
+
+test('while the store is away for all, no recorder is blamed, and nothing is lost', async t => {
+  const world = new World();
+  world.serve({a: 'v1', b: 'v2'});
+  const recorder = world.host();
+  const host = world.host(() => recorder);
+  world.store.isAway = true;
+  begin(host, 'one', 'v1');
+  for (let round = 0; round < 12; round++) await world.pass(100);
+  t.deepEqual(world.missed, []);
+  world.store.isAway = false;
+  for (let round = 0; round < 12; round++) await world.pass(100);
+  t.deepEqual(await world.host().versionOf(SERVICE, 'one'), KNOWN_V1);
+});
+
 test('a store that is away delays the records and loses none', async t => {
   const world = new World();
   world.serve({a: 'v1', b: 'v2'});
--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -35,6 +35,7 @@
 import {listenOnFreeAddress} from '../../tools/ports.js';
 import {readyEndpoint} from './directories.js';
 import {keepOnFailure} from './failures.js';
+import {NO_RECORDER} from './linkless.js';
 import {UnusedStore} from './unusedstore.js';
 
 const SERVICE = 'drafting';
@@ -375,8 +376,7 @@
     logger,
     metrics: new Metrics(),
     catchUpWithEndpoints: () => Promise.resolve(true),
-    recorder: () => 'another host',
-    sendToRecorder: () => {},
+    link: {...NO_RECORDER, recorder: () => 'another host'},
   });
 }
 
--- a/test/support/versionsworld.ts
+++ b/test/support/versionsworld.ts
@@ -6,7 +6,7 @@
 import type {Directory} from '../../source/directory/index.js';
 import {Metrics} from '../../source/metrics/index.js';
 import {StoreError, type PlainPage} from '../../source/store/index.js';
-import {StreamVersions, type BegunGroup} from '../../source/versions/index.js';
+import {StreamVersions} from '../../source/versions/index.js';
 import {createEndpoint} from './forwarding.js';
 import {UnusedStore} from './unusedstore.js';
 
@@ -88,6 +88,9 @@
   private directory: Directory = new Map();
   private hosts: StreamVersions[] = [];
   private hostStores: HostStore[] = [];
+  private readonly byName = new Map<string, StreamVersions>();
+  /** Hosts whose recorder has not confirmed what it got, once for each miss. */
+  readonly missed: string[] = [];
 
   constructor() {
     this.store.onWait = wait => this.clock.advance(wait);
@@ -113,20 +116,28 @@
     for (const host of this.hosts) host.setDirectory(this.directory);
   }
 
-  host(recorder?: () => StreamVersions): StreamVersions {
+  /** Starts a host, which leaves what begins to a recorder if one is given. */
+  host(recorder?: () => StreamVersions | undefined): StreamVersions {
+    const name = `host-${this.byName.size}`;
     const quiet = () => {};
     const store = new HostStore(this.store);
     this.hostStores.push(store);
-    const host = new StreamVersions({
+    const host: StreamVersions = new StreamVersions({
       store,
       clock: this.clock,
       logger: {debug: quiet, info: quiet, warn: quiet, error: quiet},
       metrics: new Metrics(),
       catchUpWithEndpoints: () => Promise.resolve(!this.store.isAway),
-      recorder: () => (recorder ? 'recorder' : undefined),
-      sendToRecorder: (_: string, groups: readonly BegunGroup[]) =>
-        recorder?.().appendFor(groups),
+      link: {
+        recorder: () => (recorder ? 'recorder' : undefined),
+        deliver: (_, delivery) =>
+          recorder?.()?.relay.handleDelivery(name, delivery),
+        confirm: (to, number) =>
+          this.byName.get(to)?.relay.handleConfirmation(number),
+        onMissed: () => this.missed.push(name),
+      },
     });
+    this.byName.set(name, host);
     this.hosts.push(host);
     host.setDirectory(this.directory);
     return host;
@@ -137,6 +148,12 @@
     for (const store of this.hostStores) store.restores.report(era);
   }
 
+  /** A host, by its order, no longer reaches the store. */
+  cutFromStore(index: number): void {
+    const store = this.hostStores[index];
+    if (store) store.isKilled = true;
+  }
+
   killAll(): void {
     this.hosts = [];
     for (const store of this.hostStores) store.isKilled = true;
--- a/test/usagerelay.test.ts
+++ b/test/usagerelay.test.ts
@@ -6,8 +6,8 @@
 import test from 'ava';
 
 import {ManualClock} from '../source/clock/index.js';
-import {UsageRelay} from '../source/leader/index.js';
 import type {Sheet} from '../source/platform/index.js';
+import {RecorderRelay} from '../source/recorder/index.js';
 
 const HOSTS = 40;
 const MESSAGE_DELAY_MILLISECONDS = 2;
@@ -29,7 +29,7 @@
   readonly appends: Array<readonly Sheet[]> = [];
   isStoreAway = false;
   isRecorderDead = false;
-  private readonly relays = new Map<string, UsageRelay>();
+  private readonly relays = new Map<string, RecorderRelay<Sheet>>();
 
   constructor() {
     for (let index = 0; index < HOSTS; index++) this.add(`host-${index}`);
@@ -55,8 +55,11 @@
     const isRecorder = name === 'host-0';
     const later = (act: () => void) =>
       void clock.after(MESSAGE_DELAY_MILLISECONDS, act);
-    const relay = new UsageRelay({
+    const relay = new RecorderRelay<Sheet>({
       clock,
+      gathering: 300,
+      patience: 1_200,
+      onMissed: () => {},
       recorder: () => (isRecorder ? undefined : 'host-0'),
       deliver: (host, delivery) =>
         later(() => {
--- a/test/zonerecorder.test.ts
+++ b/test/zonerecorder.test.ts
@@ -4,8 +4,10 @@
  */
 import test from 'ava';
 
+import {ManualClock} from '../source/clock/index.js';
 import {ZoneRecorder} from '../source/edge/zonerecorder.js';
 import type {HostAddress} from '../source/gossip/index.js';
+import {SILENT} from './support/silent.js';
 
 const ZONES = ['palermo', 'catania', 'siracusa'];
 
@@ -18,9 +20,16 @@
   }));
 }
 
+const clock = new ManualClock();
+
+function zoneRecorder(self: HostAddress, hosts: () => HostAddress[]) {
+  const send = () => {};
+  return new ZoneRecorder({self, clock, hosts, send, logger: SILENT});
+}
+
 function recorderOf(self: HostAddress, fleet: readonly HostAddress[]) {
   const hosts = () => fleet.filter(({name}) => name !== self.name);
-  return new ZoneRecorder({self, hosts, send: () => {}}).name ?? self.name;
+  return zoneRecorder(self, hosts).name ?? self.name;
 }
 
 test('in a large fleet all hosts of a zone have the same recorder, of their zone', t => {
@@ -38,3 +47,37 @@
   const fleet = fleetOf(12);
   for (const host of fleet) t.is(recorderOf(host, fleet), host.name);
 });
+
+test('hosts whose recorder has not confirmed what it got use the next one, all the same, for a while', t => {
+  const fleet = fleetOf(61);
+  const zone = fleet.filter(host => host.zone === ZONES[0]);
+  const [first] = zone;
+  if (!first) return t.fail('no host');
+  const dead = recorderOf(first, fleet);
+  const others = zone.filter(({name}) => name !== dead);
+  const recorders = others.map(self =>
+    zoneRecorder(self, () => fleet.filter(({name}) => name !== self.name)),
+  );
+  for (const recorder of recorders) recorder.noteMissed(dead);
+  const names = () =>
+    new Set(recorders.map(({name}, index) => name ?? others[index]?.name));
+  t.is(names().size, 1);
+  t.false(names().has(dead));
+  clock.advance(10_000);
+  t.deepEqual([...names()], [dead]);
+});
+
+test('a recorder that has started anew is used again at once', t => {
+  let fleet = fleetOf(61);
+  const [self] = fleet;
+  if (!self) return t.fail('no host');
+  const recorder = zoneRecorder(self, () => fleet.slice(1));
+  const {name} = recorder;
+  if (name === undefined) return t.fail('it is the recorder itself');
+  recorder.noteMissed(name);
+  t.not(recorder.name, name);
+  fleet = fleet.map(host =>
+    host.name === name ? {...host, started: 2} : host,
+  );
+  t.is(recorder.name, name);
+});
