Tell the stream versions of the forwarder tests of its endpoints

The old answer, `unversioned`, hid that. The fixture gives it to both now; no assertion is changed.

Its store refuses appends like reads, since a host now stores itself what its recorder does not confirm, and the versions are stopped with the fixture.

--- a/test/support/forwarding.ts
+++ b/test/support/forwarding.ts
@@ -128,6 +128,7 @@
   private readonly endpointServers = new Map<string, Server>();
   private address = '';
   private book: EndpointSelector | undefined;
+  private streamVersions: StreamVersions | undefined;
 
   /**
    * Starts an endpoint for each behaviour, with its software version, and a
@@ -268,6 +269,8 @@
       logger: this.logger(),
       metrics: new Metrics(),
     });
+    const streamVersions = loneStreamVersions(clock, this.logger());
+    this.streamVersions = streamVersions;
     const forwarder = new Forwarder({
       memory,
       protocol: new PlatformProtocol(),
@@ -275,7 +278,7 @@
       admission,
       book,
       quarantine: loneQuarantine(clock, this.logger()),
-      versions: loneStreamVersions(clock, this.logger()),
+      versions: streamVersions,
       clock,
       logger: this.logger(),
       metrics: new Metrics(),
@@ -287,6 +290,7 @@
     forwarder.routingTable = table;
     book.setServices(table.services);
     book.setDirectory(directory);
+    streamVersions.setDirectory(directory);
     this.address = await this.listen(
       createServer((message, response) => {
         void forwarder.serve(message, response);
@@ -322,6 +326,7 @@
   }
 
   private stop(): void {
+    void this.streamVersions?.stop();
     for (const server of this.servers) {
       server.closeAllConnections();
       server.close();
@@ -363,6 +368,10 @@
 
 /** A store that cannot be reached. */
 class UnreachableStore extends UnusedStore {
+  override append(): Promise<number> {
+    return Promise.reject(new StoreError('unreachable', 'no store'));
+  }
+
   override async oldestOffset(): Promise<number> {
     throw new StoreError('unreachable', 'away');
   }
