Ask an endpoint whether it lives before its connection's end is the answer's

Cause: the end of a connection without a reset was taken for the end of the answer, and the system of a killed process closes its connections like that.

Change: where neither a length nor chunks delimit an answer, the host asks the endpoint for its report. If nothing accepts there, or another incarnation, the answer was cut: resumed, repeated or failed as any cut answer. Endpoints that were known to leave are not asked.

This works since a killed endpoint's port is closed with its connections, or after them by less than the second look takes.

--- a/source/edge/host.ts
+++ b/source/edge/host.ts
@@ -119,7 +119,8 @@
       address => this.incarnations.noteIdleClosed(address),
     );
     const {selector} = this;
-    const reports = new StartReports({protocol, logger});
+    const directory = () => this.platformView.directory;
+    const reports = new StartReports({protocol, clock, logger, directory});
     this.prober = new Prober({
       reports,
       selector,
@@ -163,6 +164,7 @@
       random,
       retryBudget: settings.repeats,
       onRunStarted: team => this.leadership?.usage.countRequest(team),
+      hasCrashed: entry => reports.hasCrashed(entry),
     });
     this.platformView = new PlatformView({
       ...platform,
--- a/source/edge/incarnationwatch.ts
+++ b/source/edge/incarnationwatch.ts
@@ -46,7 +46,7 @@
     if (now - last < LOOK_INTERVAL_MILLISECONDS) return;
     this.remember(incarnation, now);
     let state = await reports.stateOf(endpoint.entry);
-    if (state === 'unknown') {
+    if (state === 'unknown' || state === 'broken-off') {
       // Its port may be closed a little later than its connections.
       await new Promise<void>(resolve => {
         clock.after(SECOND_LOOK_DELAY_MILLISECONDS, resolve);
--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -5,7 +5,11 @@
 import type {Reservation} from '../balance/index.js';
 import {Cancellation, type CancellationSignal} from '../cancellation/index.js';
 import type {Cancel, Clock} from '../clock/index.js';
-import {UNSTATED_VERSION, versionOf} from '../directory/index.js';
+import {
+  UNSTATED_VERSION,
+  versionOf,
+  type EndpointEntry,
+} from '../directory/index.js';
 import {discardBody, isFinalStatus, isSuccessStatus} from '../wire/index.js';
 import type {Logger} from '../logging/index.js';
 import {SMALL_BODY_BYTES} from '../memory/index.js';
@@ -35,6 +39,11 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /**
+   * Resolves with whether an endpoint has just ended that had not said it would
+   * leave; not asked if it is not given.
+   */
+  readonly hasCrashed?: (entry: EndpointEntry) => Promise<boolean>;
   /** Called when an endpoint's response shows that it runs a team's request. */
   readonly onRunStarted: (team: string) => void;
   /** Called when an endpoint of a version has begun a resumable stream. */
@@ -158,12 +167,26 @@
     return this.parts.connections.send(endpointRequest, this.cancellation);
   }
 
+  /**
+   * A response that is whole only if its endpoint has not crashed, where nothing
+   * but the end of the connection says that it is.
+   */
+  private checkedForCrash(response: EndpointResponse): EndpointResponse {
+    const {hasCrashed} = this.parts;
+    if (!hasCrashed || response.isDelimited) return response;
+    const {entry} = this.spec.reservation.endpoint;
+    const isComplete = async () =>
+      (await response.isComplete()) && !(await hasCrashed(entry));
+    return {...response, isComplete};
+  }
+
   /** Checks the response head, then relays the body. */
-  private async relay(response: EndpointResponse): Promise<void> {
-    const {message} = response;
+  private async relay(received: EndpointResponse): Promise<void> {
+    const {message} = received;
     const {parts} = this;
     const {context, reservation} = this.spec;
     const head = parts.protocol.parseResponseHead(message);
+    const response = head.leaving ? received : this.checkedForCrash(received);
     if (!head.misdirected) this.recordWithholding(head);
     if (head.notRun && this.isForThisRequest(head, response)) {
       if (head.misdirected) reservation.unreachable();
--- a/source/forward/forward.ts
+++ b/source/forward/forward.ts
@@ -15,6 +15,7 @@
 } from '../balance/index.js';
 import {Cancellation} from '../cancellation/index.js';
 import type {Clock} from '../clock/index.js';
+import type {EndpointEntry} from '../directory/index.js';
 import {Refusal} from '../errors/index.js';
 import type {Logger} from '../logging/index.js';
 import type {MemoryAccount} from '../memory/index.js';
@@ -68,6 +69,11 @@
   readonly random: RandomSource;
   /** The limit on retries at the start. */
   readonly retryBudget: RetryBudget;
+  /**
+   * Resolves with whether an endpoint has just ended that had not said it would
+   * leave; not asked if it is not given.
+   */
+  readonly hasCrashed?: (entry: EndpointEntry) => Promise<boolean>;
   /** Called when an endpoint's response shows that it runs a team's request. */
   readonly onRunStarted: (team: string) => void;
 }
--- a/test/endlesshealthcheck.test.ts
+++ b/test/endlesshealthcheck.test.ts
@@ -52,6 +52,8 @@
     reports: new StartReports({
       protocol: new PlatformProtocol(),
       logger: SILENT,
+      clock,
+      directory: () => new Map(),
     }),
     connections: new ConnectionPool(clock),
     protocol: new PlatformProtocol(),
--- a/test/probedload.test.ts
+++ b/test/probedload.test.ts
@@ -58,6 +58,8 @@
     reports: new StartReports({
       protocol: new PlatformProtocol(),
       logger: SILENT,
+      clock,
+      directory: () => new Map(),
     }),
     connections: new ConnectionPool(clock),
     protocol: new PlatformProtocol(),
