Tell of the first read of a topic that is empty

Cause: a first read without records changed nothing, so the view was not told that the topic had been read. Change: the follower tells of its first read also if it has found nothing.

--- a/source/store/follower.ts
+++ b/source/store/follower.ts
@@ -61,7 +61,8 @@
   readonly random: RandomSource;
   /**
    * Called with the records that changed the view, in their order, and with
-   * whether they come from an older copy of the store.
+   * whether they come from an older copy of the store; also with none when the
+   * first read has found none.
    */
   readonly onChanges: (
     records: readonly KeyedRecord[],
@@ -275,6 +276,7 @@
 
   private applyUpdate({state, changes, isRestored}: KeyedUpdate): void {
     const {logger, metrics, topic, store} = this.options;
+    const isFirst = !this.hasRead && state.next !== undefined;
     if (this.hasRead && state.fullPageEnd !== this.state.fullPageEnd)
       this.options.onMissed?.();
     if (isRestored) {
@@ -287,7 +289,7 @@
     this.gap.update(this.position);
     this.hasRead ||= state.next !== undefined;
     store.restores.report(state.era);
-    if ((changes.length > 0 || isRestored) && !this.stopped)
+    if ((changes.length > 0 || isRestored || isFirst) && !this.stopped)
       this.options.onChanges(changes, isRestored);
   }
 
