Keep health checks away from an endpoint for the time that it asks for

Cause: the prober read the load of the answer and whether the endpoint leaves, not the backoff, which requests keep to. Change: the prober records it like an answer to a request.

--- a/source/balance/selector.ts
+++ b/source/balance/selector.ts
@@ -252,6 +252,14 @@
     this.withheld.recordLeaving(entry);
   }
 
+  /**
+   * Records that an endpoint has told in a health check that it wants nothing of
+   * this host for some milliseconds.
+   */
+  markBackoff({entry}: KnownEndpoint, duration: number): void {
+    this.withheld.recordBackoff(entry, duration, this.now());
+  }
+
   /**
    * Records that an incarnation of an endpoint has crashed: nothing is sent there
    * until a health check finds that it lives, or another incarnation is known.
--- a/source/edge/prober.ts
+++ b/source/edge/prober.ts
@@ -92,7 +92,10 @@
       const isComplete = (await discardBody(response, clock)) === 'complete';
       const head = protocol.parseResponseHead(message);
       const isOther = (head.endpoint ?? id) !== id;
+      const backoff = head.backoff?.milliseconds;
       if (head.leaving && !isOther) book.markLeaving(endpoint);
+      if (backoff !== undefined && !isOther)
+        book.markBackoff(endpoint, backoff);
       if (!isOther) this.recordLoad(id, head);
       const isHealthy = head.status === HEALTHY_STATUS && isComplete;
       return isHealthy && !isOther && !head.leaving;
