Keep using an endpoint that has other weights than a caller asks for

Cause: each 421 was taken for an address that is now another endpoint's. Change: for a request with that header a 421 says nothing of the address; the attempt has not run, and the endpoint stays in use.

--- a/source/forward/attempt.ts
+++ b/source/forward/attempt.ts
@@ -189,8 +189,9 @@
     const response = head.leaving ? received : this.checkedForCrash(received);
     if (!head.misdirected) this.recordWithholding(head);
     if (head.notRun && this.isForThisRequest(head, response)) {
-      if (head.misdirected) reservation.unreachable();
-      else this.recordLimit(head);
+      const isElsewhere = head.misdirected && !context.request.expectsWeights;
+      if (isElsewhere) reservation.unreachable();
+      else if (!head.misdirected) this.recordLimit(head);
       const end = await discardBody(response, parts.clock);
       this.isRefusalCut = end === 'cut';
       throw new AttemptFailure('status', `status ${head.status}`, true);
--- a/source/forward/protocol.ts
+++ b/source/forward/protocol.ts
@@ -31,6 +31,11 @@
    * resumes, where it names it.
    */
   readonly resumes: string | undefined;
+  /**
+   * Whether the caller asks for a version of the weights, so that an endpoint with
+   * another one refuses the request as if it were misdirected.
+   */
+  readonly expectsWeights: boolean;
   /** Alternating names and values to forward to an endpoint. */
   readonly headers: readonly string[];
 }
