Take only a closed port or another start for the crash behind an answer's end

Change: a call that finds no connection in time fails with ConnectTimeout, a report that meets it says `unreachable`, and one that finds no descriptor says `unknown`. `unreachable` still counts as an end where it did before. Expired distrust of recorders is dropped from memory.

Test: "an endpoint that is too busy to accept a connection has not crashed" (a stopped process with a full queue). Not run on the code before.

--- a/source/edge/startreports.ts
+++ b/source/edge/startreports.ts
@@ -8,7 +8,11 @@
   type Directory,
   type EndpointEntry,
 } from '../directory/index.js';
-import {WireError} from '../errors/index.js';
+import {
+  ConnectTimeout,
+  DescriptorShortage,
+  WireError,
+} from '../errors/index.js';
 import type {Protocol} from '../forward/index.js';
 import type {Logger} from '../logging/index.js';
 import {exchangeBytes, PacedAgent} from '../wire/index.js';
@@ -22,15 +26,20 @@
 const SECOND_LOOK_DELAY_MILLISECONDS = 100;
 
 /**
- * What a report says of an incarnation: it runs, another one does, nothing accepts
- * connections, it broke off the report, or nothing is known, as endpoints need not
- * report.
+ * What a report says of an incarnation: it runs, another one does, its port is
+ * closed, it accepts no connection in time, it broke off the report, or nothing is
+ * known, as endpoints need not report.
  */
 export type IncarnationState =
-  'runs' | 'replaced' | 'refuses' | 'broken-off' | 'unknown';
+  'runs' | 'replaced' | 'refuses' | 'unreachable' | 'broken-off' | 'unknown';
 
 /** Whether an incarnation has ended, as far as is known. */
 export function hasEnded(state: IncarnationState): boolean {
+  return hasEndedForSure(state) || state === 'unreachable';
+}
+
+/** Whether an incarnation has ended, and is not only busy or cut off. */
+function hasEndedForSure(state: IncarnationState): boolean {
   return state === 'refuses' || state === 'replaced';
 }
 
@@ -77,6 +86,8 @@
       return 'replaced';
     } catch (error) {
       if (!(error instanceof WireError)) throw error;
+      if (error instanceof DescriptorShortage) return 'unknown';
+      if (error instanceof ConnectTimeout) return 'unreachable';
       return error.stage === 'connect' ? 'refuses' : 'broken-off';
     }
   }
@@ -106,10 +117,10 @@
   private async look(entry: EndpointEntry): Promise<boolean> {
     const {clock} = this.options;
     const state = await this.stateOf(entry);
-    if (state !== 'broken-off') return hasEnded(state);
+    if (state !== 'broken-off') return hasEndedForSure(state);
     await new Promise<void>(resolve => {
       clock.after(SECOND_LOOK_DELAY_MILLISECONDS, resolve);
     });
-    return hasEnded(await this.stateOf(entry));
+    return hasEndedForSure(await this.stateOf(entry));
   }
 }
--- a/source/edge/zonerecorder.ts
+++ b/source/edge/zonerecorder.ts
@@ -59,7 +59,10 @@
     const {clock, hosts, logger} = this.options;
     const host = hosts().find(other => other.name === name);
     if (!host || this.isDistrusted(host)) return;
-    const until = clock.monotonic() + DISTRUST_MILLISECONDS;
+    const now = clock.monotonic();
+    for (const [incarnation, until] of this.distrusted)
+      if (now >= until) this.distrusted.delete(incarnation);
+    const until = now + DISTRUST_MILLISECONDS;
     this.distrusted.set(incarnationOf(host), until);
     logger.warn('recorder-missed', {name, next: this.name ?? ''});
   }
@@ -92,11 +95,7 @@
   }
 
   private isDistrusted(host: HostAddress): boolean {
-    const incarnation = incarnationOf(host);
-    const until = this.distrusted.get(incarnation);
-    if (until === undefined) return false;
-    if (this.options.clock.monotonic() < until) return true;
-    this.distrusted.delete(incarnation);
-    return false;
+    const until = this.distrusted.get(incarnationOf(host)) ?? -Infinity;
+    return this.options.clock.monotonic() < until;
   }
 }
--- a/source/errors/failure.ts
+++ b/source/errors/failure.ts
@@ -88,3 +88,13 @@
     super('connect', detail);
   }
 }
+
+/**
+ * A connection that was not accepted in time, which a busy endpoint or a cut may
+ * cause as well as an end.
+ */
+export class ConnectTimeout extends WireError {
+  constructor(detail: string) {
+    super('connect', detail);
+  }
+}
--- a/source/errors/index.ts
+++ b/source/errors/index.ts
@@ -1,6 +1,7 @@
 /** The error classes of the router, and the refusals that callers get. */
 export {
   ArbutusslipError,
+  ConnectTimeout,
   DescriptorShortage,
   PortError,
   SettingsError,
--- a/source/wire/exchange.ts
+++ b/source/wire/exchange.ts
@@ -6,7 +6,7 @@
 import type {Agent, IncomingHttpHeaders} from 'node:http';
 
 import {connectShortage} from '../descriptors/index.js';
-import {WireError} from '../errors/index.js';
+import {ConnectTimeout, WireError} from '../errors/index.js';
 import {abandonRequest, trackOpenCall} from './abandon.js';
 import {ByteCollector} from './collector.js';
 import {partsOf} from './address.js';
@@ -59,15 +59,19 @@
       agent,
       headers: {...call.headers, ...length},
     });
-    const timer = setTimeout(
-      () => abandonRequest(sent, new Error('no answer in time')),
-      bound,
-    );
+    let isOverdue = false;
+    const timer = setTimeout(() => {
+      isOverdue = true;
+      abandonRequest(sent, new Error('no answer in time'));
+    }, bound);
     const fail = (error: Error) => {
       clearTimeout(timer);
-      const stage = connected ? 'cut' : 'connect';
-      const failure = new WireError(stage, `${path} ${error.message}`);
-      reject(connectShortage(error) ?? failure);
+      const detail = `${path} ${error.message}`;
+      const shortage = connectShortage(error);
+      if (shortage) reject(shortage);
+      else if (connected) reject(new WireError('cut', detail));
+      else if (isOverdue) reject(new ConnectTimeout(detail));
+      else reject(new WireError('connect', detail));
     };
     sent.once('socket', socket => {
       const stopTracking = trackOpenCall(socket);
--- a/test/endwithconnection.test.ts
+++ b/test/endwithconnection.test.ts
@@ -2,12 +2,19 @@
  * Answers with neither a length nor chunks, which end with their connection. Guards
  * against a part that looks like a whole answer since its endpoint was killed.
  */
+import {spawn} from 'node:child_process';
 import {request} from 'node:http';
+import {connect} from 'node:net';
 
 import test, {type ExecutionContext} from 'ava';
 
+import {PlatformProtocol} from '../platform/protocol.js';
+import {SystemClock} from '../source/clock/index.js';
+import {StartReports} from '../source/edge/startreports.js';
 import {BareEndpoint, EVENTS} from './support/bareendpoint.js';
 import {EdgeFleet, type HostProcess} from './support/edgeprocess.js';
+import {createEndpoint} from './support/forwarding.js';
+import {SILENT} from './support/silent.js';
 
 /** What the caller got. */
 interface Reply {
@@ -134,3 +141,36 @@
   t.is(reply.status, 200);
   t.deepEqual(idsOf(reply.text), ALL);
 });
+
+/** A process that listens and is then stopped, with its queue of connections full. */
+async function stoppedEndpoint(t: ExecutionContext): Promise<string> {
+  const program =
+    "require('node:net').createServer().listen({port: 0, host: '127.0.0.1', " +
+    'backlog: 1}, function () { console.log(this.address().port); });';
+  const child = spawn(process.execPath, ['-e', program], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  t.teardown(() => child.kill('SIGKILL'));
+  const port = await new Promise<number>(resolve => {
+    child.stdout.once('data', bytes => resolve(Number(bytes)));
+  });
+  child.kill('SIGSTOP');
+  const fillers = Array.from({length: 8}, () =>
+    connect({port, host: '127.0.0.1'}).on('error', () => {}),
+  );
+  t.teardown(() => fillers.forEach(socket => socket.destroy()));
+  await new Promise(resolve => setTimeout(resolve, 100));
+  return `127.0.0.1:${port}`;
+}
+
+test('an endpoint that is too busy to accept a connection has not crashed', async t => {
+  const endpoint = createEndpoint('engine-0', await stoppedEndpoint(t));
+  const reports = new StartReports({
+    protocol: new PlatformProtocol(),
+    clock: new SystemClock(),
+    logger: SILENT,
+    directory: () => new Map([['engine-0', endpoint]]),
+  });
+  t.is(await reports.stateOf(endpoint.entry), 'unreachable');
+  t.false(await reports.hasCrashed(endpoint.entry));
+});
