Order the test of a leaving endpoint by what has happened, not by time

The test now writes the entry once the endpoint has the request, and the endpoint ends its answer and exits once the host has logged that it leaves. What it asserts is unchanged.

--- a/test/endwithconnection.test.ts
+++ b/test/endwithconnection.test.ts
@@ -12,7 +12,7 @@
 import {SystemClock} from '../source/clock/index.js';
 import {StartReports} from '../source/edge/startreports.js';
 import {BareEndpoint, EVENTS} from './support/bareendpoint.js';
-import {EdgeFleet, type HostProcess} from './support/edgeprocess.js';
+import {EdgeFleet, until, type HostProcess} from './support/edgeprocess.js';
 import {createEndpoint} from './support/forwarding.js';
 import {SILENT} from './support/silent.js';
 
@@ -109,10 +109,18 @@
 
 test('a stream is whole if its endpoint was known to leave and exits with it', async t => {
   const {fleet, start, host} = await startHost(t);
-  await start(new BareEndpoint('a', fleet, 'closes and exits'));
+  const leaving = new BareEndpoint('a', fleet, 'closes and exits');
+  await start(leaving);
   const process = await host();
+  // An endpoint serves on for seconds after it has said that it leaves.
+  const knowsIt = () =>
+    process.lines.some(
+      ({event, fields}) =>
+        event === 'endpoint' && fields['state'] === 'leaving',
+    );
+  leaving.mayEnd = until(knowsIt);
   const asked = ask(process, '/draft/1');
-  await new Promise(resolve => setTimeout(resolve, 50));
+  await leaving.asked;
   fleet.enter('a', fleet.addresses.get('a') ?? '', 'draining', 'v1', 2);
   const reply = await asked;
   t.deepEqual(idsOf(reply.text), ALL);
--- a/test/support/bareendpoint.ts
+++ b/test/support/bareendpoint.ts
@@ -21,6 +21,11 @@
 
 /** One endpoint. */
 export class BareEndpoint {
+  /** Resolves when it may end an answer. */
+  mayEnd: Promise<void> = Promise.resolve();
+  /** Resolves when it has got a request. */
+  readonly asked: Promise<void>;
+  private noteAsked: () => void = () => {};
   private readonly sockets = new Set<Socket>();
   private server: Server | undefined;
 
@@ -29,7 +34,9 @@
     private readonly fleet: EdgeFleet,
     private readonly endOfAnswer: EndOfAnswer,
     private readonly reports = true,
-  ) {}
+  ) {
+    this.asked = new Promise(resolve => (this.noteAsked = resolve));
+  }
 
   /** Listens and enters the endpoint in the store. */
   async start(state = 'ready'): Promise<void> {
@@ -54,6 +61,7 @@
 
   private take(socket: Socket, head: string): void {
     if (head.startsWith(REPORT)) return this.report(socket);
+    this.noteAsked();
     const attempt = ATTEMPT_PATTERN.exec(head)?.[1] ?? '';
     const leaving =
       this.endOfAnswer === 'says it leaves' ? 'Server-Leaving: 1\r\n' : '';
@@ -66,14 +74,15 @@
       if (socket.destroyed) return;
       const crashes = this.endOfAnswer === 'crashes after two events';
       if (crashes && event === 2) return this.stop();
-      if (event === EVENTS) return this.end(socket);
+      if (event === EVENTS) return void this.end(socket);
       socket.write(`id: ${++event}\ndata: ${this.id}\n\n`);
       setTimeout(next, PAUSE_MILLISECONDS);
     };
     next();
   }
 
-  private end(socket: Socket): void {
+  private async end(socket: Socket): Promise<void> {
+    await this.mayEnd;
     socket.end();
     if (this.endOfAnswer !== 'closes') setImmediate(() => this.stop());
   }
